--- /dev/null
+++ b/examples/main.cpp
@@ -0,0 +1,84 @@
+// The whole of it in one file: settings, events in, actions out. Plays a sidecar with four servers, the
+// first of which turns every request away.
+#include <cstdio>
+#include <map>
+#include <merlinrun/balancer.hpp>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace {
+
+// A real caller sends here; this one notes what it is asked to do.
+class Sink : public merlinrun::ActionSink {
+ public:
+  void Send(std::string_view request, const std::string& server, merlinrun::Micros) override {
+    std::printf("send    %s to %s\n", std::string(request).c_str(), server.c_str());
+    sent.emplace_back(request, server);
+  }
+  void Cancel(std::string_view, int) override {}
+  void Refuse(std::string_view request, merlinrun::Micros after) override {
+    std::printf("refuse  %s, back after %lld us\n", std::string(request).c_str(),
+                static_cast<long long>(after));
+  }
+  void Fail(std::string_view request) override { std::printf("fail    %s\n", std::string(request).c_str()); }
+  void SetTimer(merlinrun::Micros delay, std::uint64_t token) override { timers[token] = delay; }
+  void Subscribe() override {}
+  void Log(std::string_view) override {}
+
+  std::vector<std::pair<std::string, std::string>> sent;
+  std::map<std::uint64_t, merlinrun::Micros> timers;
+};
+
+}  // namespace
+
+int main() {
+  using namespace merlinrun;
+  Settings settings;
+  RequestClass look;
+  look.name = "look";
+  look.aim = 500'000;
+  look.deadline = 2'000'000;
+  look.repeat = Repeat::kSafe;
+  settings.classes = {look};
+  settings.max_attempts = 4;
+
+  Sink sink;
+  std::string error;
+  Micros now = 1'000'000;  // any monotonic count of microseconds
+  const auto balancer = Balancer::Create(settings, /*seed=*/1, now, sink, error);
+  if (balancer == nullptr) {
+    std::fprintf(stderr, "settings: %s\n", error.c_str());
+    return 1;
+  }
+
+  std::vector<ServerInfo> servers(4);
+  for (std::size_t i = 0; i < servers.size(); ++i) servers[i].id = "10.0.0." + std::to_string(i + 1) + ":80";
+  balancer->OnServers(now, {ListUpdate::Kind::kFull, 1, servers});
+
+  int served = 0;
+  for (int i = 0; i < 8; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    Request request;
+    request.id = id;
+    request.budget = look.deadline;
+    balancer->OnRequest(now, request);
+    for (int attempt = 0; !sink.sent.empty(); ++attempt) {
+      const auto [to, server] = sink.sent.back();
+      sink.sent.clear();
+      Outcome outcome;
+      outcome.request = to;
+      outcome.attempt = attempt;
+      outcome.elapsed = 20'000;
+      outcome.result = server == servers[0].id ? Result::kRefused : Result::kSuccess;
+      outcome.settled = outcome.result == Result::kSuccess;  // a success reaches the client and ends it
+      served += outcome.settled;
+      now += outcome.elapsed;
+      balancer->OnOutcome(now, outcome);
+      for (const auto& [token, delay] : std::exchange(sink.timers, {}))
+        balancer->OnTimer(now += delay, token);
+    }
+  }
+  std::printf("%d of 8 served, %zu held\n", served, balancer->requests_held());
+  return served == 8 && balancer->requests_held() == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/include/merlinrun/balancer.hpp
@@ -0,0 +1,226 @@
+// The interface of merlinrun: the decisions of a sidecar balancer for service-to-service calls.
+//
+// A Balancer holds no socket, no clock and no thread. The caller delivers events, each with the present time,
+// and carries out the actions that the balancer hands to its ActionSink before the event call returns.
+//
+// Ownership: a Balancer owns its state and keeps a reference to the sink, which must outlive it. It copies
+// what it keeps of an event. Threading: one Balancer, one thread at a time; Balancers share nothing. Time:
+// any monotonic microsecond count; an event that is older than the one before it is taken as simultaneous
+// with it.
+//
+// The caller's duties: deliver one Outcome for each Send, a Timer for each SetTimer, and give each request an
+// id that this Balancer has not seen. Events that name an unknown request, attempt or server, and outcomes
+// delivered a second time, are ignored; a second OnRequest with the id of a request that is still held is
+// ignored too. A request of an unknown class fails. Times and settings are taken to be under 2^60
+// microseconds.
+#ifndef MERLINRUN_BALANCER_HPP_
+#define MERLINRUN_BALANCER_HPP_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace merlinrun {
+
+using Micros = std::int64_t;
+
+// Whether a request may run again after an attempt that may have run.
+enum class Repeat { kSafe, kDeduplicated, kNever };
+
+// Which servers drop the repeats of a deduplicated request.
+enum class DedupGroup { kAll, kZone, kCell };
+
+struct RequestClass {
+  std::string name;
+  Micros aim = 0;          // an answer within this time is worth all
+  double aim_stretch = 0;  // the aim grows by this multiple of the request's own work
+  Micros deadline = 0;     // the longest that a client waits, over all its tries
+  double worth = 1;        // of one request, or of one unit of its work
+  double late_worth = 0;   // share of the worth of an answer after the aim
+  Repeat repeat = Repeat::kNever;
+  DedupGroup group = DedupGroup::kAll;
+  Micros dedup_window = 0;  // repeats are dropped for so long after the first send
+  bool streamed = false;
+  bool sequential = false;  // requests of such classes with one key run one at a time, in order of arrival
+};
+
+struct Tenant {
+  std::string name;
+  double share = 0;        // of what the servers can do
+  double quota_per_s = 0;  // requests a second over all sidecars; 0 = no limit
+};
+
+// What a deployment states at the start. Every figure that depends on the deployment comes from here.
+struct Settings {
+  std::vector<RequestClass> classes;
+  std::vector<Tenant> tenants;
+  int zone = -1;               // this sidecar's; -1 = unknown
+  std::uint32_t rank = 0;      // this sidecar's number, from 0
+  std::uint32_t siblings = 1;  // number of sidecars
+  Micros tick = 0;             // events arrive at this granularity
+  // What is allowed.
+  int max_attempts = 1;
+  bool parallel_attempts = false;
+  bool cancel = false;
+  bool peers = false;
+  bool probes = false;
+  Micros max_retry_after = 0;  // clients follow no longer advice; 0 = they take none
+  int streams_per_connection = 1;
+  Micros connection_idle = 0;  // idle connections are closed after so long; 0 = not told
+  Micros dial_timeout = 0;     // a connection that is not up by then is unreachable; 0 = not told
+  std::int64_t most_open = 0;  // requests that a sidecar can have open; 0 = not told
+  std::int64_t cpu_per_s = 0;  // CPU that a sidecar has, in microseconds a second; 0 = not told
+  double cpu_per_request = 0;  // CPU for a request with its outcomes, in microseconds; 0 = no limit
+  bool clients_mark_repeats = false;
+  // What is told of the servers' load, and what the weights of the list are.
+  enum class Reports { kNone, kInAnswers, kInProbes } reports = Reports::kNone;
+  std::vector<std::string> report_fields;
+  enum class Weights { kNone, kNominal, kRough, kLive } weights = Weights::kNone;
+  // How the list of servers is followed.
+  bool must_subscribe = false;
+  Micros ask_within = 0;
+  // The rules.
+  Micros drain_grace = 0;
+  double cold_share = 1;              // capacity of a server at its start
+  Micros warm_after = 0;              // it has its full capacity after so long
+  double overload_factor = 1;         // more than so many times its capacity ...
+  Micros fall_window = 0;             // ... for so long, and a cold server falls over
+  bool refused_may_have_run = false;  // a server turns away also what it had begun: kRefused proves nothing
+  Micros settle_after_doubt = 0;      // a key's next request waits so long after a time-out, reset or cancel
+  // Prices, in shares of the result.
+  double price_crossing = 0;
+  double price_waste = 0;
+  double price_connection = 0;
+  double price_late = 0;
+  double price_handshake = 0;
+  double price_probe = 0;      // of a probe for each request
+  double price_peer = 0;       // of 256 bytes delivered to peers for each request
+  double price_discovery = 0;  // of 100 list lines for each request
+  double price_moves = 0;
+  double price_origin = 0;
+  // What the result weighs, in shares.
+  double goal_whole = 1;
+  double goal_worst_window = 0;
+  double goal_worst_class = 0;
+  double goal_worst_tenant = 0;
+  bool worth_by_work = false;
+  double over_share_worth = 1;
+};
+
+struct ServerInfo {
+  std::string id;
+  int zone = -1;
+  int machine = -1;  // kind of machine, as an index; -1 = unknown
+  std::int64_t cell = -1;
+  double weight = 1;   // comparable between servers
+  Micros started = 0;  // 0 = long ago
+  enum class State { kHealthy, kDraining, kGone } state = State::kHealthy;
+};
+
+struct ListUpdate {
+  enum class Kind {
+    kDelta,   // changed entries alone
+    kFull,    // the whole list
+    kStale,   // the whole list as this sidecar last had it; may be old
+    kFailed,  // a Subscribe or Fetch failed or the subscription broke; no entries
+  } kind = Kind::kFull;
+  std::int64_t version = 0;
+  std::span<const ServerInfo> servers;
+};
+
+struct Request {
+  std::string_view id;
+  int request_class = 0;
+  int tenant = -1;
+  std::optional<Micros> cost;  // expected work
+  Micros budget = 0;           // the client gives up after this time
+  bool repeated = false;       // the client says that it is a repeat
+  bool write = false;
+  std::string_view key;  // what it concerns; empty = none
+};
+
+enum class Result {
+  kSuccess,
+  kError,        // may have run
+  kRefused,      // turned away unseen
+  kTimeout,      // may have run, may be running
+  kUnreachable,  // no connection
+  kReset,        // the connection broke; may have run
+  kCancelled,    // may have run
+  kNeverSent,
+};
+
+// What a server says of itself: late and noisy. A value that was not reported is absent, never 0.
+struct LoadReport {
+  std::optional<double> busy;        // requests that it holds
+  std::optional<double> waiting;     // of them in its queue
+  std::optional<double> cpu;         // how busy its cores are, 0 to 1
+  std::optional<double> service_ms;  // recent time of service, without waiting
+  std::optional<double> served_per_s;
+  std::optional<double> failed_per_s;
+};
+
+struct Outcome {
+  std::string_view request;
+  int attempt = 0;
+  Result result = Result::kSuccess;
+  Micros elapsed = 0;
+  bool settled = false;  // the request has its final answer
+  LoadReport load = {};
+};
+
+struct ProbeResult {
+  std::string_view server;
+  Result result = Result::kSuccess;
+  Micros elapsed = 0;
+  LoadReport load = {};
+};
+
+// Receives what the balancer decides. Calls come from inside the event calls; do not call back into the
+// Balancer.
+class ActionSink {
+ public:
+  virtual ~ActionSink() = default;
+  // A timeout of 0 means until the client gives up. Attempts of a request are numbered from 0 in this order.
+  virtual void Send(std::string_view request, const std::string& server, Micros timeout) = 0;
+  virtual void Cancel(std::string_view request, int attempt) = 0;
+  virtual void Refuse(std::string_view request, Micros retry_after) = 0;
+  virtual void Fail(std::string_view request) = 0;
+  virtual void SetTimer(Micros delay, std::uint64_t token) = 0;
+  virtual void Subscribe() = 0;
+  virtual void Log(std::string_view text) = 0;
+};
+
+class Balancer {
+ public:
+  // Returns null and sets `error` when the settings make no sense.
+  static std::unique_ptr<Balancer> Create(const Settings& settings, std::uint64_t seed, Micros now,
+                                          ActionSink& sink, std::string& error);
+  ~Balancer();
+  Balancer(const Balancer&) = delete;
+  Balancer& operator=(const Balancer&) = delete;
+
+  void OnServers(Micros now, const ListUpdate& update);
+  void OnRequest(Micros now, const Request& request);
+  void OnResponseStarted(Micros now, std::string_view request, int attempt);
+  void OnOutcome(Micros now, const Outcome& outcome);
+  void OnClientGone(Micros now, std::string_view request);
+  void OnTimer(Micros now, std::uint64_t token);
+  void OnProbed(Micros now, const ProbeResult& probe);
+  void OnPeerMessage(Micros now, std::uint32_t sender, std::string_view bytes);
+
+  std::size_t requests_held() const;  // records kept, ended ones with an attempt still out included
+
+ private:
+  class State;
+  explicit Balancer(std::unique_ptr<State> state);
+  std::unique_ptr<State> state_;
+};
+
+}  // namespace merlinrun
+
+#endif  // MERLINRUN_BALANCER_HPP_
--- /dev/null
+++ b/src/drill/wire.cpp
@@ -0,0 +1,316 @@
+#include "wire.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <initializer_list>
+#include <map>
+#include <utility>
+
+namespace merlinrun::drill {
+namespace {
+
+constexpr std::int64_t kMostTime = std::int64_t{1} << 60;  // two of them can be added
+
+[[noreturn]] void Bad(std::string_view what, std::string_view value, std::string_view why) {
+  std::string text(what);
+  text.append(" '").append(value.substr(0, 80)).append("': ").append(why);
+  throw WireError(text);
+}
+
+template <typename T>
+T Parse(std::string_view word, std::string_view what, std::string_view kind) {
+  T value{};
+  const auto [end, error] = std::from_chars(word.data(), word.data() + word.size(), value);
+  if (error != std::errc() || end != word.data() + word.size()) Bad(what, word, kind);
+  return value;
+}
+
+// The value that a word stands for.
+template <typename T>
+T OneOf(std::string_view word, std::string_view what, std::string_view otherwise,
+        std::initializer_list<std::pair<std::string_view, T>> choices) {
+  for (const auto& [name, value] : choices)
+    if (word == name) return value;
+  Bad(what, word, otherwise);
+}
+
+// path=value pairs by path. Values are parsed as they are asked for, so unknown keys cost nothing.
+class Pairs {
+ public:
+  explicit Pairs(std::string_view text) {
+    while (!text.empty()) {
+      const std::size_t space = text.find(' ');
+      const std::string_view pair = text.substr(0, space);
+      text.remove_prefix(space == std::string_view::npos ? text.size() : space + 1);
+      const std::size_t equals = pair.find('=');
+      if (equals == std::string_view::npos || equals == 0) Bad("setting", pair, "not path=value");
+      values_[pair.substr(0, equals)] = pair.substr(equals + 1);
+    }
+  }
+  std::string_view Text(const std::string& path, std::string_view otherwise) const {
+    const auto it = values_.find(path);
+    return it == values_.end() || it->second == "-" ? otherwise : it->second;
+  }
+  double Number(const std::string& path, double otherwise) const {
+    const std::string_view text = Text(path, "");
+    if (text.empty()) return otherwise;
+    const double value = Parse<double>(text, path, "not a number");
+    if (!std::isfinite(value)) Bad(path, text, "not a finite number");
+    return value;
+  }
+  std::int64_t Int(const std::string& path, std::int64_t otherwise) const {
+    const std::string_view text = Text(path, "");
+    if (text.empty()) return otherwise;
+    const auto value = Parse<std::int64_t>(text, path, "not a whole number");
+    if (value > kMostTime || value < -kMostTime) Bad(path, text, "out of range");
+    return value;
+  }
+  // A whole number small enough to count things of this process with.
+  int Small(const std::string& path, int otherwise) const {
+    const std::int64_t value = Int(path, otherwise);
+    if (value < 0 || value > 1'000'000'000) Bad(path, Text(path, ""), "out of range");
+    return static_cast<int>(value);
+  }
+  bool Bool(const std::string& path, bool otherwise) const {
+    const std::string_view text = Text(path, "");
+    if (text.empty()) return otherwise;
+    if (text == "true" || text == "1") return true;
+    if (text == "false" || text == "0") return false;
+    Bad(path, text, "not a bool");
+  }
+
+ private:
+  std::map<std::string_view, std::string_view> values_;
+};
+
+std::vector<std::string> SplitCommas(std::string_view text) {
+  std::vector<std::string> parts;
+  while (!text.empty()) {
+    const std::size_t comma = text.find(',');
+    parts.emplace_back(text.substr(0, comma));
+    text.remove_prefix(comma == std::string_view::npos ? text.size() : comma + 1);
+  }
+  return parts;
+}
+
+RequestClass ParseClass(const Pairs& pairs, const std::string& at) {
+  RequestClass c;
+  c.name = pairs.Text(at + "name", "");
+  if (c.name.empty()) Bad(at + "name", "", "a class needs a name");
+  c.aim = pairs.Int(at + "aim_us", 0);
+  c.aim_stretch = pairs.Number(at + "aim_stretch", 0);
+  c.deadline = pairs.Int(at + "hard_limit_us", 0);
+  c.worth = pairs.Number(at + "importance", 1);
+  c.late_worth = pairs.Number(at + "late_value", 0);
+  c.dedup_window = pairs.Int(at + "window_us", 0);
+  c.streamed = pairs.Bool(at + "stream", false);
+  c.sequential = pairs.Bool(at + "sequential", false);
+  c.repeat = OneOf<Repeat>(pairs.Text(at + "repeat", ""), at + "repeat", "unknown repeat kind",
+                           {{"idempotent", Repeat::kSafe},
+                            {"deduplicated", Repeat::kDeduplicated},
+                            {"at_most_once", Repeat::kNever}});
+  c.group = OneOf<DedupGroup>(
+      pairs.Text(at + "group", "all"), at + "group", "unknown group",
+      {{"all", DedupGroup::kAll}, {"zone", DedupGroup::kZone}, {"cell", DedupGroup::kCell}});
+  return c;
+}
+
+constexpr std::pair<std::string_view, std::optional<double> LoadReport::*> kLoadFields[] = {
+    {"busy_reqs", &LoadReport::busy},         {"pending", &LoadReport::waiting},
+    {"cpu_share", &LoadReport::cpu},          {"svc_ms", &LoadReport::service_ms},
+    {"served_ps", &LoadReport::served_per_s}, {"failed_ps", &LoadReport::failed_per_s}};
+
+int HexDigit(char c) {
+  if (c >= '0' && c <= '9') return c - '0';
+  if (c >= 'a' && c <= 'f') return c - 'a' + 10;
+  if (c >= 'A' && c <= 'F') return c - 'A' + 10;
+  return -1;
+}
+
+}  // namespace
+
+std::string_view Fields::Word(const char* what) {
+  if (!any_left_) throw WireError(std::string(what) + ": missing");
+  const std::size_t space = rest_.find(' ');
+  const std::string_view word = rest_.substr(0, space);
+  if (word.empty()) throw WireError(std::string(what) + ": empty");
+  any_left_ = space != std::string_view::npos;
+  rest_.remove_prefix(any_left_ ? space + 1 : rest_.size());
+  return word;
+}
+
+std::optional<std::int64_t> Fields::OptionalInt(const char* what) {
+  const std::string_view word = Word(what);
+  if (word == "-") return std::nullopt;
+  return Parse<std::int64_t>(word, what, "not a whole number");
+}
+
+std::int64_t Fields::Int(const char* what) {
+  return Parse<std::int64_t>(Word(what), what, "not a whole number");
+}
+
+std::int64_t Fields::NonNegative(const char* what) {
+  const std::string_view word = Word(what);
+  const auto value = Parse<std::int64_t>(word, what, "not a whole number");
+  if (value < 0) Bad(what, word, "negative");
+  if (value > kMostTime) Bad(what, word, "out of range");
+  return value;
+}
+
+std::uint64_t Fields::Unsigned(const char* what) {
+  return Parse<std::uint64_t>(Word(what), what, "not a whole number from 0");
+}
+
+double Fields::Number(const char* what) {
+  const std::string_view word = Word(what);
+  const auto value = Parse<double>(word, what, "not a number");
+  if (!std::isfinite(value)) Bad(what, word, "not a finite number");
+  return value;
+}
+
+bool Fields::Bool(const char* what) {
+  const std::string_view word = Word(what);
+  if (word == "1") return true;
+  if (word == "0") return false;
+  Bad(what, word, "not 1 or 0");
+}
+
+std::string_view Fields::Rest() {
+  any_left_ = false;
+  return std::exchange(rest_, std::string_view());
+}
+
+void Fields::End() {
+  if (any_left_) Bad("line", rest_, "more than it should hold");
+}
+
+WireSettings ParseSettings(std::string_view text) {
+  const Pairs pairs(text);
+  WireSettings out;
+  Settings& s = out.settings;
+  out.zones = SplitCommas(pairs.Text("azs", ""));
+  out.machines = SplitCommas(pairs.Text("host_types", ""));
+  const int classes = pairs.Small("grades.count", 0);
+  for (int i = 0; i < classes; ++i)
+    s.classes.push_back(ParseClass(pairs, "grades." + std::to_string(i) + "."));
+  const int tenants = pairs.Small("tenants.count", 0);
+  for (int i = 0; i < tenants; ++i) {
+    const std::string at = "tenants." + std::to_string(i) + ".";
+    Tenant tenant;
+    tenant.name = pairs.Text(at + "name", "");
+    if (tenant.name.empty()) Bad(at + "name", "", "a tenant needs a name");
+    tenant.share = pairs.Number(at + "share", 0);
+    tenant.quota_per_s = pairs.Number(at + "quota_per_s", 0);
+    s.tenants.push_back(std::move(tenant));
+  }
+  s.zone = IndexOf(out.zones, pairs.Text("my_zone", ""));
+  s.rank = static_cast<std::uint32_t>(pairs.Small("rank", 0));
+  s.siblings = static_cast<std::uint32_t>(pairs.Small("siblings", 1));
+  s.tick = pairs.Int("quantum_us", 0);
+  s.max_attempts = pairs.Small("allowed.max_attempts", 1);
+  s.parallel_attempts = pairs.Bool("allowed.parallel_tries", false);
+  s.cancel = pairs.Bool("allowed.cancel", false);
+  s.peers = pairs.Bool("allowed.peers", false);
+  s.probes = pairs.Bool("allowed.probes", false);
+  s.max_retry_after =
+      pairs.Bool("allowed.retry_after", false) ? pairs.Int("allowed.max_retry_after_us", 0) : 0;
+  s.streams_per_connection = pairs.Small("allowed.streams_per_conn", 1);
+  s.connection_idle = pairs.Int("allowed.conn_idle_us", 0);
+  s.dial_timeout = pairs.Int("allowed.dial_timeout_us", 0);
+  s.most_open = pairs.Int("allowed.open_cap", 0);
+  s.cpu_per_s = pairs.Int("allowed.cpu_us_per_s", 0);
+  s.cpu_per_request = pairs.Number("allowed.cpu_us_per_request", 0);
+  s.clients_mark_repeats = pairs.Bool("callers.marks_retry", false);
+  s.reports = OneOf<Settings::Reports>(pairs.Text("telemetry.via", "none"), "telemetry.via", "unknown",
+                                       {{"none", Settings::Reports::kNone},
+                                        {"answers", Settings::Reports::kInAnswers},
+                                        {"probe", Settings::Reports::kInProbes}});
+  s.report_fields = SplitCommas(pairs.Text("telemetry.fields", ""));
+  s.weights = OneOf<Settings::Weights>(pairs.Text("weights", "none"), "weights", "unknown",
+                                       {{"none", Settings::Weights::kNone},
+                                        {"nominal", Settings::Weights::kNominal},
+                                        {"rough", Settings::Weights::kRough},
+                                        {"live", Settings::Weights::kLive}});
+  s.must_subscribe = pairs.Text("membership_mode", "automatic") == "subscribe";
+  s.ask_within = pairs.Int("rules.ask_within_us", 0);
+  s.drain_grace = pairs.Int("rules.drain_grace_us", 0);
+  s.cold_share = pairs.Number("rules.cold_from", 1);
+  s.warm_after = pairs.Int("rules.warm_after_us", 0);
+  s.overload_factor = pairs.Number("rules.overload_factor", 1);
+  s.fall_window = pairs.Int("rules.fall_us", 0);
+  s.refused_may_have_run = pairs.Bool("rules.late_shedding", false);
+  s.settle_after_doubt = pairs.Int("rules.settle_after_doubt_us", 0);
+  s.price_crossing = pairs.Number("costs.cross_zone", 0);
+  s.price_waste = pairs.Number("costs.waste", 0);
+  s.price_connection = pairs.Number("costs.connection", 0);
+  s.price_late = pairs.Number("costs.late_fail", 0);
+  s.price_handshake = pairs.Number("costs.handshake", 0);
+  s.price_probe = pairs.Number("costs.probe", 0);
+  s.price_peer = pairs.Number("costs.peer", 0);
+  s.price_discovery = pairs.Number("costs.membership_mode", 0);
+  s.price_moves = pairs.Number("costs.moves", 0);
+  s.price_origin = pairs.Number("costs.origin", 0);
+  s.goal_whole = pairs.Number("goal.whole", 1);
+  s.goal_worst_window = pairs.Number("goal.worst_window", 0);
+  s.goal_worst_class = pairs.Number("goal.worst_class", 0);
+  s.goal_worst_tenant = pairs.Number("goal.worst_tenant", 0);
+  s.worth_by_work = pairs.Text("value_by", "request") == "work";
+  s.over_share_worth = pairs.Number("over_share_worth", 1);
+  return out;
+}
+
+Result ParseResult(std::string_view word) {
+  return OneOf<Result>(word, "outcome", "unknown",
+                       {{"success", Result::kSuccess},
+                        {"failure", Result::kError},
+                        {"overloaded", Result::kRefused},
+                        {"timed_out", Result::kTimeout},
+                        {"unreachable", Result::kUnreachable},
+                        {"broken", Result::kReset},
+                        {"withdrawn", Result::kCancelled},
+                        {"void", Result::kNeverSent}});
+}
+
+LoadReport ParseLoad(std::string_view text) {
+  LoadReport load;
+  if (text == "-") return load;
+  for (const std::string& pair : SplitCommas(text)) {
+    const std::size_t colon = pair.find(':');
+    if (colon == std::string::npos || colon == 0) Bad("stats", pair, "not name:value");
+    const std::string_view value = std::string_view(pair).substr(colon + 1);
+    if (value == "-") continue;
+    const double number = Parse<double>(value, "stats", "not a number");
+    if (!std::isfinite(number) || number < 0) Bad("stats", pair, "not a finite number from 0");
+    for (const auto& [name, field] : kLoadFields)
+      if (std::string_view(pair).substr(0, colon) == name) load.*field = number;
+  }
+  return load;
+}
+
+std::string ParseHex(std::string_view digits) {
+  std::string bytes;
+  if (digits == "-") return bytes;
+  if (digits.size() % 2 != 0) Bad("blob", digits, "not whole bytes in hex");
+  for (std::size_t i = 0; i < digits.size(); i += 2) {
+    const int high = HexDigit(digits[i]);
+    const int low = HexDigit(digits[i + 1]);
+    if (high < 0 || low < 0) Bad("blob", digits, "not hex digits");
+    bytes.push_back(static_cast<char>(high * 16 + low));
+  }
+  return bytes;
+}
+
+ServerInfo::State ParseState(std::string_view word) {
+  return OneOf<ServerInfo::State>(word, "readiness", "unknown",
+                                  {{"healthy", ServerInfo::State::kHealthy},
+                                   {"cordoned", ServerInfo::State::kDraining},
+                                   {"deregistered", ServerInfo::State::kGone}});
+}
+
+int IndexOf(const std::vector<std::string>& names, std::string_view name) {
+  const auto it = std::find(names.begin(), names.end(), name);
+  return it == names.end() ? -1 : static_cast<int>(it - names.begin());
+}
+
+}  // namespace merlinrun::drill
--- /dev/null
+++ b/src/policy.cpp
@@ -0,0 +1,653 @@
+// Every decision of merlinrun. Interface: include/merlinrun/balancer.hpp. Why it is so: docs/design.md.
+//
+// Order of this file: tunables, state, the list of servers and the window, a request's life (arrival, choice
+// of a server, outcome, wait, end), discovery.
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <deque>
+#include <map>
+#include <unordered_map>
+#include <utility>
+
+#include "merlinrun/balancer.hpp"
+#include "records.hpp"
+
+namespace merlinrun {
+namespace {
+
+constexpr Micros kMillisecond = 1000;
+constexpr Micros kSecond = 1000 * kMillisecond;
+
+// Servers in the window. Few enough that each server holds connections from few sidecars, enough to leave a
+// choice.
+constexpr std::size_t kWindowWidth = 3;
+// A busy sidecar's window is wider: this many servers for each attempt it lately had out at once.
+constexpr double kServersPerOut = 0.25;
+// The same where open connections cost nothing. 0.25 to 2 were tried.
+constexpr double kServersPerOutFree = 1;
+// The wait before attempt n+1 is random(0, min(cap, base * 2^n)).
+constexpr Micros kRetryBase = 100 * kMillisecond;
+constexpr Micros kRetryCap = 30 * kSecond;
+// The design's stop; the deployment may set a lower limit.
+constexpr int kMaxAttempts = 5;
+// Draws from the window before it is searched from end to end: bounds the work of an ordinary choice.
+constexpr int kDraws = 8;
+// Overload. Each outcome moves the share of the work that is let in by kAdmitStep for each whole aim that the
+// answer came before or after its target. kAdmitTarget, in aims, is the target for the dearest work: far
+// under one, as servers choke on their queues before answers come late.
+constexpr double kAdmitTarget = 0.27;
+// The same where servers report their load. By figures, not by reasoning: of all settings only this one told
+// the deployments apart that lose by shedding early from those whose servers choke. 0.27 to 0.7 were tried.
+constexpr double kAdmitTargetReported = 0.45;
+// There it also stays within this much of what idle servers take: on servers of many cores, idle ones take
+// little and a queue shows early. 0.2 and 0.25 were tried.
+constexpr double kRoom = 0.22;
+constexpr double kAdmitStep = 0.2;
+// An attempt that was turned away or timed out counts as this many aims.
+constexpr double kAdmitWorst = 1.5;
+// The n-th late outcome in a row counts n times, to this many: one is a dear request or one server's trouble,
+// several are an overload that all share, and servers are overdriven within seconds.
+constexpr double kLatesMost = 4;
+// The target stays this far above the least pressure that was usual, averaged over kUsualMemory answers:
+// guards against refusing cheap work all day where even idle servers take a good part of the aim.
+constexpr double kHeadroom = 1.6;
+constexpr double kUsualMemory = 30;
+// One good answer recovers no more than it would at this level: servers that choked recover only if they are
+// left alone for seconds, and a lucky answer must not end that. 0.15 and 0.3 were tried.
+constexpr double kRecoverAt = 0.15;
+// Never shut out everything: what is let in is the only way to see the end of an overload.
+constexpr double kAdmitLeast = 0.05;
+// Good answers save up to this level, so that one bad answer by chance refuses nobody.
+constexpr double kAdmitMost = 1.5;
+// Arrivals over which the mix of classes is remembered, and answers over which a class's usual time is.
+constexpr double kMixMemory = 100;
+// Answers over which a server's slowness is remembered, and the most that one answer may say of it.
+constexpr double kSlowMemory = 8;
+constexpr double kSlowMost = 4;
+// A server that fails to connect, resets, times out or lets a request outlive its aim is left alone for
+// random(0, min(kRetryCap, base * 2^n)), n being such events in a row: the request's own wait, applied to a
+// server.
+constexpr Micros kServerBase = 500 * kMillisecond;
+// From this share on a class counts as turned away by a server.
+constexpr double kRefusesSome = 0.1;
+// Answers over which a server's turning away of a class is remembered: quick to believe, slow to forget.
+// It is never quite believed, so that an attempt now and then finds the end of it.
+constexpr double kRefusalMemory = 3;
+constexpr double kServedMemory = 10;
+constexpr double kRefusalMost = 0.95;
+// At most this part of the window is left alone at once: a slowdown that all share must not empty it.
+constexpr double kMostAway = 0.5;
+// From this price of a crossing on (share of the result) servers of other zones serve only what their own
+// zone's cannot; below it a choice from all servers gains more than the crossings cost.
+constexpr double kCrossingPriced = 0.05;
+// Asking discovery again after a failure waits random(0, min(ask_within, base * 2^n)).
+constexpr Micros kAskBase = kSecond;
+
+// The one place that says which outcomes prove that the attempt never ran. Some servers also turn away what
+// they had begun: their refusal proves nothing.
+bool ProvesNeverRan(Result result, bool refused_may_have_run) {
+  return (result == Result::kRefused && !refused_may_have_run) || result == Result::kUnreachable ||
+         result == Result::kNeverSent;
+}
+
+Micros Doubled(Micros base, int n, Micros cap) {
+  return std::min(cap, base << std::min(n, 20));  // 20: far past any cap, short of overflow
+}
+
+// The window is of fixed size for all but the busiest sidecars. One that has more attempts out than window
+// servers takes a longer run of the ring, by its own traffic and never by the fleet's size: else a few busy
+// callers choke the servers of their windows while others idle.
+std::size_t Width(const Pool& pool, const Settings& set) {
+  const double per_out = set.price_connection > 0 ? kServersPerOut : kServersPerOutFree;
+  return std::min(std::max(kWindowWidth, static_cast<std::size_t>(per_out * pool.out_peak)),
+                  pool.ring.size());
+}
+
+}  // namespace
+
+class Balancer::State {
+ public:
+  State(const Settings& settings, std::uint64_t seed, Micros now, ActionSink& sink)
+      : set_(settings), sink_(sink), random_(seed), now_(now), load_(settings.classes.size()) {}
+
+  void Advance(Micros now) { now_ = std::max(now_, now); }
+
+  // ---- The list of servers and the window on its ring ----
+
+  void OnServers(const ListUpdate& update) {
+    if (update.kind == ListUpdate::Kind::kFailed) {
+      AskLater(Doubled(kAskBase, asks_failed_++, set_.ask_within));
+      return;
+    }
+    if (update.kind == ListUpdate::Kind::kStale) {
+      AskLater(set_.ask_within / 2);  // a fresh start: spread, as all sidecars may have started together
+    } else {
+      asks_failed_ = 0;
+    }
+    if (update.kind != ListUpdate::Kind::kDelta)
+      for (auto& [id, server] : servers_) server.listed = false;
+    for (const ServerInfo& info : update.servers) {
+      Server& server = servers_[info.id];
+      if (info.started != server.info.started) {  // new here, or its process is: chance decides who starts it
+        server.young_credit = random_.Unit();
+        server.served_then = served_;
+      }
+      server.info = info;
+      server.pool = set_.price_crossing >= kCrossingPriced && info.zone != set_.zone ? 1 : 0;
+      server.listed = info.state != ServerInfo::State::kGone;
+    }
+    for (Pool& pool : pools_) pool.ring.clear();
+    for (auto it = servers_.begin(); it != servers_.end();) {
+      Server& server = it->second;
+      if (server.listed && server.info.state == ServerInfo::State::kHealthy)
+        pools_[server.pool].ring.push_back(&server);
+      it = server.listed || server.out > 0 ? std::next(it) : servers_.erase(it);
+    }
+    // Ranks are spread evenly over the ring; a server that comes or goes shifts each window by one at most.
+    for (Pool& pool : pools_)
+      pool.offset =
+          static_cast<std::size_t>(static_cast<std::uint64_t>(set_.rank) * pool.ring.size() / set_.siblings);
+  }
+
+  // ---- A request's life ----
+
+  void OnRequest(const Request& in) {
+    if (in.request_class < 0 || static_cast<std::size_t>(in.request_class) >= load_.size())
+      return sink_.Fail(in.id);
+    auto [it, fresh] = held_.try_emplace(std::string(in.id));
+    if (!fresh) return;
+    Held& held = it->second;
+    held.request_class = static_cast<std::size_t>(in.request_class);
+    held.arrived = now_;
+    held.deadline = now_ + in.budget;
+    ClassLoad& load = load_[held.request_class];
+    load.longest_budget = std::max(load.longest_budget, in.budget);
+    held.late = in.budget < load.longest_budget - set_.tick &&
+                ClassOf(held).deadline - in.budget >= ClassOf(held).aim;
+    CountArrival(held, in.cost);
+    if (ClassOf(held).sequential && !in.key.empty()) lines_[held.key = in.key].push_back(it->first);
+    if (!LetIn(held)) return End(it);
+    SendOrWait(it);
+  }
+
+  void OnOutcome(const Outcome& outcome) {
+    auto it = held_.find(std::string(outcome.request));
+    if (it == held_.end()) return;
+    Held& held = it->second;
+    if (outcome.attempt < 0 || static_cast<std::size_t>(outcome.attempt) >= held.attempts.size()) return;
+    Attempt& attempt = held.attempts[static_cast<std::size_t>(outcome.attempt)];
+    if (!attempt.out) return;
+    attempt.out = false;
+    attempt.may_have_run = !ProvesNeverRan(outcome.result, set_.refused_may_have_run);
+    --attempt.server->out;
+    --pools_[attempt.server->pool].out;
+    if (outcome.result == Result::kSuccess) ++served_;
+    Judge(held, *attempt.server, outcome);
+    if (!attempt.felt) Feel(held, *attempt.server, outcome);
+    if (outcome.result == Result::kTimeout || outcome.result == Result::kReset ||
+        outcome.result == Result::kCancelled)
+      held.settled_at = now_ + set_.settle_after_doubt;
+    if (outcome.settled) held.ended = true;
+    if (held.ended || held.AnyOut()) return Release(it);
+    switch (outcome.result) {
+      case Result::kRefused:
+      case Result::kUnreachable:
+      case Result::kReset:
+        return Wait(it);
+      case Result::kSuccess:  // unsettled: not legal, and an end is owed all the same
+      case Result::kError:
+      case Result::kTimeout:
+      case Result::kCancelled:
+      case Result::kNeverSent:
+        return End(it);
+    }
+  }
+
+  void OnClientGone(std::string_view request) {
+    auto it = held_.find(std::string(request));
+    if (it == held_.end()) return;
+    it->second.ended = true;
+    Release(it);
+  }
+
+  void OnTimer(std::uint64_t token) {
+    if (token == kAskToken) {
+      ask_pending_ = false;
+      sink_.Subscribe();
+      return;
+    }
+    auto timer = timers_.find(token);
+    if (timer == timers_.end()) return;
+    auto it = held_.find(timer->second);
+    timers_.erase(timer);
+    if (it == held_.end() || it->second.timer != token) return;
+    if (it->second.ended) return Release(it);
+    if (it->second.AnyOut()) return FeelLate(it->second);
+    if (!HasTurn(it)) return End(it);  // it has waited for its turn as long as its client waits
+    SendOrWait(it);
+  }
+
+  std::size_t size() const { return held_.size(); }
+
+ private:
+  using HeldIt = std::unordered_map<std::string, Held>::iterator;
+  static constexpr std::uint64_t kAskToken = 0;
+
+  const RequestClass& ClassOf(const Held& held) const { return set_.classes[held.request_class]; }
+
+  // Requests with one key go in order of arrival: only the first in line may be sent.
+  bool HasTurn(HeldIt it) const {
+    return it->second.key.empty() || lines_.at(it->second.key).front() == it->first;
+  }
+
+  void SendOrWait(HeldIt it) {
+    Held& held = it->second;
+    held.timer = 0;  // a turn may come before the alarm that was set for its failing to come
+    if (!HasTurn(it)) return Alarm(it, std::max<Micros>(held.deadline - now_ - 2 * set_.tick, 0));
+    Server* server = held.deadline > now_ ? Choose(held) : nullptr;
+    if (server == nullptr) return Wait(it);
+    ++server->out;
+    Pool& pool = pools_[server->pool];
+    pool.out_peak = std::max(static_cast<double>(++pool.out), pool.out_peak * (1 - 1 / kMixMemory));
+    held.attempts.push_back({server, server->info.zone, server->info.cell, now_});
+    sink_.Send(it->first, server->info.id, TimeOut(held));
+    if (const Micros late = held.arrived + ClassOf(held).aim - now_; late > 0) Alarm(it, late);
+  }
+
+  // An attempt is given up when its answer would be worth nothing. Guards against servers kept busy with what
+  // comes late, and tells early of those that hang.
+  Micros TimeOut(const Held& held) const {
+    const RequestClass& c = ClassOf(held);
+    if (c.aim <= 0 || c.late_worth > 0 || c.aim_stretch > 0) return 0;
+    return std::max<Micros>(held.arrived + c.aim - now_, set_.tick);
+  }
+
+  // ---- Overload: which work is let in ----
+
+  // Under pressure the work of least worth is refused first, before it fills a queue. Guards against servers
+  // that choke and against answers that all come late, each retried by its client on top of the load.
+  bool LetIn(Held& held) {
+    const std::size_t own = held.request_class;
+    for (held.pool = 0; held.pool < pools_.size(); ++held.pool) {
+      // A crossing has to be worth its price: requests of least worth stay at home or are refused.
+      if (held.pool > 0 && Worth(own) < set_.price_crossing * mean_worth_) break;
+      if (!pools_[held.pool].ring.empty() && Admits(pools_[held.pool], own, held.late)) return true;
+    }
+    held.pool = 0;
+    return pools_[0].ring.empty() && pools_[1].ring.empty();  // a server may yet be listed while it waits
+  }
+
+  void CountArrival(const Held& held, std::optional<Micros> cost) {
+    const std::size_t own = held.request_class;
+    hinted_ = hinted_ || cost.has_value();
+    if (cost) load_[own].work += (static_cast<double>(*cost) - load_[own].work) / kMixMemory;
+    for (ClassLoad& load : load_) load.arriving *= 1 - 1 / kMixMemory;
+    load_[own].arriving += load_[own].work;
+    mean_worth_ += (Worth(own) - mean_worth_) / (mean_worth_ > 0 ? kMixMemory : 1);
+  }
+
+  bool Admits(const Pool& pool, std::size_t own, bool late) {
+    if (pool.admit >= 1) return true;
+    return random_.Unit() * load_[own].arriving <
+           pool.admit * Arriving(0) - Arriving(Density(own) * (late ? set_.classes[own].late_worth : 1));
+  }
+
+  // Work that arrived lately and is worth more than `density`.
+  double Arriving(double density) const {
+    double sum = 0;
+    for (std::size_t i = 0; i < load_.size(); ++i)
+      if (Density(i) > density) sum += load_[i].arriving;
+    return sum;
+  }
+
+  double AdmitTarget(const Pool& pool) const {
+    return set_.reports == Settings::Reports::kNone ? kAdmitTarget
+                                                    : std::min(kAdmitTargetReported, pool.unloaded + kRoom);
+  }
+
+  // The pressure, in aims, at which no more is to be let in. It follows the worth of the work at the margin,
+  // the least that is still let in: cheap work goes while servers are far from choking, dear work only when
+  // answers come late.
+  double Target(const Pool& pool) const {
+    const double total = Arriving(0);
+    if (total <= 0) return AdmitTarget(pool);
+    double margin = 0;
+    double mean = 0;
+    for (std::size_t i = 0; i < load_.size(); ++i) {
+      const double density = Density(i);
+      mean += density * load_[i].arriving / total;
+      if (load_[i].arriving > 0 && Arriving(density) < pool.admit * total &&
+          (margin <= 0 || density < margin))
+        margin = density;
+    }
+    return AdmitTarget(pool) * std::sqrt(std::min(margin / mean, 1.0));
+  }
+
+  double Worth(std::size_t i) const {
+    return set_.classes[i].worth * (set_.worth_by_work ? load_[i].work : 1);
+  }
+  double Density(std::size_t i) const { return Worth(i) / load_[i].work; }
+
+  // An attempt that is still out when its request's aim has passed is pressure at once. Guards against
+  // hearing of an overload only when the answers come, seconds after they were late.
+  void FeelLate(Held& held) {
+    Attempt& attempt = held.attempts.back();
+    if (!attempt.out || std::exchange(attempt.felt, true)) return;
+    Feel(held, *attempt.server, {.request = {}, .result = Result::kTimeout});
+    Strike(*attempt.server);
+  }
+
+  // What an outcome tells of the pressure on the servers.
+  void Feel(const Held& held, const Server& server, const Outcome& outcome) {
+    Pool& pool = pools_[server.pool];
+    const double aim = static_cast<double>(std::max<Micros>(ClassOf(held).aim, 1));
+    double aims = std::min(static_cast<double>(outcome.elapsed) / aim, kAdmitWorst);
+    if (outcome.result == Result::kSuccess) {
+      ClassLoad& load = load_[held.request_class];
+      if (!hinted_) load.work += (static_cast<double>(outcome.elapsed) - load.work) / kMixMemory;
+    } else if (outcome.result == Result::kTimeout ||
+               (outcome.result == Result::kRefused && !RefusesOneClass(server))) {
+      aims = kAdmitWorst;
+    } else {
+      return;  // says nothing of load
+    }
+    pool.answers = std::min(pool.answers + 1, kUsualMemory);
+    pool.lates = aims < 1 ? 0 : std::min(pool.lates + 1, kLatesMost);
+    pool.usual += (aims - pool.usual) / pool.answers;
+    if (pool.answers >= kUsualMemory / 2) pool.unloaded = std::min(pool.unloaded, pool.usual);
+    const double least =
+        pool.unloaded < kAdmitWorst ? std::min(kHeadroom * pool.unloaded, AdmitTarget(pool)) : 0;
+    const double step = kAdmitStep * (std::max(Target(pool), least) - aims * std::max(pool.lates, 1.0));
+    // The less is let in, the fewer outcomes there are to recover by: each counts for more then.
+    pool.admit = std::clamp(pool.admit + (step > 0 ? step / std::max(pool.admit, kRecoverAt) : step),
+                            kAdmitLeast, kAdmitMost);
+  }
+
+  // What an outcome tells of the server.
+  void Judge(const Held& held, Server& server, const Outcome& outcome) {
+    ClassLoad& load = load_[held.request_class];
+    const double elapsed = static_cast<double>(outcome.elapsed);
+    double slow = kSlowMost;  // timed out, unreachable or reset
+    if (outcome.result == Result::kSuccess) {
+      if (load.answer <= 0) load.answer = elapsed;
+      load.answer += (elapsed - load.answer) / kMixMemory;
+      slow = std::min(elapsed / std::max(load.answer, 1.0), kSlowMost);
+    } else if (outcome.result == Result::kError || outcome.result == Result::kCancelled ||
+               outcome.result == Result::kNeverSent) {
+      return;
+    }
+    server.refuses.resize(load_.size());
+    double& refuses = server.refuses[held.request_class];
+    if (outcome.result == Result::kRefused) refuses += (kRefusalMost - refuses) / kRefusalMemory;
+    if (outcome.result == Result::kSuccess) refuses -= refuses / kServedMemory;
+    if (outcome.result != Result::kRefused) server.slow += (slow - server.slow) / kSlowMemory;
+    if (outcome.result == Result::kSuccess) {
+      if (outcome.elapsed < ClassOf(held).aim) server.strikes = 0;
+    } else if (outcome.result != Result::kRefused) {
+      Strike(server);
+    }
+  }
+
+  // Outlier ejection: leaves a server alone for a while. Guards against dead, stuck and choking servers. A
+  // server on trial with an attempt out counts among those left alone, so that lateness ejects it from a
+  // narrow window once and not again: one that answers in the end is not given up (round 27).
+  void Strike(Server& server) {
+    if (now_ < server.away_until) return;
+    const Pool& pool = pools_[server.pool];
+    const std::size_t width = Width(pool, set_);
+    std::size_t away = 0;
+    for (std::size_t i = 0; i < width; ++i) away += Away(pool.InWindow(i));
+    if (static_cast<double>(away + 1) > kMostAway * static_cast<double>(width)) return;
+    server.away_until = now_ + random_.Upto(Doubled(kServerBase, server.strikes++, kRetryCap));
+  }
+
+  // A server in its wait, or with its one trial attempt out.
+  bool Away(const Server& server) const {
+    return now_ < server.away_until || (server.strikes > 0 && server.out > 0);
+  }
+
+  // One class turned away of several is a limit on it and no pressure.
+  static bool RefusesOneClass(const Server& server) {
+    const auto some = [](double share) { return share > kRefusesSome; };
+    return server.refuses.size() > 1 &&
+           std::count_if(server.refuses.begin(), server.refuses.end(), some) == 1;
+  }
+
+  // A server that lately turned away this class is passed over as often as it did. Guards against limits on
+  // one class, which say nothing of room for the others, and against full servers. It could harm where all
+  // refuse by chance; the search from end to end then takes any.
+  bool Refuses(const Held& held, const Server& server) {
+    const double share = server.refuses.empty() ? 0 : server.refuses[held.request_class];
+    return share > 0 && random_.Unit() < share;
+  }
+
+  // ---- The choice of a server ----
+
+  // How busy a server is by own attempts out, counted in the time that it takes for each. Own counts alone do
+  // not see a slow server that answers in the end, nor do they tell idle servers apart.
+  static double Busy(const Server& server) { return (server.out + 1) * server.slow; }
+
+  // The less busy of two random window servers. Null if the window holds none that may be used.
+  Server* Choose(const Held& held) {
+    const Pool& pool = pools_[pools_[held.pool].ring.empty() ? 1 - held.pool : held.pool];
+    const std::size_t width = Width(pool, set_);
+    if (width == 0) return nullptr;
+    Server* best = nullptr;
+    int found = 0;
+    for (int draw = 0; draw < kDraws && found < 2; ++draw) {
+      Server& server = pool.InWindow(random_.Below(width));
+      if (Away(server) || Refuses(held, server) || !MayUse(held, server) || !AcceptYoung(server)) continue;
+      ++found;
+      if (best == nullptr || Busy(server) < Busy(*best)) best = &server;
+    }
+    if (best != nullptr) return best;
+    bool none_warm = true;  // then nobody serves enough to earn credit, and chance by share has to do
+    for (std::size_t i = 0; i < width; ++i) none_warm = none_warm && Warmth(pool.InWindow(i)) < 1;
+    const std::size_t start = random_.Below(width);
+    for (std::size_t i = 0; i < width; ++i) {
+      Server& server = pool.InWindow((start + i) % width);
+      if (!MayUse(held, server)) continue;
+      if (AcceptYoung(server) || (none_warm && random_.Unit() < Warmth(server))) return &server;
+    }
+    return held.MayHaveRun() == nullptr ? nullptr : OutsideWindow(held);
+  }
+
+  // The exception to the window: what may have run can be repeated only in its group, and the window may hold
+  // no other server of it. Then any listed server of the group will do, for as long as repeats are dropped.
+  Server* OutsideWindow(const Held& held) {
+    for (Pool& pool : pools_) {
+      const std::size_t start = random_.Below(pool.ring.size());
+      for (std::size_t i = 0; i < pool.ring.size(); ++i) {
+        Server& server = *pool.ring[(start + i) % pool.ring.size()];
+        if (!Away(server) && MayUse(held, server) && AcceptYoung(server)) return &server;
+      }
+    }
+    return nullptr;
+  }
+
+  // After a refusal another server is tried; after an attempt that may have run, only what drops the repeat.
+  bool MayUse(const Held& held, const Server& server) const {
+    if (!held.attempts.empty() && held.attempts.back().server == &server &&
+        Width(pools_[server.pool], set_) > 1)
+      return false;
+    const Attempt* ran = held.MayHaveRun();
+    const RequestClass& c = ClassOf(held);
+    if (!MayRepeat(held)) return false;
+    if (ran == nullptr || c.repeat == Repeat::kSafe) return true;
+    if (c.group == DedupGroup::kZone) return ran->zone == server.info.zone;
+    if (c.group == DedupGroup::kCell) return ran->cell == server.info.cell;
+    return true;
+  }
+
+  // The share of its full capacity that a server certainly has: it grows from the cold share over the
+  // warm-up.
+  double Warmth(const Server& server) const {
+    const Micros age = now_ - server.info.started;
+    if (server.info.started == 0 || age >= set_.warm_after) return 1;
+    const double grown = static_cast<double>(std::max<Micros>(age, 0)) / static_cast<double>(set_.warm_after);
+    return set_.cold_share + (1 - set_.cold_share) * grown;
+  }
+
+  // A young server is sent its share of what this sidecar is *served* by a server on average. Counting
+  // answers and not sends guards against an overload, where sends and retries together exceed what a server
+  // can do many times, and against an idle newcomer that every sidecar prefers at once.
+  bool AcceptYoung(Server& server) {
+    const double warmth = Warmth(server);
+    if (warmth >= 1) return true;
+    const double served_each = static_cast<double>(served_ - server.served_then) /
+                               static_cast<double>(Width(pools_[server.pool], set_));
+    server.young_credit = std::min(1.0, server.young_credit + warmth * served_each);
+    server.served_then = served_;
+    if (server.young_credit < 1) return false;
+    server.young_credit -= 1;
+    return true;
+  }
+
+  // The design's wait: full jitter, doubling. Ends the request when nothing more can come of it.
+  void Wait(HeldIt it) {
+    Held& held = it->second;
+    const int n = held.refusals++;
+    const Micros wait = random_.Upto(Doubled(kRetryBase, n, kRetryCap));
+    const int limit = std::min(kMaxAttempts, set_.max_attempts);
+    if (held.refusals >= limit || now_ + wait + set_.tick >= held.deadline || !MayRepeat(held))
+      return End(it);
+    Alarm(it, wait);
+  }
+
+  void Alarm(HeldIt it, Micros wait) {
+    it->second.timer = ++last_timer_;
+    timers_.emplace(last_timer_, it->first);
+    sink_.SetTimer(wait, last_timer_);
+  }
+
+  bool MayRepeat(const Held& held) const {
+    const Attempt* ran = held.MayHaveRun();
+    const RequestClass& c = ClassOf(held);
+    return ran == nullptr || c.repeat == Repeat::kSafe ||
+           (c.repeat == Repeat::kDeduplicated && now_ < ran->sent + c.dedup_window);
+  }
+
+  // The final answer. A refusal promises that a further try does no harm; where that is not certain it fails.
+  void End(HeldIt it) {
+    const RequestClass& c = ClassOf(it->second);
+    const bool harmless = it->second.MayHaveRun() == nullptr || c.repeat == Repeat::kSafe ||
+                          (c.group == DedupGroup::kAll && MayRepeat(it->second));
+    it->second.ended = true;
+    if (harmless) {
+      // Advice beyond half the aim would bring the client back too late to be served in time.
+      const Micros most = std::min(set_.max_retry_after, c.aim / 2);
+      sink_.Refuse(it->first, most > 0 ? 1 + random_.Upto(most) : 0);
+    } else {
+      sink_.Fail(it->first);
+    }
+    Release(it);
+  }
+
+  // What is still out of a request that is over serves nobody, and keeps the turn of its key.
+  void CancelRest(HeldIt it) {
+    if (!set_.cancel || std::exchange(it->second.cancelled, true)) return;
+    for (std::size_t i = 0; i < it->second.attempts.size(); ++i)
+      if (it->second.attempts[i].out) sink_.Cancel(it->first, static_cast<int>(i));
+  }
+
+  // Forgets a request that is over; the next in its line has the turn then. Guards the order of a key: the
+  // turn is kept while an attempt is unresolved, even if the client is gone, and for the settle time after
+  // doubt.
+  void Release(HeldIt it) {
+    Held& held = it->second;
+    if (!held.ended) return;
+    if (held.AnyOut()) return CancelRest(it);
+    auto line = lines_.find(held.key);
+    if (line == lines_.end()) return void(held_.erase(it));
+    if (now_ < held.settled_at) return Alarm(it, held.settled_at - now_);
+    auto& ids = line->second;
+    const bool first = ids.front() == it->first;
+    ids.erase(std::find(ids.begin(), ids.end(), it->first));
+    held_.erase(it);
+    if (ids.empty()) return void(lines_.erase(line));
+    if (first) SendOrWait(held_.find(ids.front()));
+  }
+
+  // ---- Discovery ----
+
+  void AskLater(Micros most) {
+    if (!set_.must_subscribe || ask_pending_) return;
+    ask_pending_ = true;
+    sink_.SetTimer(random_.Upto(most), kAskToken);
+  }
+
+  const Settings set_;
+  ActionSink& sink_;
+  Random random_;
+  Micros now_;
+  std::map<std::string, Server> servers_;  // sorted: the ring's order; nodes stay put
+  std::array<Pool, 2> pools_;
+  std::unordered_map<std::string, Held> held_;  // looked up, never walked
+  std::unordered_map<std::uint64_t, std::string> timers_;
+  std::uint64_t last_timer_ = kAskToken;
+  std::unordered_map<std::string, std::deque<std::string>>
+      lines_;                    // request ids by key; looked up, never walked
+  std::vector<ClassLoad> load_;  // by class
+  double mean_worth_ = 0;        // of an arriving request
+  bool hinted_ = false;          // requests carry their expected work
+  std::int64_t served_ = 0;      // attempts that succeeded
+  int asks_failed_ = 0;
+  bool ask_pending_ = false;
+};
+
+// ---- The outside ----
+
+std::unique_ptr<Balancer> Balancer::Create(const Settings& s, std::uint64_t seed, Micros now,
+                                           ActionSink& sink, std::string& error) {
+  error.clear();
+  if (s.classes.empty()) error = "no request classes";
+  for (const RequestClass& c : s.classes) {
+    if (c.aim < 0 || c.deadline < 0 || c.dedup_window < 0) error = "negative time in class " + c.name;
+    if (c.repeat < Repeat::kSafe || c.repeat > Repeat::kNever)
+      error = "unknown repeat kind in class " + c.name;
+    if (c.group < DedupGroup::kAll || c.group > DedupGroup::kCell) error = "unknown group in class " + c.name;
+    if (!(c.worth >= 0)) error = "negative worth in class " + c.name;
+  }
+  if (s.max_attempts < 1) error = "max_attempts under 1";
+  if (s.siblings < 1 || s.rank >= s.siblings) error = "rank outside the number of sidecars";
+  if (!(s.cold_share > 0 && s.cold_share <= 1)) error = "cold_share outside (0, 1]";
+  if (!(s.overload_factor > 0)) error = "overload_factor not above 0";
+  if (s.warm_after < 0 || s.drain_grace < 0 || s.fall_window < 0 || s.tick < 0 || s.ask_within < 0 ||
+      s.max_retry_after < 0 || s.settle_after_doubt < 0)
+    error = "negative time";
+  if (!error.empty()) return nullptr;
+  return std::unique_ptr<Balancer>(new Balancer(std::make_unique<State>(s, seed, now, sink)));
+}
+
+Balancer::Balancer(std::unique_ptr<State> state) : state_(std::move(state)) {}
+Balancer::~Balancer() = default;
+
+void Balancer::OnServers(Micros now, const ListUpdate& update) {
+  state_->Advance(now);
+  state_->OnServers(update);
+}
+void Balancer::OnRequest(Micros now, const Request& request) {
+  state_->Advance(now);
+  state_->OnRequest(request);
+}
+void Balancer::OnResponseStarted(Micros now, std::string_view, int) {
+  state_->Advance(now);  // the attempt is the client's now; its outcome still comes
+}
+void Balancer::OnOutcome(Micros now, const Outcome& outcome) {
+  state_->Advance(now);
+  state_->OnOutcome(outcome);
+}
+void Balancer::OnClientGone(Micros now, std::string_view request) {
+  state_->Advance(now);
+  state_->OnClientGone(request);
+}
+void Balancer::OnTimer(Micros now, std::uint64_t token) {
+  state_->Advance(now);
+  state_->OnTimer(token);
+}
+void Balancer::OnProbed(Micros now, const ProbeResult&) { state_->Advance(now); }
+void Balancer::OnPeerMessage(Micros now, std::uint32_t, std::string_view) { state_->Advance(now); }
+std::size_t Balancer::requests_held() const { return state_->size(); }
+
+}  // namespace merlinrun
--- /dev/null
+++ b/src/records.hpp
@@ -0,0 +1,104 @@
+// The plain records of the decision module, and its random numbers. No decision is taken here.
+#ifndef MERLINRUN_SRC_RECORDS_HPP_
+#define MERLINRUN_SRC_RECORDS_HPP_
+
+#include <algorithm>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "merlinrun/balancer.hpp"
+
+namespace merlinrun {
+
+struct Server {
+  ServerInfo info;
+  std::size_t pool = 0;
+  bool listed = false;
+  int out = 0;                   // own attempts in flight
+  double slow = 1;               // its answer times as a multiple of what is usual for their class
+  std::vector<double> refuses;   // by class: share of its requests that were turned away lately
+  int strikes = 0;               // bad outcomes in a row
+  Micros away_until = 0;         // left alone until then; after that one trial attempt at a time
+  double young_credit = 0;       // sends that a young server may still be given
+  std::int64_t served_then = 0;  // what this sidecar had been served when the credit was last reckoned
+};
+
+// Servers that share a ring, and what this sidecar knows of them together. Own zone and elsewhere where
+// crossing is priced, else all in one.
+struct Pool {
+  std::vector<Server*> ring;  // healthy ones by id
+  std::size_t offset = 0;     // where the window begins
+  int out = 0;                // own attempts in flight
+  double out_peak = 0;        // their fading peak
+  double admit = 1;           // share of the arriving work that is let in
+  double usual = 0;           // elapsed time over aim, averaged
+  double unloaded = 1e9;      // the least that was usual
+  double answers = 0;         // that say so
+  double lates = 0;           // outcomes in a row that were late or refused
+
+  Server& InWindow(std::size_t i) const { return *ring[(offset + i) % ring.size()]; }
+};
+
+struct Attempt {
+  Server* server = nullptr;  // to be followed only while the attempt is out: the list may drop the server
+  int zone = -1;
+  std::int64_t cell = -1;
+  Micros sent = 0;
+  bool out = true;
+  bool felt = false;         // that it is late has been taken as pressure already
+  bool may_have_run = true;  // until an outcome proves that it did not
+};
+
+struct Held {  // a request, from its arrival until its last attempt is resolved
+  std::size_t request_class = 0;
+  bool late = false;  // its client has waited past the aim already, over earlier tries
+  std::size_t pool = 0;
+  Micros arrived = 0;
+  Micros deadline = 0;
+  bool ended = false;
+  bool cancelled = false;  // what was out at its end is called off
+  int refusals = 0;
+  std::uint64_t timer = 0;  // the one that is awaited; 0 = none
+  std::string key;          // of the line in which it waits for its turn; empty = free
+  Micros settled_at = 0;    // it keeps the turn until then, as a doubtful attempt may still be running
+  std::vector<Attempt> attempts;
+
+  bool AnyOut() const {
+    return std::any_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.out; });
+  }
+  // The first attempt that may have run: it decides what may still be done.
+  const Attempt* MayHaveRun() const {
+    for (const Attempt& a : attempts)
+      if (a.may_have_run) return &a;
+    return nullptr;
+  }
+};
+
+struct ClassLoad {    // what this sidecar has seen of a class
+  double work = 1;    // usual work of one request: the hint where there is one, else the time of its answers
+  double answer = 0;  // usual time of an answer; 0 = none yet
+  Micros longest_budget = 0;  // of its tries: a shorter one is all that is left of the deadline
+  double arriving = 0;        // work that arrived lately, fading
+};
+
+class Random {  // SplitMix64: small, and the same everywhere
+ public:
+  explicit Random(std::uint64_t seed) : state_(seed) {}
+  std::uint64_t Next() {
+    std::uint64_t z = (state_ += 0x9e3779b97f4a7c15ULL);
+    z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
+    z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
+    return z ^ (z >> 31);
+  }
+  double Unit() { return static_cast<double>(Next() >> 11) * 0x1.0p-53; }
+  std::size_t Below(std::size_t n) { return static_cast<std::size_t>(Unit() * static_cast<double>(n)); }
+  Micros Upto(Micros most) { return static_cast<Micros>(Unit() * static_cast<double>(most)); }
+
+ private:
+  std::uint64_t state_;
+};
+
+}  // namespace merlinrun
+
+#endif  // MERLINRUN_SRC_RECORDS_HPP_
--- /dev/null
+++ b/tests/balancer_test.cpp
@@ -0,0 +1,747 @@
+// The module by failure met.
+#include <gtest/gtest.h>
+
+#include <map>
+#include <set>
+#include <utility>
+
+#include "harness.hpp"
+
+namespace merlinrun::testing {
+namespace {
+
+using Kind = Action::Kind;
+
+// A balancer with servers, driven one event at a time.
+class BalancerTest : public ::testing::Test {
+ protected:
+  // What was done since the last call. The alarm that follows each send, for its being late, is left out.
+  std::vector<Action> Took() {
+    std::vector<Action> actions = sink_.Take();
+    for (std::size_t i = 1; i < actions.size(); ++i)
+      if (actions[i - 1].kind == Kind::kSend && actions[i].kind == Kind::kTimer)
+        actions.erase(actions.begin() + static_cast<std::ptrdiff_t>(i));
+    return actions;
+  }
+  void Start(const Settings& settings, int servers, std::uint64_t seed = 7) {
+    std::string error;
+    balancer_ = Balancer::Create(settings, seed, now_, sink_, error);
+    ASSERT_NE(balancer_, nullptr) << error;
+    List(ListUpdate::Kind::kStale, MakeServers(servers));
+    sink_.Take();
+  }
+  void List(ListUpdate::Kind kind, const std::vector<ServerInfo>& servers) {
+    balancer_->OnServers(now_, {kind, 1, servers});
+  }
+  void Deliver(const std::string& id, int request_class = 0, Micros budget = 5 * kSec,
+               const std::string& key = "") {
+    Request request;
+    request.key = key;
+    request.id = id;
+    request.request_class = request_class;
+    request.budget = budget;
+    balancer_->OnRequest(now_, request);
+  }
+  std::vector<Action> Arrive(const std::string& id, int request_class = 0, Micros budget = 5 * kSec,
+                             const std::string& key = "") {
+    Deliver(id, request_class, budget, key);
+    return Took();
+  }
+  std::vector<Action> Resolve(const std::string& id, int attempt, Result result, bool settled = false) {
+    balancer_->OnOutcome(now_, {id, attempt, result, 10 * kMs, settled});
+    return Took();
+  }
+  std::vector<Action> Fire(const Action& timer) {
+    now_ += timer.time;
+    balancer_->OnTimer(now_, timer.token);
+    return Took();
+  }
+
+  Micros now_ = 100 * kSec;
+  Recorder sink_;
+  std::unique_ptr<Balancer> balancer_;
+};
+
+TEST_F(BalancerTest, SendsAtOnceAndForgetsWhatIsServed) {
+  Start(MakeSettings(), 20);
+  const auto sent = Arrive("r1");
+  ASSERT_EQ(sent.size(), 1u);
+  EXPECT_EQ(sent[0].kind, Kind::kSend);
+  EXPECT_TRUE(Resolve("r1", 0, Result::kSuccess, true).empty());
+  EXPECT_EQ(balancer_->requests_held(), 0u);
+}
+
+TEST_F(BalancerTest, RefusalWaitsThenGoesToAnotherServer) {
+  Start(MakeSettings(), 20);
+  const std::string first = Arrive("r1")[0].server;
+  const auto wait = Resolve("r1", 0, Result::kRefused);
+  ASSERT_EQ(wait.size(), 1u);
+  ASSERT_EQ(wait[0].kind, Kind::kTimer);
+  const auto again = Fire(wait[0]);
+  ASSERT_EQ(again.size(), 1u);
+  ASSERT_EQ(again[0].kind, Kind::kSend);
+  EXPECT_NE(again[0].server, first);
+}
+
+TEST_F(BalancerTest, StopsAtTheAttemptLimitWithARetryAfter) {
+  Settings settings = MakeSettings();
+  settings.max_attempts = 3;
+  Start(settings, 20);
+  auto actions = Arrive("r1");
+  for (int attempt = 0;; ++attempt) {
+    ASSERT_EQ(actions.size(), 1u);
+    ASSERT_EQ(actions[0].kind, Kind::kSend);
+    actions = Resolve("r1", attempt, Result::kRefused);
+    ASSERT_EQ(actions.size(), 1u);
+    if (attempt == 2) break;
+    ASSERT_EQ(actions[0].kind, Kind::kTimer);
+    actions = Fire(actions[0]);
+  }
+  EXPECT_EQ(actions[0].kind, Kind::kRefuse);
+  EXPECT_GT(actions[0].time, 0);
+  EXPECT_LE(actions[0].time, settings.max_retry_after);
+  EXPECT_EQ(balancer_->requests_held(), 0u);
+}
+
+TEST_F(BalancerTest, RefusesWhenTheWaitWouldOutrunTheTimeLeft) {
+  Start(MakeSettings(), 20);
+  Arrive("r1", 0, 6 * kMs);
+  now_ += 5 * kMs;
+  const auto end = Resolve("r1", 0, Result::kRefused);
+  ASSERT_EQ(end.size(), 1u);
+  EXPECT_EQ(end[0].kind, Kind::kRefuse);
+}
+
+TEST_F(BalancerTest, AnswersWhenThereIsNoServerAtAll) {
+  Start(MakeSettings(), 0);
+  auto actions = Arrive("r1");
+  while (actions.size() == 1 && actions[0].kind == Kind::kTimer) actions = Fire(actions[0]);
+  ASSERT_EQ(actions.size(), 1u);
+  EXPECT_EQ(actions[0].kind, Kind::kRefuse);
+  EXPECT_LT(now_, 105 * kSec);
+  EXPECT_EQ(balancer_->requests_held(), 0u);
+}
+
+TEST_F(BalancerTest, NeverRepeatsWhatMustNotRunTwice) {
+  for (const Result result : {Result::kReset, Result::kError, Result::kTimeout, Result::kCancelled}) {
+    Start(MakeSettings(), 20);
+    Arrive("r", 2);
+    const auto end = Resolve("r", 0, result);
+    ASSERT_EQ(end.size(), 1u);
+    EXPECT_EQ(end[0].kind, Kind::kFail);
+  }
+  Arrive("r", 2);  // proven not to have run: may go on
+  const auto wait = Resolve("r", 0, Result::kUnreachable);
+  ASSERT_EQ(wait.size(), 1u);
+  EXPECT_EQ(wait[0].kind, Kind::kTimer);
+}
+
+// Met on the first days of two deployments: 'full' was taken as proof where it is none.
+TEST_F(BalancerTest, ARefusalThatProvesNothingNeitherRepeatsNorRefuses) {
+  Settings settings = MakeSettings();
+  settings.refused_may_have_run = true;
+  Start(settings, 20);
+  Arrive("unsafe", 2);
+  const auto end = Resolve("unsafe", 0, Result::kRefused);
+  ASSERT_EQ(end.size(), 1u);
+  EXPECT_EQ(end[0].kind, Kind::kFail);
+}
+
+// The window may hold no other server of the group: the retry reaches it outside.
+TEST_F(BalancerTest, ARepeatReachesItsGroupOutsideTheWindow) {
+  Settings settings = MakeSettings();
+  settings.refused_may_have_run = true;
+  settings.classes[1].group = DedupGroup::kCell;
+  auto servers = MakeServers(20);
+  for (std::size_t i = 0; i < servers.size(); ++i) servers[i].cell = static_cast<std::int64_t>(i % 10);
+  Start(settings, 0);
+  List(ListUpdate::Kind::kFull, servers);  // the cell's other server is 10 places on, the window 4 wide
+  const std::string first = Arrive("r", 1)[0].server;
+  const auto wait = Resolve("r", 0, Result::kRefused);
+  ASSERT_EQ(wait[0].kind, Kind::kTimer);
+  const auto again = Fire(wait[0]);
+  ASSERT_EQ(again[0].kind, Kind::kSend);
+  EXPECT_EQ(std::abs(std::stoi(again[0].server.substr(1)) - std::stoi(first.substr(1))), 10);
+}
+
+TEST_F(BalancerTest, RequestsOfOneKeyGoOneAtATimeInOrder) {
+  Settings settings = MakeSettings();
+  settings.classes[0].sequential = true;
+  settings.settle_after_doubt = 300 * kMs;
+  Start(settings, 20);
+  EXPECT_EQ(Arrive("a", 0, 5 * kSec, "k")[0].kind, Kind::kSend);
+  EXPECT_EQ(Arrive("b", 0, 5 * kSec, "k")[0].kind, Kind::kTimer);
+  EXPECT_EQ(Arrive("c", 0, 5 * kSec, "k")[0].kind, Kind::kTimer);
+  EXPECT_EQ(Arrive("other", 0, 5 * kSec, "j")[0].kind, Kind::kSend);
+  EXPECT_EQ(Arrive("free", 0)[0].kind, Kind::kSend);
+  const auto next = Resolve("a", 0, Result::kSuccess, true);
+  ASSERT_EQ(next.size(), 1u);
+  EXPECT_EQ(next[0].kind, Kind::kSend);
+  EXPECT_EQ(next[0].request, "b");
+  // The client of the one in turn leaves: its attempt may be running, and may go on after the reset.
+  balancer_->OnClientGone(now_, "b");
+  EXPECT_TRUE(sink_.Take().empty());
+  const auto settle = Resolve("b", 0, Result::kReset, true);
+  ASSERT_EQ(settle.size(), 1u);
+  ASSERT_EQ(settle[0].kind, Kind::kTimer);
+  EXPECT_EQ(settle[0].time, 300 * kMs);
+  const auto last = Fire(settle[0]);
+  ASSERT_EQ(last.size(), 1u);
+  EXPECT_EQ(last[0].request, "c");
+  Resolve("c", 0, Result::kSuccess, true);
+  Resolve("other", 0, Result::kSuccess, true);
+  Resolve("free", 0, Result::kSuccess, true);
+  EXPECT_EQ(balancer_->requests_held(), 0u);
+}
+
+TEST_F(BalancerTest, WhoWaitsForATurnIsAnsweredInTime) {
+  Settings settings = MakeSettings();
+  settings.classes[2].sequential = true;
+  Start(settings, 20);
+  Arrive("a", 2, 5 * kSec, "k");
+  const auto wait = Arrive("b", 2, 1 * kSec, "k");
+  ASSERT_EQ(wait[0].kind, Kind::kTimer);
+  EXPECT_LT(wait[0].time, 1 * kSec);
+  const auto end = Fire(wait[0]);
+  ASSERT_EQ(end.size(), 1u);
+  EXPECT_EQ(end[0].kind, Kind::kRefuse);  // it never ran
+  EXPECT_EQ(end[0].request, "b");
+}
+
+TEST_F(BalancerTest, RepeatsAKeyedRequestOnlyInItsGroupAndWindow) {
+  Start(MakeSettings(), 20);
+  std::map<std::string, int> zone;
+  for (const ServerInfo& info : MakeServers(20)) zone[info.id] = info.zone;
+  for (int i = 0; i < 200; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    const auto sent = Arrive(id, 1);
+    ASSERT_EQ(sent[0].kind, Kind::kSend);
+    const auto wait = Resolve(id, 0, Result::kReset);
+    ASSERT_EQ(wait[0].kind, Kind::kTimer);
+    const auto again = Fire(wait[0]);
+    ASSERT_EQ(again[0].kind, Kind::kSend);
+    EXPECT_EQ(zone[again[0].server], zone[sent[0].server]);
+    now_ += 3 * kSec;  // past the time that repeats are remembered for
+    const auto end = Resolve(id, 1, Result::kReset);
+    ASSERT_EQ(end.size(), 1u);
+    EXPECT_EQ(end[0].kind, Kind::kFail);
+  }
+}
+
+TEST_F(BalancerTest, SendsNothingToADrainingOrGoneServer) {
+  Start(MakeSettings(), 4);
+  Arrive("waits");
+  const auto wait = Resolve("waits", 0, Result::kRefused);
+  auto servers = MakeServers(4);
+  servers[0].state = ServerInfo::State::kDraining;
+  servers[1].state = ServerInfo::State::kGone;
+  List(ListUpdate::Kind::kDelta, {servers[0], servers[1]});
+  std::set<std::string> used;
+  used.insert(Fire(wait[0])[0].server);
+  for (int i = 0; i < 100; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    const auto actions = Arrive(id);
+    if (actions[0].kind == Kind::kSend) used.insert(actions[0].server);
+    Resolve(id, 0, Result::kSuccess, true);
+  }
+  EXPECT_EQ(used, (std::set<std::string>{"s02", "s03"}));
+}
+
+// Met on an overloaded day: sends far above what servers could do, and a young server's share of them felled
+// it.
+TEST_F(BalancerTest, AYoungServerGetsItsShareOfWhatOthersServe) {
+  Start(MakeSettings(), 10);
+  auto servers = MakeServers(10);
+  servers[0].started = now_;
+  List(ListUpdate::Kind::kDelta, {servers[0]});
+  int young = 0;
+  int served = 0;
+  for (int i = 0; i < 4000; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    const auto sent = Arrive(id);
+    if (sent.empty() || sent[0].kind != Kind::kSend) continue;
+    if (sent[0].server == "s00") ++young;
+    const bool serve = i % 4 == 0;  // of four sends one is served
+    served += serve;
+    Resolve(id, 0, serve ? Result::kSuccess : Result::kError, serve);
+  }
+  EXPECT_GT(young, 0);
+  EXPECT_LE(young, 1 + served / 4.0 * MakeSettings().cold_share);  // 4: the window
+}
+
+// A sidecar that restarts knows nothing but its last list; many servers may be young in it at once.
+TEST_F(BalancerTest, ARestartedSidecarDoesNotRushAtYoungServers) {
+  auto servers = MakeServers(4);
+  servers[0].started = servers[1].started = now_ - 100 * kMs;
+  std::string error;
+  balancer_ = Balancer::Create(MakeSettings(), 3, now_, sink_, error);
+  List(ListUpdate::Kind::kStale, servers);
+  std::map<std::string, int> sent;
+  for (int i = 0; i < 300; ++i) {
+    const auto actions = Arrive("r" + std::to_string(i), 2);
+    if (actions[0].kind == Kind::kSend) ++sent[actions[0].server];
+  }
+  EXPECT_LE(sent["s00"], 1);
+  EXPECT_LE(sent["s01"], 1);
+  EXPECT_GT(sent["s02"] + sent["s03"], 200);
+}
+
+TEST_F(BalancerTest, AmongYoungServersAloneChanceByShareDecides) {
+  Start(MakeSettings(), 4);
+  auto servers = MakeServers(4);
+  for (auto& server : servers) server.started = now_;
+  List(ListUpdate::Kind::kDelta, servers);
+  int sent = 0;
+  for (int i = 0; i < 400; ++i) sent += Arrive("r" + std::to_string(i))[0].kind == Kind::kSend;
+  EXPECT_GT(sent, 100);
+}
+
+// Met on every overloaded day: all answers late, each retried by its client on top.
+TEST_F(BalancerTest, UnderPressureTheWorkOfLeastWorthIsRefusedFirst) {
+  Settings settings = MakeSettings();
+  settings.classes[3].worth = 10;
+  Start(settings, 10);
+  std::map<int, int> refused;
+  for (int i = 0; i < 600; ++i) {
+    const int request_class = i % 2 == 0 ? 0 : 3;
+    const std::string id = "r" + std::to_string(i);
+    const auto actions = Arrive(id, request_class);
+    if (actions[0].kind == Kind::kRefuse) {
+      EXPECT_GT(actions[0].time, 0);
+      ++refused[request_class];
+      continue;
+    }
+    // Answers take the shorter the fewer are let in: half the load is what the servers can carry.
+    const Micros elapsed = refused[0] * 2 < i / 2 ? 900 * kMs : 200 * kMs;
+    balancer_->OnOutcome(now_, {id, 0, Result::kSuccess, elapsed, true});
+  }
+  EXPECT_GT(refused[0], 100);
+  EXPECT_LT(refused[3], refused[0] / 5);
+  // The pressure gone, all is let in again.
+  for (int i = 0; i < 400; ++i) {
+    const std::string id = "q" + std::to_string(i);
+    if (Arrive(id)[0].kind == Kind::kSend)
+      balancer_->OnOutcome(now_, {id, 0, Result::kSuccess, 50 * kMs, true});
+  }
+  for (int i = 0; i < 20; ++i) EXPECT_EQ(Arrive("z" + std::to_string(i))[0].kind, Kind::kSend);
+}
+
+// Met on a quiet day: cheap work was refused all day where idle servers take a fifth of the aim.
+TEST_F(BalancerTest, WhatIdleServersTakeIsNoPressure) {
+  Settings settings = MakeSettings();
+  settings.classes[3].worth = 10;
+  Start(settings, 10);
+  int refused = 0;
+  for (int i = 0; i < 400; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    if (Arrive(id, i % 2 == 0 ? 0 : 3)[0].kind != Kind::kSend) {
+      ++refused;
+      continue;
+    }
+    balancer_->OnOutcome(now_, {id, 0, Result::kSuccess, 200 * kMs, true});
+  }
+  EXPECT_LT(refused, 4);
+}
+
+// Met on another: one heavy request made a quiet sidecar refuse the next ones.
+TEST_F(BalancerTest, OneLateAnswerRefusesNobody) {
+  Start(MakeSettings(), 10);
+  for (int i = 0; i < 50; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    ASSERT_EQ(Arrive(id)[0].kind, Kind::kSend);
+    balancer_->OnOutcome(now_, {id, 0, Result::kSuccess, (i == 45 ? 3000 : 50) * kMs, true});
+  }
+}
+
+// Met in a site that pays for each crossing: two thirds of the requests crossed zones for nothing.
+TEST_F(BalancerTest, OwnZoneFirstWhereCrossingIsPricedAndSpillsUnderPressure) {
+  Settings settings = MakeSettings();
+  settings.zone = 0;
+  settings.price_crossing = 0.2;
+  settings.classes[0].worth = 0.1;  // less than a crossing costs, the mean being near 1
+  Start(settings, 20);
+  std::map<std::string, int> zone;
+  for (const ServerInfo& info : MakeServers(20)) zone[info.id] = info.zone;
+  int home = 0;
+  int away = 0;
+  for (int i = 0; i < 600; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    const int request_class = i % 6 == 0 ? 0 : 2;
+    const auto actions = Arrive(id, request_class);
+    if (actions[0].kind != Kind::kSend) continue;
+    const bool crossed = zone[actions[0].server] == 1;
+    if (i < 100) {
+      EXPECT_FALSE(crossed);
+    } else if (crossed) {
+      EXPECT_NE(request_class, 0) << "not worth the price";
+    }
+    ++(crossed ? away : home);
+    const Micros elapsed = !crossed && i >= 100 ? 2000 * kMs : 50 * kMs;  // home gets into trouble
+    balancer_->OnOutcome(now_, {id, 0, Result::kSuccess, elapsed, true});
+  }
+  EXPECT_GT(home, 100);
+  EXPECT_GT(away, 200);
+}
+
+// Met on throttle days: some servers turn away one class above a rate, with room for the others.
+TEST_F(BalancerTest, ARefusalOfOneClassSaysNothingOfTheServerForOthers) {
+  Start(MakeSettings(), 4);
+  int refused = 0;
+  int others = 0;
+  for (int i = 0; i < 800; ++i) {
+    now_ += 50 * kMs;
+    const std::string id = "r" + std::to_string(i);
+    const int request_class = i % 2 == 0 ? 2 : 0;
+    const auto sent = Arrive(id, request_class);
+    ASSERT_EQ(sent[0].kind, Kind::kSend);
+    if (request_class == 2 && sent[0].server == "s01") {
+      ++refused;
+      Resolve(id, 0, Result::kRefused);
+      balancer_->OnClientGone(now_, id);
+    } else {
+      others += sent[0].server == "s01";
+      Resolve(id, 0, Result::kSuccess, true);
+    }
+  }
+  EXPECT_LT(refused, 25);  // 100 if nothing were learnt
+  EXPECT_GT(refused, 2);   // its end would be noticed
+  EXPECT_GT(others, 60);   // 100 of the other class in the mean
+}
+
+// Met where order binds: the key of a client that had left stayed taken until its attempt timed out.
+TEST_F(BalancerTest, CallsOffWhatIsOutOfAFinishedRequest) {
+  Settings settings = MakeSettings();
+  settings.cancel = true;
+  Start(settings, 4);
+  Arrive("r1");
+  balancer_->OnClientGone(now_, "r1");
+  const auto actions = sink_.Take();
+  ASSERT_EQ(actions.size(), 1u);
+  EXPECT_EQ(actions[0].kind, Kind::kCancel);
+  balancer_->OnClientGone(now_, "r1");
+  EXPECT_TRUE(sink_.Take().empty());  // once
+  EXPECT_TRUE(Resolve("r1", 0, Result::kCancelled, true).empty());
+  EXPECT_EQ(balancer_->requests_held(), 0u);
+}
+
+// Met after crashes: the list names a dead server for seconds, and each attempt there is lost.
+TEST_F(BalancerTest, ADeadServerIsLeftAloneForAWaitThatDoubles) {
+  Start(MakeSettings(), 4);
+  int tried = 0;
+  for (int i = 0; i < 400; ++i) {
+    now_ += 50 * kMs;
+    const std::string id = "r" + std::to_string(i);
+    const std::string server = Arrive(id)[0].server;
+    if (server == "s01") {
+      ++tried;
+      Resolve(id, 0, Result::kUnreachable);
+      balancer_->OnClientGone(now_, id);
+    } else {
+      Resolve(id, 0, Result::kSuccess, true);
+    }
+  }
+  EXPECT_LT(tried, 25);  // 100 without the wait
+  EXPECT_GT(tried, 2);
+  int back = 0;
+  for (int i = 0; i < 4000; ++i) {  // it lives again: one trial ends the wait
+    now_ += 50 * kMs;
+    const std::string id = "q" + std::to_string(i);
+    back += Arrive(id)[0].server == "s01";
+    Resolve(id, 0, Result::kSuccess, true);
+  }
+  EXPECT_GT(back, 100);
+}
+
+TEST_F(BalancerTest, ATroubleThatAllShareDoesNotEmptyTheWindow) {
+  Start(MakeSettings(), 4);
+  for (int i = 0; i < 100; ++i) {
+    now_ += 10 * kMs;
+    const std::string id = "r" + std::to_string(i);
+    const auto actions = Arrive(id, 2);
+    ASSERT_EQ(actions[0].kind, Kind::kSend);
+    Resolve(id, 0, Result::kReset);  // fails at once: says nothing of load
+  }
+}
+
+TEST_F(BalancerTest, TimesOutAtTheAimOnlyWhereALateAnswerIsWorthNothing) {
+  Settings settings = MakeSettings();
+  settings.classes[3].late_worth = 0.25;
+  Start(settings, 4);
+  EXPECT_EQ(Arrive("r1", 0)[0].time, settings.classes[0].aim);
+  EXPECT_EQ(Arrive("r2", 3)[0].time, 0);
+}
+
+TEST_F(BalancerTest, ABusySidecarTakesALongerRunOfTheRing) {
+  Settings settings = MakeSettings();
+  settings.price_connection = 0.05;
+  Start(settings, 40);
+  std::set<std::string> used;
+  for (int i = 0; i < 12; ++i) used.insert(Arrive("r" + std::to_string(i))[0].server);
+  EXPECT_LE(used.size(), 4u);
+  for (int i = 12; i < 120; ++i) used.insert(Arrive("r" + std::to_string(i))[0].server);
+  EXPECT_GT(used.size(), 10u);
+  EXPECT_LE(used.size(), 31u);
+}
+
+// Met on calm stretches with servers of one core: hot sidecars choked the few servers of their windows.
+TEST_F(BalancerTest, WhereConnectionsCostNothingItTakesOneForEachAttemptOut) {
+  Start(MakeSettings(), 40);
+  std::set<std::string> used;
+  for (int i = 0; i < 20; ++i) used.insert(Arrive("r" + std::to_string(i))[0].server);
+  EXPECT_GT(used.size(), 8u);
+}
+
+// Met in three incidents: the overload was heard of only when the answers came, seconds after they were late.
+TEST_F(BalancerTest, WhatIsOutPastItsAimIsPressureAtOnce) {
+  Settings settings = MakeSettings();
+  settings.classes[2].late_worth = 0.5;
+  Start(settings, 10);
+  std::vector<std::uint64_t> alarms;
+  for (int i = 0; i < 12; ++i) {
+    Deliver("r" + std::to_string(i), 2);
+    for (const Action& action : sink_.Take())
+      if (action.kind == Kind::kTimer) {
+        EXPECT_EQ(action.time, settings.classes[2].aim);
+        alarms.push_back(action.token);
+      }
+  }
+  ASSERT_EQ(alarms.size(), 12u);
+  now_ += settings.classes[2].aim;
+  for (const std::uint64_t token : alarms) {
+    balancer_->OnTimer(now_, token);
+    balancer_->OnTimer(now_, token);  // once
+  }
+  EXPECT_TRUE(sink_.Take().empty());  // the attempts themselves go on
+  int refused = 0;
+  for (int i = 0; i < 20; ++i) refused += Arrive("q" + std::to_string(i), 2)[0].kind == Kind::kRefuse;
+  EXPECT_GT(refused, 10);  // none of the twelve has been answered yet
+}
+
+// Met in six incidents: servers were overdriven within seconds, before admission had fallen.
+TEST_F(BalancerTest, LatenessInARowShedsFasterThanTheSameAmongGoodAnswers) {
+  std::map<bool, int> sent;
+  for (const bool in_a_row : {false, true}) {
+    Start(MakeSettings(), 10);
+    for (int i = 0; i < 8; ++i) {
+      const std::string id = "r" + std::to_string(i);
+      if (Arrive(id, 2)[0].kind != Kind::kSend) continue;
+      const bool late = in_a_row ? i >= 4 : i % 2 == 1;
+      balancer_->OnOutcome(now_, {id, 0, Result::kSuccess, (late ? 1500 : 200) * kMs, true, {}});
+    }
+    for (int i = 0; i < 100; ++i) sent[in_a_row] += Arrive("z" + std::to_string(i), 2)[0].kind == Kind::kSend;
+  }
+  EXPECT_GT(sent[false], 50);
+  EXPECT_LT(sent[true], 30);
+}
+
+// Met in incidents with servers that must rest: a lucky answer at the floor opened the sidecar fully.
+TEST_F(BalancerTest, OneGoodAnswerDoesNotEndDeepShedding) {
+  Start(MakeSettings(), 10);
+  for (int i = 0; i < 300; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    if (Arrive(id, 2)[0].kind == Kind::kSend)
+      balancer_->OnOutcome(now_, {id, 0, Result::kSuccess, 4 * kSec, true, {}});
+  }
+  std::string id;
+  for (int i = 0; i < 1000; ++i) {
+    id = "q" + std::to_string(i);
+    if (Arrive(id, 2)[0].kind == Kind::kSend) break;
+  }
+  balancer_->OnOutcome(now_, {id, 0, Result::kSuccess, 10 * kMs, true, {}});
+  int sent = 0;
+  for (int i = 0; i < 100; ++i) sent += Arrive("z" + std::to_string(i), 2)[0].kind == Kind::kSend;
+  EXPECT_GT(sent, 10);
+  EXPECT_LT(sent, 70);
+}
+
+// Met on slow and ageing days: a server that answers in the end went on getting its share at once.
+TEST_F(BalancerTest, AServerWhereARequestOutlivesItsAimIsLeftAloneThenTriedOneAtATime) {
+  Settings settings = MakeSettings();
+  settings.classes[0].late_worth = 0.5;
+  Start(settings, 3);
+  std::string id;
+  std::uint64_t alarm = 0;
+  for (int i = 0; alarm == 0; ++i) {
+    id = "r" + std::to_string(i);
+    Deliver(id);
+    const auto actions = sink_.Take();
+    if (actions[0].server == "s01") alarm = actions[1].token;
+    if (alarm == 0) Resolve(id, 0, Result::kSuccess, true);
+  }
+  balancer_->OnTimer(now_ += 1 * kSec, alarm);
+  const auto out_at = [&](const std::string& server, const std::string& prefix) {
+    int n = 0;
+    for (int i = 0; i < 40; ++i) n += Arrive(prefix + std::to_string(i))[0].server == server;
+    return n;
+  };
+  balancer_->OnOutcome(now_, {id, 0, Result::kSuccess, 1100 * kMs, true, {}});  // late: forgives nothing
+  EXPECT_EQ(out_at("s01", "a"), 0);
+  now_ += 500 * kMs;  // its wait is over
+  EXPECT_EQ(out_at("s01", "b"), 1);
+}
+
+// How many of the last 100 requests are let in when answers take `then` ms after having taken `idle` ms.
+class AdmissionTarget : public BalancerTest {
+ protected:
+  int LetIn(Settings::Reports reports, int idle, int then) {
+    Settings settings = MakeSettings();
+    settings.reports = reports;
+    Start(settings, 10);
+    int sent = 0;
+    for (int i = 0; i < 300; ++i) {
+      const std::string id = "r" + std::to_string(i);
+      if (Arrive(id, 2)[0].kind != Kind::kSend) continue;
+      sent += i >= 200;
+      balancer_->OnOutcome(now_, {id, 0, Result::kSuccess, (i < 60 ? idle : then) * kMs, true, {}});
+    }
+    return sent;
+  }
+};
+
+TEST_F(AdmissionTarget, IsHigherWhereServersReportTheirLoad) {
+  EXPECT_EQ(LetIn(Settings::Reports::kInAnswers, 200, 350), 100);
+  EXPECT_LT(LetIn(Settings::Reports::kNone, 150, 350), 60);
+}
+
+TEST_F(AdmissionTarget, StaysNearWhatIdleServersTake) {
+  EXPECT_LT(LetIn(Settings::Reports::kInAnswers, 50, 400), 60);
+  EXPECT_EQ(LetIn(Settings::Reports::kInAnswers, 250, 400), 100);
+}
+
+// A refusal of one class of several is a limit on it; of all, it is pressure.
+TEST_F(BalancerTest, RefusalsOfOneClassAreNoPressure) {
+  for (const bool all : {false, true}) {
+    Start(MakeSettings(), 4, 9);
+    int refused = 0;
+    for (int i = 0; i < 400; ++i) {
+      now_ += 20 * kMs;
+      const std::string id = (all ? "a" : "r") + std::to_string(i);
+      const auto actions = Arrive(id, i % 2 == 0 ? 2 : 0);
+      if (actions[0].kind != Kind::kSend) {
+        ++refused;
+        continue;
+      }
+      const bool full = all || i % 2 == 0;
+      balancer_->OnOutcome(now_, {id, 0, full ? Result::kRefused : Result::kSuccess, 10 * kMs, !full, {}});
+      if (full) balancer_->OnClientGone(now_, id);
+      sink_.Take();
+    }
+    if (all) {
+      EXPECT_GT(refused, 100);
+    } else {
+      EXPECT_EQ(refused, 0);
+    }
+  }
+}
+
+// Met in each overload: what clients had waited for past the aim was served before fresh requests.
+TEST_F(BalancerTest, UnderPressureFreshTriesGoBeforeThoseThatAreLateAlready) {
+  Settings settings = MakeSettings();
+  settings.classes[0].late_worth = 0.25;
+  Start(settings, 10);
+  int fresh = 0;
+  int late = 0;
+  for (int i = 0; i < 900; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    // A try is given 3 s of the deadline of 5 s; one of 1 s has 4 s behind it, and the aim is 1 s.
+    const bool is_late = i % 3 == 0;
+    const auto actions = Arrive(id, 0, is_late && i > 3 ? 1 * kSec : 3 * kSec);
+    if (actions[0].kind != Kind::kSend) continue;
+    ++(is_late ? late : fresh);
+    const Micros elapsed = (late + fresh) * 2 > i ? 900 * kMs : 100 * kMs;  // half the load can be carried
+    balancer_->OnOutcome(now_, {id, 0, Result::kSuccess, elapsed, true});
+  }
+  EXPECT_GT(fresh, 250);
+  EXPECT_LT(late * 2, fresh / 2) << late << " late, " << fresh << " fresh";  // half as many late ones arrive
+}
+
+TEST_F(BalancerTest, PrefersTheServerWithFewerOwnAttemptsOut) {
+  Start(MakeSettings(), 2);
+  std::map<std::string, int> out;
+  for (int i = 0; i < 400; ++i) ++out[Arrive("r" + std::to_string(i))[0].server];
+  EXPECT_NEAR(out["s00"], 200, 20);
+}
+
+TEST_F(BalancerTest, TheRanksTogetherCoverTheRing) {
+  std::map<std::string, int> hits;
+  for (std::uint32_t rank = 0; rank < 40; ++rank) {
+    Settings settings = MakeSettings();
+    settings.rank = rank;
+    settings.siblings = 40;
+    Start(settings, 20, rank);
+    std::set<std::string> used;
+    for (int i = 0; i < 300; ++i) used.insert(Arrive("r" + std::to_string(i))[0].server);
+    for (const std::string& server : used) ++hits[server];
+  }
+  ASSERT_EQ(hits.size(), 20u);
+  for (const auto& [server, n] : hits) EXPECT_EQ(n, hits["s00"]) << server;
+}
+
+TEST_F(BalancerTest, AsksDiscoveryAgainAfterAFailureWithinTheTimeStated) {
+  Settings settings = MakeSettings();
+  settings.must_subscribe = true;
+  std::string error;
+  balancer_ = Balancer::Create(settings, 7, now_, sink_, error);
+  List(ListUpdate::Kind::kStale, MakeServers(4));
+  auto actions = sink_.Take();
+  ASSERT_EQ(actions.size(), 1u);
+  EXPECT_LT(actions[0].time, settings.ask_within);
+  for (int i = 0; i < 20; ++i) {
+    ASSERT_EQ(actions[0].kind, Kind::kTimer);
+    const auto ask = Fire(actions[0]);
+    ASSERT_EQ(ask.size(), 1u);
+    EXPECT_EQ(ask[0].kind, Kind::kSubscribe);
+    List(ListUpdate::Kind::kFailed, {});
+    actions = sink_.Take();
+    ASSERT_EQ(actions.size(), 1u);
+    EXPECT_LE(actions[0].time, settings.ask_within);
+  }
+}
+
+TEST_F(BalancerTest, IgnoresWhatItDoesNotKnow) {
+  Start(MakeSettings(), 4);
+  EXPECT_TRUE(Resolve("nobody", 0, Result::kRefused).empty());
+  Arrive("r1");
+  EXPECT_TRUE(Resolve("r1", 3, Result::kRefused).empty());
+  EXPECT_TRUE(Resolve("r1", -1, Result::kRefused).empty());
+  EXPECT_TRUE(Arrive("r1").empty());
+  balancer_->OnTimer(now_, 999);
+  balancer_->OnClientGone(now_, "nobody");
+  balancer_->OnResponseStarted(now_, "nobody", 0);
+  EXPECT_TRUE(sink_.Take().empty());
+  EXPECT_EQ(Arrive("r2", 99)[0].kind, Kind::kFail);
+  EXPECT_EQ(Resolve("r1", 0, Result::kRefused).size(), 1u);
+  EXPECT_TRUE(Resolve("r1", 0, Result::kRefused).empty());  // a second time
+}
+
+TEST_F(BalancerTest, ForgetsARequestWhoseClientHasGoneOnceItsAttemptIsResolved) {
+  Start(MakeSettings(), 4);
+  Arrive("r1");
+  balancer_->OnClientGone(now_, "r1");
+  EXPECT_EQ(balancer_->requests_held(), 1u);
+  EXPECT_TRUE(Resolve("r1", 0, Result::kReset).empty());
+  EXPECT_EQ(balancer_->requests_held(), 0u);
+}
+
+TEST(BalancerSettings, RejectsWhatMakesNoSense) {
+  const std::vector<std::pair<std::string, void (*)(Settings&)>> cases = {
+      {"no request classes", [](Settings& s) { s.classes.clear(); }},
+      {"negative time in class c", [](Settings& s) { s.classes[1].deadline = -1; }},
+      {"unknown repeat kind in class c", [](Settings& s) { s.classes[0].repeat = static_cast<Repeat>(9); }},
+      {"max_attempts under 1", [](Settings& s) { s.max_attempts = 0; }},
+      {"rank outside the number of sidecars", [](Settings& s) { s.rank = s.siblings; }},
+      {"cold_share outside (0, 1]", [](Settings& s) { s.cold_share = 0; }},
+      {"negative time", [](Settings& s) { s.warm_after = -1; }},
+  };
+  for (const auto& [expected, spoil] : cases) {
+    Settings settings = MakeSettings();
+    spoil(settings);
+    Recorder sink;
+    std::string error;
+    EXPECT_EQ(Balancer::Create(settings, 1, 0, sink, error), nullptr);
+    EXPECT_EQ(error, expected);
+  }
+}
+
+}  // namespace
+}  // namespace merlinrun::testing
--- /dev/null
+++ b/tests/harness.hpp
@@ -0,0 +1,94 @@
+// What the tests share: a sink that records actions, and settings and lists in short form.
+#ifndef MERLINRUN_TESTS_HARNESS_HPP_
+#define MERLINRUN_TESTS_HARNESS_HPP_
+
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "merlinrun/balancer.hpp"
+
+namespace merlinrun::testing {
+
+inline constexpr Micros kMs = 1000;
+inline constexpr Micros kSec = 1000 * kMs;
+
+struct Action {
+  enum class Kind { kSend, kCancel, kRefuse, kFail, kTimer, kSubscribe } kind;
+  std::string request;
+  std::string server;
+  Micros time = 0;  // timeout, retry-after or delay
+  std::uint64_t token = 0;
+};
+
+class Recorder : public ActionSink {
+ public:
+  void Send(std::string_view request, const std::string& server, Micros timeout) override {
+    actions.push_back({Action::Kind::kSend, std::string(request), server, timeout});
+  }
+  void Cancel(std::string_view request, int attempt) override {
+    actions.push_back({Action::Kind::kCancel, std::string(request), "", attempt});
+  }
+  void Refuse(std::string_view request, Micros retry_after) override {
+    actions.push_back({Action::Kind::kRefuse, std::string(request), "", retry_after});
+  }
+  void Fail(std::string_view request) override {
+    actions.push_back({Action::Kind::kFail, std::string(request), ""});
+  }
+  void SetTimer(Micros delay, std::uint64_t token) override {
+    actions.push_back({Action::Kind::kTimer, "", "", delay, token});
+  }
+  void Subscribe() override { actions.push_back({Action::Kind::kSubscribe, "", ""}); }
+  void Log(std::string_view) override {}
+
+  // Takes the actions recorded so far.
+  std::vector<Action> Take() { return std::exchange(actions, {}); }
+
+  std::vector<Action> actions;
+};
+
+inline RequestClass MakeClass(Repeat repeat, DedupGroup group = DedupGroup::kAll) {
+  RequestClass c;
+  c.name = "c";
+  c.aim = 1 * kSec;
+  c.deadline = 5 * kSec;
+  c.repeat = repeat;
+  c.group = group;
+  c.dedup_window = 3 * kSec;
+  return c;
+}
+
+// Classes 0, 1 and 2: safe, deduplicated in the zone, never to be repeated. 3: deduplicated everywhere.
+inline Settings MakeSettings() {
+  Settings s;
+  s.classes = {MakeClass(Repeat::kSafe), MakeClass(Repeat::kDeduplicated, DedupGroup::kZone),
+               MakeClass(Repeat::kNever), MakeClass(Repeat::kDeduplicated)};
+  s.max_attempts = 5;
+  s.max_retry_after = 2 * kSec;
+  s.drain_grace = 500 * kMs;
+  s.cold_share = 0.25;
+  s.warm_after = 8 * kSec;
+  s.overload_factor = 4;
+  s.fall_window = 2 * kSec;
+  s.ask_within = 10 * kSec;
+  s.tick = 5 * kMs;
+  return s;
+}
+
+// n servers s00, s01, ..., in zones 0 and 1 by turns.
+inline std::vector<ServerInfo> MakeServers(int n) {
+  std::vector<ServerInfo> servers;
+  for (int i = 0; i < n; ++i) {
+    ServerInfo info;
+    info.id = "s" + std::to_string(i / 10) + std::to_string(i % 10);
+    info.zone = i % 2;
+    info.cell = i / 2;
+    servers.push_back(info);
+  }
+  return servers;
+}
+
+}  // namespace merlinrun::testing
+
+#endif  // MERLINRUN_TESTS_HARNESS_HPP_
--- /dev/null
+++ b/tests/rules_test.cpp
@@ -0,0 +1,383 @@
+// Seeded random but legal histories, watched by a checker of the four rules as far as one sidecar can see
+// them. The checker knows nothing of the module: it sees events and actions alone.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <random>
+#include <set>
+#include <utility>
+
+#include "harness.hpp"
+
+namespace merlinrun::testing {
+namespace {
+
+using Kind = Action::Kind;
+
+// Notes each breach in words.
+class RuleChecker {
+ public:
+  RuleChecker(Settings settings, Micros slack) : set_(std::move(settings)), slack_(slack) {}
+
+  void Listed(Micros now, const ServerInfo& info) {
+    Known& known = servers_[info.id];
+    const bool usable = info.state == ServerInfo::State::kHealthy;
+    if (!usable && (known.usable || !known.seen)) known.told = now;
+    known = {info, known.told, usable, true};
+  }
+  void Missing(Micros now, const std::string& id) {
+    Known& known = servers_[id];
+    if (known.usable) known.told = now;
+    known.usable = false;
+  }
+  void Arrived(Micros now, const std::string& id, int request_class, Micros budget, const std::string& key) {
+    requests_[id] = {request_class, now + budget, false, {}};
+    if (set_.classes[static_cast<std::size_t>(request_class)].sequential && !key.empty()) {
+      requests_[id].key = key;
+      in_order_[key].push_back(id);
+    }
+  }
+  void Resolved(Micros now, const std::string& id, int attempt, Result result, bool settled) {
+    Seen& seen = requests_.at(id);
+    Try& tried = seen.tries.at(static_cast<std::size_t>(attempt));
+    tried.out = false;
+    tried.ran = (result != Result::kRefused || set_.refused_may_have_run) && result != Result::kUnreachable &&
+                result != Result::kNeverSent;
+    if (result == Result::kTimeout || result == Result::kReset || result == Result::kCancelled)
+      seen.settled_at = now + set_.settle_after_doubt;
+    if (settled) seen.ended = true;
+  }
+  void Gone(const std::string& id) { requests_.at(id).ended = true; }
+
+  void Acted(Micros now, const Action& action) {
+    if (action.kind == Kind::kTimer || action.kind == Kind::kSubscribe || action.kind == Kind::kCancel)
+      return;
+    const auto it = requests_.find(action.request);
+    if (it == requests_.end()) return Breach("an action names an unknown request");
+    Seen& seen = it->second;
+    if (seen.ended) return Breach("an action for an ended request");
+    const RequestClass& c = set_.classes[static_cast<std::size_t>(seen.request_class)];
+    const Try* ran = nullptr;
+    for (const Try& tried : seen.tries)
+      if (ran == nullptr && tried.ran) ran = &tried;
+    if (action.kind == Kind::kSend) {
+      const Known& server = servers_[action.server];
+      if (!server.seen) Breach("sent to a server that was never listed");
+      if (server.seen && !server.usable && now > server.told + set_.drain_grace)
+        Breach("sent to a draining server");
+      for (const Try& tried : seen.tries)
+        if (tried.out && !set_.parallel_attempts) Breach("two attempts at once");
+      if (static_cast<int>(seen.tries.size()) >= set_.max_attempts) Breach("too many attempts");
+      if (now > seen.deadline) Breach("sent after the deadline");
+      for (const std::string& before : in_order_[seen.key]) {
+        if (before == action.request) break;
+        const Seen& earlier = requests_.at(before);
+        for (const Try& tried : earlier.tries)
+          if (tried.out) Breach("sent while an earlier one of the key was out");
+        if (!earlier.ended) Breach("sent before an earlier one of the key was over");
+        if (now < earlier.settled_at) Breach("sent before the key had settled");
+      }
+      if (ran != nullptr && c.repeat == Repeat::kNever) Breach("an effect may happen twice");
+      if (ran != nullptr && c.repeat == Repeat::kDeduplicated) {
+        if (now >= ran->sent + c.dedup_window) Breach("repeated after the window");
+        if (c.group == DedupGroup::kZone && ran->zone != server.info.zone)
+          Breach("repeated outside the group");
+        if (c.group == DedupGroup::kCell && ran->cell != server.info.cell)
+          Breach("repeated outside the group");
+      }
+      seen.tries.push_back({now, server.info.zone, server.info.cell, true, true});
+      return;
+    }
+    if (now > seen.deadline + slack_) Breach("answered late");
+    if (action.kind == Kind::kRefuse && ran != nullptr && c.repeat != Repeat::kSafe &&
+        !(c.repeat == Repeat::kDeduplicated && c.group == DedupGroup::kAll))
+      Breach("refused what may have run");
+    seen.ended = true;
+  }
+  void Finish() {
+    for (const auto& [id, seen] : requests_)
+      if (!seen.ended) Breach("a request without an answer");
+  }
+  const std::set<std::string>& breaches() const { return breaches_; }
+
+ private:
+  struct Known {
+    ServerInfo info;
+    Micros told = 0;
+    bool usable = false;
+    bool seen = false;
+  };
+  struct Try {
+    Micros sent;
+    int zone;
+    std::int64_t cell;
+    bool out;
+    bool ran;
+  };
+  struct Seen {
+    int request_class;
+    Micros deadline;
+    bool ended;
+    std::vector<Try> tries;
+    std::string key = {};
+    Micros settled_at = 0;
+  };
+  void Breach(const std::string& what) { breaches_.insert(what); }
+
+  Settings set_;
+  Micros slack_;
+  std::map<std::string, Known> servers_;
+  std::map<std::string, Seen> requests_;
+  std::map<std::string, std::vector<std::string>> in_order_;
+  std::set<std::string> breaches_;
+};
+
+// Between the module and the checker; a test double spoils actions here.
+using Spoil = std::function<void(Action&)>;
+
+struct Story {
+  std::set<std::string> breaches;
+  int sends = 0, repeats = 0, refusals = 0, failures = 0;
+  std::size_t held = 0;
+};
+
+// Plays one random history: arrivals, all outcomes, lists that change, clients that leave, timers.
+// The checker goes by `rules`, if they are not what the module is told.
+Story Play(std::uint64_t seed, const Settings& settings, const Spoil& spoil,
+           const Settings* rules = nullptr) {
+  std::mt19937_64 random(seed);
+  const auto below = [&](int n) { return static_cast<int>(random() % static_cast<std::uint64_t>(n)); };
+  struct Pending {
+    Micros at;
+    int order;
+    Action action;
+    int attempt;
+    bool operator<(const Pending& o) const { return std::pair(at, order) < std::pair(o.at, o.order); }
+  };
+  Story story;
+  Recorder sink;
+  std::string error;
+  Micros now = 50 * kSec;
+  auto balancer = Balancer::Create(settings, seed, now, sink, error);
+  RuleChecker checker(rules != nullptr ? *rules : settings, 20 * kMs);
+  std::set<Pending> pending;
+  std::map<std::string, Micros> deadline;
+  std::map<std::string, int> attempts;
+  std::set<std::string> settled;
+  int order = 0;
+  const auto collect = [&] {
+    for (Action action : sink.Take()) {
+      if (spoil) spoil(action);
+      checker.Acted(now, action);
+      if (action.kind == Kind::kSend) {
+        ++story.sends;
+        const int attempt = attempts[action.request]++;
+        story.repeats += attempt > 0;
+        Micros at = now + 1 * kMs + below(3000) * kMs;
+        if (action.time > 0) at = std::min(at, now + action.time);
+        pending.insert({std::min(at, deadline[action.request]), order++, action, attempt});
+      } else if (action.kind == Kind::kTimer) {
+        pending.insert({now + action.time + 5 * kMs, order++, action, 0});
+      } else if (action.kind == Kind::kRefuse || action.kind == Kind::kFail) {
+        ++(action.kind == Kind::kRefuse ? story.refusals : story.failures);
+        settled.insert(action.request);
+      }
+    }
+  };
+  std::vector<ServerInfo> servers = MakeServers(12);
+  const auto list = [&](ListUpdate::Kind kind, const std::vector<ServerInfo>& entries) {
+    for (const ServerInfo& info : entries) checker.Listed(now, info);
+    balancer->OnServers(now, {kind, 1, entries});
+    collect();
+  };
+  list(ListUpdate::Kind::kStale, servers);
+  std::vector<std::string> alive;
+  for (int i = 0; i < 600; ++i) {
+    now += below(20) * kMs;
+    while (!pending.empty() && pending.begin()->at <= now) {
+      const Pending next = *pending.begin();
+      pending.erase(pending.begin());
+      const Micros resume = now;
+      now = std::max(next.at, now);
+      if (next.action.kind == Kind::kTimer) {
+        balancer->OnTimer(now, next.action.token);
+      } else {
+        static constexpr Result kResults[] = {
+            Result::kSuccess, Result::kSuccess, Result::kSuccess,     Result::kRefused, Result::kRefused,
+            Result::kError,   Result::kReset,   Result::kUnreachable, Result::kTimeout, Result::kCancelled};
+        const std::string& id = next.action.request;
+        const Result result = next.at >= deadline[id] ? Result::kTimeout : kResults[below(10)];
+        if (result == Result::kSuccess) settled.insert(id);
+        const bool done = settled.count(id) > 0;
+        checker.Resolved(now, id, next.attempt, result, done);
+        balancer->OnOutcome(now, {id, next.attempt, result, 10 * kMs, done});
+      }
+      collect();
+      now = std::max(now, resume);
+    }
+    const int what = below(20);
+    if (what == 0) {  // a server drains, goes, or comes (back) cold
+      ServerInfo& info = servers[static_cast<std::size_t>(below(12))];
+      info.state = static_cast<ServerInfo::State>(below(3));
+      if (info.state == ServerInfo::State::kHealthy) info.started = now - below(3000) * kMs;
+      list(ListUpdate::Kind::kDelta, {info});
+    } else if (what == 1) {  // the whole list: gone ones are absent
+      std::vector<ServerInfo> present;
+      for (const ServerInfo& info : servers) {
+        if (info.state == ServerInfo::State::kGone) {
+          checker.Missing(now, info.id);
+        } else {
+          present.push_back(info);
+        }
+      }
+      list(ListUpdate::Kind::kFull, present);
+    } else if (what == 2) {
+      balancer->OnServers(now, {ListUpdate::Kind::kFailed, 0, {}});
+      collect();
+    } else if (what == 3 && !alive.empty()) {
+      const std::string& id = alive[static_cast<std::size_t>(below(static_cast<int>(alive.size())))];
+      if (settled.insert(id).second) {
+        checker.Gone(id);
+        balancer->OnClientGone(now, id);
+        collect();
+      }
+    } else {
+      const std::string id = "r" + std::to_string(i);
+      Request request;
+      request.id = id;
+      request.request_class = below(4);
+      request.budget = (1 + below(4000)) * kMs;
+      deadline[id] = now + request.budget;
+      alive.push_back(id);
+      const std::string key = below(4) == 0 ? "" : "k" + std::to_string(below(6));
+      request.key = key;
+      checker.Arrived(now, id, request.request_class, request.budget, key);
+      balancer->OnRequest(now, request);
+      collect();
+    }
+  }
+  while (!pending.empty()) {  // all that is still owed comes in
+    const Pending next = *pending.begin();
+    pending.erase(pending.begin());
+    now = std::max(now, next.at);
+    if (next.action.kind == Kind::kTimer) {
+      balancer->OnTimer(now, next.action.token);
+    } else {
+      const std::string& id = next.action.request;
+      const bool done = settled.count(id) > 0;
+      checker.Resolved(now, id, next.attempt, Result::kTimeout, done);
+      balancer->OnOutcome(now, {id, next.attempt, Result::kTimeout, 10 * kMs, done});
+    }
+    collect();
+  }
+  checker.Finish();
+  story.breaches = checker.breaches();
+  story.held = balancer->requests_held();
+  return story;
+}
+
+std::vector<Settings> Variants() {
+  Settings push = MakeSettings();
+  Settings ask = MakeSettings();
+  ask.must_subscribe = true;
+  ask.zone = 0;
+  ask.price_crossing = 0.2;
+  for (RequestClass& c : ask.classes) c.worth = 3;
+  Settings cell = MakeSettings();
+  cell.classes[1].group = DedupGroup::kCell;
+  cell.max_attempts = 2;
+  cell.max_retry_after = 0;
+  Settings full = MakeSettings();
+  full.refused_may_have_run = true;
+  Settings order = MakeSettings();
+  order.settle_after_doubt = 40 * kMs;
+  order.classes[0].sequential = order.classes[1].sequential = order.classes[2].sequential = true;
+  Settings both = order;
+  both.refused_may_have_run = true;
+  both.classes[1].group = DedupGroup::kCell;
+  both.settle_after_doubt = 0;
+  both.must_subscribe = true;
+  return {push, ask, cell, full, order, both};
+}
+
+TEST(Rules, KeptInRandomHistories) {
+  Story sum;
+  for (const Settings& settings : Variants()) {
+    for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+      const Story story = Play(seed, settings, nullptr);
+      ASSERT_TRUE(story.breaches.empty()) << "seed " << seed << ": " << *story.breaches.begin();
+      ASSERT_EQ(story.held, 0u) << "seed " << seed;
+      sum.sends += story.sends;
+      sum.repeats += story.repeats;
+      sum.refusals += story.refusals;
+      sum.failures += story.failures;
+    }
+  }
+  // The histories are worth something only if all of this happened in them.
+  EXPECT_GT(sum.sends, 10000);
+  EXPECT_GT(sum.repeats, 1000);
+  EXPECT_GT(sum.refusals, 1000);
+  EXPECT_GT(sum.failures, 1000);
+}
+
+// What twenty histories break between them.
+std::set<std::string> Breaches(const Settings& settings, const Spoil& spoil,
+                               const Settings* rules = nullptr) {
+  std::set<std::string> all;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) all.merge(Play(seed, settings, spoil, rules).breaches);
+  return all;
+}
+
+// The checker has to see what it is there for: each double breaks one rule on purpose.
+TEST(Rules, TheCheckerSeesEachBreach) {
+  const auto breaches = [](const Spoil& spoil) { return Breaches(MakeSettings(), spoil); };
+  EXPECT_TRUE(breaches([](Action& a) {
+                if (a.kind == Kind::kFail) a.kind = Kind::kRefuse;
+              }).count("refused what may have run"));
+  EXPECT_TRUE(breaches([](Action& a) {
+                if (a.kind == Kind::kSend) a.server = "s03";
+              }).count("sent to a draining server"));
+  EXPECT_TRUE(breaches([n = 0](Action& a) mutable {
+                if (a.kind == Kind::kSend) a.server = n++ % 2 == 0 ? "s02" : "s03";
+              }).count("repeated outside the group"));
+  EXPECT_TRUE(breaches([](Action& a) {
+                if (a.kind == Kind::kFail) a.kind = Kind::kCancel;
+              }).count("a request without an answer"));
+  EXPECT_TRUE(breaches([](Action& a) {
+                if (a.kind == Kind::kFail) {
+                  a.kind = Kind::kSend;
+                  a.server = "s01";
+                }
+              }).count("an effect may happen twice"));
+}
+
+// The further rules: a module that is not told of them (the settings are kept from it) breaks each.
+TEST(Rules, TheCheckerSeesWhatAModuleWithoutTheFurtherRulesBreaks) {
+  Settings both = Variants().back();
+  both.settle_after_doubt = 500 * kMs;
+  Settings untold = both;
+  untold.refused_may_have_run = false;
+  untold.settle_after_doubt = 0;
+  std::set<std::string> all = Breaches(untold, nullptr, &both);
+  EXPECT_TRUE(all.count("refused what may have run"));
+  EXPECT_TRUE(all.count("an effect may happen twice"));
+  EXPECT_TRUE(all.count("repeated outside the group"));
+  EXPECT_TRUE(all.count("sent before the key had settled"));
+  for (RequestClass& c : untold.classes) c.sequential = false;
+  all.merge(Breaches(untold, nullptr, &both));
+  EXPECT_TRUE(all.count("sent while an earlier one of the key was out"));
+  EXPECT_TRUE(all.count("sent before an earlier one of the key was over"));
+}
+
+TEST(Rules, TheSameEventsGiveTheSameActions) {
+  const Story one = Play(5, MakeSettings(), nullptr);
+  const Story two = Play(5, MakeSettings(), nullptr);
+  EXPECT_EQ(one.sends, two.sends);
+  EXPECT_EQ(one.refusals, two.refusals);
+  EXPECT_EQ(one.failures, two.failures);
+}
+
+}  // namespace
+}  // namespace merlinrun::testing
