--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,56 @@
+// fennelhollow: a sidecar that balances the load of the application beside it over its servers.
+// Exit status: 0 after SIGTERM or SIGINT, 1 if it cannot listen, 2 if the configuration makes no sense.
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <exception>
+
+#include "net/config.hpp"
+#include "net/sidecar.hpp"
+
+namespace {
+
+using merlinrun::net::Sidecar;
+
+// What escapes a handler ends that handler and not the sidecar, with all that it holds.
+void RunToTheEnd(boost::asio::io_context& io) {
+  for (;;) {
+    try {
+      io.run();
+      return;
+    } catch (const std::exception& error) {
+      std::fprintf(stderr, "fennelhollow: %s\n", error.what());
+    }
+  }
+}
+
+int Serve() {
+  boost::asio::io_context io(1);
+  Sidecar sidecar(io, merlinrun::net::LoadConfig([](const char* name) { return std::getenv(name); }));
+  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
+  signals.async_wait([&](const boost::system::error_code& error, int) {
+    if (!error) sidecar.Drain([&io] { io.stop(); });
+  });
+  try {
+    sidecar.Start();
+  } catch (const boost::system::system_error& error) {
+    std::fprintf(stderr, "fennelhollow: cannot listen: %s\n", error.what());
+    return 1;
+  }
+  RunToTheEnd(io);
+  return 0;
+}
+
+}  // namespace
+
+int main() {
+  std::signal(SIGPIPE, SIG_IGN);  // a peer that has left is an error of the write, not the end
+  try {
+    return Serve();
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "fennelhollow: %s\n", error.what());
+    return 2;
+  }
+}
--- /dev/null
+++ b/src/net/config.cpp
@@ -0,0 +1,135 @@
+#include "config.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace merlinrun::net {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr double kMostExact = 9007199254740992.0;  // 2^53: whole numbers are exact up to here
+
+std::string Scalar(const Json& value) {
+  if (value.is_string()) return WireName(value.get<std::string>());
+  if (value.is_number_float()) {  // 250000.0 is a whole number too
+    const double number = value.get<double>();
+    if (std::trunc(number) == number && std::abs(number) < kMostExact)
+      return std::to_string(static_cast<std::int64_t>(number));
+  }
+  return value.dump();
+}
+
+void FlattenInto(const Json& value, const std::string& path, std::string& out);
+
+void FlattenList(const Json& list, const std::string& path, std::string& out) {
+  const bool objects =
+      std::any_of(list.begin(), list.end(), [](const Json& item) { return item.is_structured(); });
+  if (!objects) {
+    std::string joined;
+    for (const Json& item : list) joined += (joined.empty() ? "" : ",") + Scalar(item);
+    out += path + "=" + joined + " ";
+    return;
+  }
+  out += path + ".count=" + std::to_string(list.size()) + " ";
+  for (std::size_t i = 0; i < list.size(); ++i) FlattenInto(list[i], path + "." + std::to_string(i), out);
+}
+
+void FlattenInto(const Json& value, const std::string& path, std::string& out) {
+  if (value.is_object()) {
+    for (const auto& [key, inner] : value.items())
+      FlattenInto(inner, path.empty() ? WireName(key) : path + "." + WireName(key), out);
+  } else if (value.is_array()) {
+    FlattenList(value, path, out);
+  } else if (!value.is_null()) {
+    out += path + "=" + Scalar(value) + " ";
+  }
+}
+
+Tcp::endpoint Address(const Json& json, const char* key, const std::string& from_environment) {
+  const std::string text = from_environment.empty() ? json.at(key).get<std::string>() : from_environment;
+  const auto address = ParseAddress(text);
+  if (!address) throw ConfigError(std::string(key) + " '" + text + "': not an address with a port");
+  return *address;
+}
+
+std::uint64_t Seed(const Json& json) {
+  const std::string text = json.value("seed", std::string("0"));
+  std::uint64_t seed = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seed, 16);
+  if (error != std::errc() || end != text.data() + text.size())
+    throw ConfigError("seed '" + text + "': not a number of 64 bits in hex");
+  return seed;
+}
+
+EndpointList Known(const Json& json, const drill::WireSettings& names) {
+  if (!json.contains("known") || json.at("known").is_null()) return {};
+  std::string error;
+  const auto list = ParseList(json.at("known"), names, error);
+  if (!list) throw ConfigError("known: " + error);
+  return *list;
+}
+
+Config FromJson(const Json& json, const std::string& listen, const std::string& discovery) {
+  Config config;
+  config.name = json.value("name", std::string());
+  config.listen = Address(json, "listen", listen);
+  config.discovery = Address(json, "discovery", discovery);
+  config.seed = Seed(json);
+  if (json.contains("limits"))
+    config.sockets = json.at("limits").value("sockets", static_cast<std::uint64_t>(config.sockets));
+  if (config.sockets < 64) throw ConfigError("limits.sockets: under 64, too few to work with");
+  config.wire = drill::ParseSettings(Flatten(json.at("settings")));
+  config.known = Known(json, config.wire);
+  return config;
+}
+
+std::string OneLine(std::string text) {
+  std::replace(text.begin(), text.end(), '\n', ' ');
+  return text;
+}
+
+}  // namespace
+
+std::string WireName(std::string_view name) {
+  std::string out(name);
+  std::replace_if(
+      out.begin(), out.end(), [](char c) { return c == ' ' || c == ','; }, '_');
+  return out;
+}
+
+std::string Flatten(const Json& settings) {
+  std::string out;
+  FlattenInto(settings, "", out);
+  if (!out.empty()) out.pop_back();  // the last space
+  return out;
+}
+
+Config ParseConfig(const std::string& text, const std::string& listen, const std::string& discovery) {
+  try {
+    return FromJson(Json::parse(text), listen, discovery);
+  } catch (const Json::exception& error) {
+    throw ConfigError(OneLine(error.what()));
+  } catch (const drill::WireError& error) {
+    throw ConfigError(OneLine(std::string("settings: ") + error.what()));
+  }
+}
+
+Config LoadConfig(const std::function<const char*(const char*)>& environment) {
+  const auto value = [&](const char* name) {
+    const char* const text = environment(name);
+    return std::string(text == nullptr ? "" : text);
+  };
+  const std::string path = value("EDGE_CONFIG");
+  if (path.empty()) throw ConfigError("EDGE_CONFIG: not set");
+  std::ifstream file(path, std::ios::binary);
+  std::ostringstream text;
+  if (!(text << file.rdbuf())) throw ConfigError(path + ": cannot be read");
+  return ParseConfig(text.str(), value("EDGE_LISTEN"), value("EDGE_DISCOVERY"));
+}
+
+}  // namespace merlinrun::net
--- /dev/null
+++ b/src/net/config.hpp
@@ -0,0 +1,45 @@
+// What the sidecar is told at its start: the environment and the JSON configuration.
+#ifndef MERLINRUN_NET_CONFIG_HPP_
+#define MERLINRUN_NET_CONFIG_HPP_
+
+#include <cstdint>
+#include <functional>
+#include <nlohmann/json_fwd.hpp>
+#include <stdexcept>
+#include <string>
+
+#include "discovery.hpp"
+#include "protocol.hpp"
+#include "wire.hpp"
+
+namespace merlinrun::net {
+
+class ConfigError : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+struct Config {
+  std::string name;
+  Tcp::endpoint listen;
+  Tcp::endpoint discovery;
+  std::uint64_t seed = 0;
+  std::size_t sockets = 1024;  // descriptors that the process may hold
+  drill::WireSettings wire;
+  EndpointList known;  // the list as this sidecar last had it
+};
+
+// The settings in the form that the adapter reads, path=value pairs: one mapping of names serves both.
+std::string Flatten(const nlohmann::json& settings);
+
+// As the wire writes names: no spaces and no commas.
+std::string WireName(std::string_view name);
+
+Config ParseConfig(const std::string& text, const std::string& listen, const std::string& discovery);
+
+// Reads EDGE_CONFIG and what it names. Throws ConfigError, with one plain line, if anything is amiss.
+Config LoadConfig(const std::function<const char*(const char*)>& environment);
+
+}  // namespace merlinrun::net
+
+#endif  // MERLINRUN_NET_CONFIG_HPP_
--- /dev/null
+++ b/src/net/upstream.cpp
@@ -0,0 +1,366 @@
+#include "upstream.hpp"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <chrono>
+#include <optional>
+#include <utility>
+
+namespace merlinrun::net {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+// Sweeps in the time that an idle connection is kept: few, as each wakes the process.
+constexpr int kSweeps = 4;
+
+bool Declined(const HttpResponse& response) {
+  const bool status = response.result() == http::status::service_unavailable ||
+                      response.result() == http::status::gateway_timeout;
+  return status && response[kDeclinedHeader] == "1";
+}
+
+// A server's 503 without the header proves nothing: it may have run.
+Result ResultOf(const HttpResponse& response) {
+  if (response.result() == http::status::ok) return Result::kSuccess;
+  return Declined(response) ? Result::kRefused : Result::kError;
+}
+
+}  // namespace
+
+struct Upstream::Server {
+  ServerInfo info;
+  Tcp::endpoint address;
+  std::uint64_t life = 0;           // changes with all that makes older connections useless
+  std::vector<ConnectionPtr> idle;  // the most recently used last
+
+  bool Up() const { return info.state == ServerInfo::State::kHealthy; }
+};
+
+class Upstream::Connection : public std::enable_shared_from_this<Connection> {
+ public:
+  struct Job {
+    AttemptId id;
+    HttpRequest request;
+    Done done;
+  };
+
+  Connection(Upstream& pool, std::shared_ptr<Server> server)
+      : pool_(pool),
+        server_(std::move(server)),
+        life_(server_->life),
+        socket_(pool.io_),
+        dial_timer_(pool.io_) {}
+
+  void Dial(Job job) {
+    job_.emplace(std::move(job));
+    ErrorCode error;
+    socket_.open(server_->address.protocol(), error);
+    if (error) return FailLater();
+    socket_.set_option(Tcp::no_delay(true), error);
+    if (pool_.limits_.dial_timeout > 0) {
+      dial_timer_.expires_after(std::chrono::microseconds(pool_.limits_.dial_timeout));
+      dial_timer_.async_wait([self = shared_from_this()](ErrorCode stopped) {
+        if (!stopped && self->dialing_) self->Finish(Result::kUnreachable, {}, /*reuse=*/false);
+      });
+    }
+    dialing_ = true;
+    socket_.async_connect(server_->address,
+                          [self = shared_from_this()](ErrorCode failed) { self->OnDialed(failed); });
+  }
+
+  void Start(Job job) {
+    job_.emplace(std::move(job));
+    Write();
+  }
+
+  // Says nothing to anybody: for idle connections and attempts that are given up.
+  void Close() {
+    if (std::exchange(closed_, true)) return;
+    job_.reset();
+    dial_timer_.cancel();
+    ErrorCode ignored;
+    socket_.close(ignored);
+    pool_.Forget(*this);
+  }
+
+  // Guards against writing to a connection whose end has come in but has not been handled: what is written
+  // there is reset, and may have run for all that one can know.
+  bool Usable() {
+    if (closed_ || !Current()) return false;
+    char byte = 0;
+    const ssize_t got = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  }
+
+  bool Current() const { return server_->Up() && server_->life == life_; }
+  Server& server() { return *server_; }
+  Clock::time_point idle_since;
+
+ private:
+  void FailLater() {
+    asio::post(pool_.io_, [self = shared_from_this()] {
+      if (!self->closed_) self->Finish(Result::kUnreachable, {}, /*reuse=*/false);
+    });
+  }
+
+  void OnDialed(ErrorCode error) {
+    if (closed_) return;
+    dialing_ = false;
+    dial_timer_.cancel();
+    // A look at the list after the wait: guards against sending to a server that has meanwhile been told to
+    // drain, is gone, or has restarted and is cold. Nothing is written, so it never ran.
+    if (error || !Current()) return Finish(Result::kUnreachable, {}, /*reuse=*/false);
+    Read();
+    Write();
+  }
+
+  void Write() {
+    parser_.emplace();
+    parser_->eager(true);
+    parser_->header_limit(kMostHeader);
+    parser_->body_limit(kMostBody);
+    writing_ = true;
+    whole_ = false;
+    http::async_write(socket_, job_->request,
+                      [self = shared_from_this()](ErrorCode error, std::size_t) { self->OnWritten(error); });
+  }
+
+  void OnWritten(ErrorCode error) {
+    writing_ = false;
+    if (closed_) return;
+    whole_ = !error;
+    // An unfinished request is one that no server begins.
+    if (error) return Finish(Result::kUnreachable, {}, /*reuse=*/false);
+    if (broken_) Finish(Result::kReset, {}, /*reuse=*/false);
+  }
+
+  // Stays posted while the connection lives, so that a peer's close is seen when it comes.
+  void Read() {
+    socket_.async_read_some(
+        buffer_.prepare(kReadSize),
+        [self = shared_from_this()](ErrorCode error, std::size_t n) { self->OnRead(error, n); });
+  }
+
+  void OnRead(ErrorCode error, std::size_t n) {
+    if (closed_) return;
+    if (error) return OnEnd();
+    buffer_.commit(n);
+    if (!job_) return Close();  // nobody asked
+    if (!Parse()) return Finish(Result::kError, {}, /*reuse=*/false);
+    if (parser_->is_done()) return Complete(/*peer_open=*/true);
+    Read();
+  }
+
+  // False if it is no HTTP.
+  bool Parse() {
+    while (buffer_.size() > 0 && !parser_->is_done()) {
+      ErrorCode error;
+      const std::size_t used = parser_->put(buffer_.data(), error);
+      buffer_.consume(used);
+      if (error == http::error::need_more) return true;
+      if (error) return false;
+      if (parser_->is_header_done() && parser_->get().result_int() < 200) Restart();  // 1xx: more comes
+    }
+    return true;
+  }
+
+  void Restart() {
+    if (!parser_->is_done()) return;
+    parser_.emplace();
+    parser_->eager(true);
+    parser_->header_limit(kMostHeader);
+    parser_->body_limit(kMostBody);
+  }
+
+  // The peer closed or reset the connection.
+  void OnEnd() {
+    if (!job_) return Close();
+    ErrorCode error;
+    if (parser_->is_header_done() && !parser_->is_done()) {
+      parser_->put_eof(error);  // the end of a body that has no other; an error if it is cut off
+      if (!error && parser_->is_done()) return Complete(/*peer_open=*/false);
+    }
+    if (!writing_) return Finish(Result::kReset, {}, /*reuse=*/false);
+    // Whether the last byte went out shows when the write ends; closing the socket ends it.
+    broken_ = true;
+    ErrorCode ignored;
+    socket_.close(ignored);
+  }
+
+  void Complete(bool peer_open) {
+    HttpResponse response = parser_->release();
+    const bool reuse = peer_open && whole_ && response.keep_alive() && buffer_.size() == 0;
+    const Result result = ResultOf(response);
+    Finish(result, std::move(response), reuse);
+  }
+
+  void Finish(Result result, HttpResponse response, bool reuse) {
+    const auto self = shared_from_this();
+    Job job = std::move(*job_);
+    job_.reset();
+    pool_.attempts_.erase(job.id);
+    if (reuse) {
+      Read();
+      pool_.Release(self);
+    } else {
+      Close();
+    }
+    job.done({result, std::move(response)});
+  }
+
+  Upstream& pool_;
+  const std::shared_ptr<Server> server_;
+  const std::uint64_t life_;
+  Tcp::socket socket_;
+  asio::steady_timer dial_timer_;
+  beast::flat_buffer buffer_{kMostUnparsed};
+  std::optional<http::response_parser<http::string_body>> parser_;
+  std::optional<Job> job_;
+  bool dialing_ = false;
+  bool writing_ = false;
+  bool whole_ = false;   // the request's last byte has been written
+  bool broken_ = false;  // the peer ended while it was being written
+  bool closed_ = false;
+};
+
+Upstream::Upstream(asio::io_context& io, Limits limits) : io_(io), limits_(limits), sweep_(io) {}
+
+Upstream::~Upstream() {
+  for (auto& [id, connection] : std::exchange(attempts_, {}))
+    if (connection != nullptr) connection->Close();
+  for (auto& [id, server] : servers_)
+    for (const ConnectionPtr& connection : std::exchange(server->idle, {})) connection->Close();
+}
+
+void Upstream::Update(Server& server, const Endpoint& endpoint) {
+  const bool same = server.address == endpoint.address && server.info.started == endpoint.info.started;
+  server.info = endpoint.info;
+  if (endpoint.info.state != ServerInfo::State::kGone) server.address = endpoint.address;
+  if (same && server.Up()) return;
+  if (!same) ++server.life;
+  for (const ConnectionPtr& connection : std::exchange(server.idle, {})) connection->Close();
+}
+
+void Upstream::Apply(const EndpointList& list) {
+  std::unordered_map<std::string, std::shared_ptr<Server>> before;
+  if (list.whole) before.swap(servers_);
+  for (const Endpoint& endpoint : list.endpoints) {
+    std::shared_ptr<Server>& server = servers_[endpoint.info.id];
+    const auto old = before.find(endpoint.info.id);
+    if (old != before.end()) server = old->second;
+    if (server == nullptr) server = std::make_shared<Server>();
+    Update(*server, endpoint);
+    before.erase(endpoint.info.id);
+    if (endpoint.info.state == ServerInfo::State::kGone) servers_.erase(endpoint.info.id);
+  }
+  for (auto& [id, server] : before) {  // not in the whole list: gone
+    Endpoint gone{server->info, server->address};
+    gone.info.state = ServerInfo::State::kGone;
+    Update(*server, gone);
+  }
+}
+
+Upstream::AttemptId Upstream::Send(const std::string& id, HttpRequest request, Done done) {
+  const auto found = servers_.find(id);
+  if (found == servers_.end() || !found->second->Up()) return FailLater(std::move(done));
+  const std::shared_ptr<Server> server = found->second;
+  ConnectionPtr connection = TakeIdle(*server);
+  const AttemptId attempt = ++last_attempt_;
+  if (connection != nullptr) {
+    attempts_[attempt] = connection;
+    connection->Start({attempt, std::move(request), std::move(done)});
+    return attempt;
+  }
+  if (open_ >= limits_.connections && !MakeRoom()) return FailLater(std::move(done));
+  connection = std::make_shared<Connection>(*this, server);
+  ++open_;
+  attempts_[attempt] = connection;
+  connection->Dial({attempt, std::move(request), std::move(done)});
+  return attempt;
+}
+
+// The module must not hear of an outcome while it is still saying what to send.
+Upstream::AttemptId Upstream::FailLater(Done done) {
+  const AttemptId attempt = ++last_attempt_;
+  attempts_[attempt] = nullptr;
+  asio::post(io_, [this, attempt, done = std::move(done)] {
+    if (attempts_.erase(attempt) > 0) done({Result::kUnreachable, {}});
+  });
+  return attempt;
+}
+
+void Upstream::GiveUp(AttemptId attempt) {
+  const auto it = attempts_.find(attempt);
+  if (it == attempts_.end()) return;
+  const ConnectionPtr connection = it->second;
+  attempts_.erase(it);
+  if (connection != nullptr) connection->Close();
+}
+
+Upstream::ConnectionPtr Upstream::TakeIdle(Server& server) {
+  while (!server.idle.empty()) {
+    const ConnectionPtr connection = server.idle.back();
+    server.idle.pop_back();
+    if (connection->Usable()) return connection;
+    connection->Close();
+  }
+  return nullptr;
+}
+
+// Closes the connection that has been idle longest. False if all are at work.
+bool Upstream::MakeRoom() {
+  Server* oldest = nullptr;
+  for (auto& [id, server] : servers_)
+    if (!server->idle.empty() &&
+        (oldest == nullptr || server->idle.front()->idle_since < oldest->idle.front()->idle_since))
+      oldest = server.get();
+  if (oldest == nullptr) return false;
+  const ConnectionPtr connection = oldest->idle.front();
+  connection->Close();
+  return true;
+}
+
+void Upstream::Release(const ConnectionPtr& connection) {
+  if (!connection->Current()) return connection->Close();
+  connection->idle_since = Clock::now();
+  connection->server().idle.push_back(connection);
+  SweepLater();
+}
+
+void Upstream::Forget(const Connection& connection) {
+  --open_;
+  auto& idle = const_cast<Connection&>(connection).server().idle;
+  const auto same = [&](const ConnectionPtr& other) { return other.get() == &connection; };
+  idle.erase(std::remove_if(idle.begin(), idle.end(), same), idle.end());
+}
+
+void Upstream::SweepLater() {
+  if (limits_.keep_idle <= 0 || std::exchange(sweeping_, true)) return;
+  sweep_.expires_after(std::chrono::microseconds(limits_.keep_idle / kSweeps));
+  sweep_.async_wait([this](ErrorCode error) {
+    if (error) return;
+    sweeping_ = false;
+    Sweep();
+  });
+}
+
+void Upstream::Sweep() {
+  const auto now = Clock::now();
+  bool any = false;
+  for (auto& [id, server] : servers_) {
+    const std::vector<ConnectionPtr> idle = server->idle;  // Close takes them out of the original
+    for (const ConnectionPtr& connection : idle)
+      if (now - connection->idle_since >= std::chrono::microseconds(limits_.keep_idle)) connection->Close();
+    any = any || !server->idle.empty();
+  }
+  if (any) SweepLater();
+}
+
+}  // namespace merlinrun::net
--- /dev/null
+++ b/src/net/upstream.hpp
@@ -0,0 +1,77 @@
+// Connections to the servers: one request on each at a time, the most recently used first. Carries out an
+// attempt exactly once and says what became of it; never sends one again by itself.
+#ifndef MERLINRUN_NET_UPSTREAM_HPP_
+#define MERLINRUN_NET_UPSTREAM_HPP_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "discovery.hpp"
+#include "merlinrun/balancer.hpp"
+#include "protocol.hpp"
+
+namespace merlinrun::net {
+
+struct UpstreamAnswer {
+  Result result = Result::kUnreachable;
+  HttpResponse response;  // whole; of interest after a success
+};
+
+class Upstream {
+ public:
+  using AttemptId = std::uint64_t;
+  using Done = std::function<void(UpstreamAnswer)>;
+  struct Limits {
+    Micros keep_idle = 0;     // an idle connection is closed after so long; 0 = only when its peer does
+    Micros dial_timeout = 0;  // 0 = as long as the attempt lasts
+    std::size_t connections = 512;
+  };
+
+  Upstream(asio::io_context& io, Limits limits);
+  ~Upstream();
+  Upstream(const Upstream&) = delete;
+  Upstream& operator=(const Upstream&) = delete;
+
+  // Takes a list. A server that drains, is gone, has moved or has restarted loses its idle connections; what
+  // is under way on the others finishes.
+  void Apply(const EndpointList& list);
+
+  // Starts an attempt. `done` is called once, from the loop and never from in here, unless it is given up.
+  AttemptId Send(const std::string& server, HttpRequest request, Done done);
+  // Ends an attempt by closing its connection; its `done` is not called any more.
+  void GiveUp(AttemptId attempt);
+
+  bool any_server() const { return !servers_.empty(); }
+  std::size_t open_connections() const { return open_; }
+
+ private:
+  class Connection;
+  struct Server;
+  using ConnectionPtr = std::shared_ptr<Connection>;
+
+  static void Update(Server& server, const Endpoint& endpoint);
+  ConnectionPtr TakeIdle(Server& server);
+  bool MakeRoom();
+  AttemptId FailLater(Done done);
+  void Release(const ConnectionPtr& connection);
+  void Forget(const Connection& connection);
+  void SweepLater();
+  void Sweep();
+
+  asio::io_context& io_;
+  const Limits limits_;
+  asio::steady_timer sweep_;
+  bool sweeping_ = false;
+  std::size_t open_ = 0;
+  AttemptId last_attempt_ = 0;
+  std::unordered_map<std::string, std::shared_ptr<Server>> servers_;
+  std::unordered_map<AttemptId, ConnectionPtr> attempts_;  // null: it has failed, which is about to be told
+};
+
+}  // namespace merlinrun::net
+
+#endif  // MERLINRUN_NET_UPSTREAM_HPP_
