--- /dev/null
+++ b/tests/net/config_test.cpp
@@ -0,0 +1,65 @@
+// Configuration: names shared with the adapter's parser, and what is wrong said plainly.
+#include "net/config.hpp"
+
+#include "loopback.hpp"
+
+namespace merlinrun::net {
+namespace {
+
+using namespace testing;  // NOLINT(google-build-using-namespace)
+using Json = nlohmann::json;
+
+TEST(Config, FlattensSettingsIntoTheAdaptersPairs) {
+  const Json settings = {{"allowed", {{"cancel", true}, {"open_cap", 250000.0}}},
+                         {"azs", {"a b", "c,d"}},
+                         {"costs", {{"waste", 0.04}}},
+                         {"grades", {{{"name", "x"}}, {{"name", "y"}}}},
+                         {"tenants", Json::array()},
+                         {"unset", nullptr}};
+  EXPECT_EQ(Flatten(settings),
+            "allowed.cancel=true allowed.open_cap=250000 azs=a_b,c_d costs.waste=0.04 grades.count=2 "
+            "grades.0.name=x grades.1.name=y tenants=");
+}
+
+TEST(Config, ReadsAllThatASidecarIsTold) {
+  const Tcp::endpoint at(asio::ip::make_address("127.0.0.1"), 81);
+  const Config config = ParseConfig(ConfigJson(at, {Entry("s1", at)}).dump(), "127.0.0.2:80", "");
+  EXPECT_EQ(Text(config.listen), "127.0.0.2:80");  // the environment's
+  EXPECT_EQ(Text(config.discovery), "127.0.0.1:81");
+  EXPECT_EQ(config.seed, 0x8c1f30d27a5be964U);
+  EXPECT_EQ(config.sockets, 1024U);
+  ASSERT_EQ(config.wire.settings.classes.size(), 3U);
+  EXPECT_EQ(config.wire.settings.classes[2].repeat, Repeat::kNever);
+  EXPECT_EQ(config.wire.settings.dial_timeout, 250'000);
+  EXPECT_EQ(config.wire.settings.zone, 0);
+  ASSERT_EQ(config.known.endpoints.size(), 1U);
+  EXPECT_EQ(config.known.endpoints[0].address, at);
+}
+
+TEST(Config, SaysWhatIsWrongInOneLine) {
+  const Tcp::endpoint at(asio::ip::make_address("127.0.0.1"), 81);
+  std::vector<std::string> texts = {"", "{", "[]", "{}"};
+  const auto spoil = [&](const char* path, const Json& value) {
+    Json json = ConfigJson(at, {Entry("s1", at)});
+    json[Json::json_pointer(path)] = value;
+    texts.push_back(json.dump());
+  };
+  spoil("/listen", "nowhere");
+  spoil("/discovery", 7);
+  spoil("/seed", "xyz");
+  spoil("/limits/sockets", 3);
+  spoil("/settings/grades/0/repeat", "sometimes");
+  spoil("/settings/quantum_us", "soon");
+  spoil("/known/instances/0/lifecycle", "unsure");
+  for (const std::string& text : texts) {
+    try {
+      ParseConfig(text, "", "");
+      ADD_FAILURE() << "taken: " << text;
+    } catch (const ConfigError& error) {
+      EXPECT_EQ(std::string(error.what()).find('\n'), std::string::npos);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace merlinrun::net
--- /dev/null
+++ b/tests/net/sidecar_test.cpp
@@ -0,0 +1,263 @@
+// The whole sidecar between scripted clients, servers and discovery.
+#include "net/sidecar.hpp"
+
+#include "loopback.hpp"
+
+namespace merlinrun::net {
+namespace {
+
+using namespace testing;  // NOLINT(google-build-using-namespace)
+
+class SidecarTest : public ::testing::Test {
+ protected:
+  SidecarTest()
+      : discovery(io, [this](Peer& peer) {
+          if (peer.requests() == 1 && watching == nullptr) {
+            watching = &peer;
+            peer.Write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+          }
+        }) {}
+
+  void Start(const std::vector<nlohmann::json>& instances) {
+    Start(instances, [](nlohmann::json&) {});
+  }
+  void Start(const std::vector<nlohmann::json>& instances,
+             const std::function<void(nlohmann::json&)>& change) {
+    nlohmann::json json = ConfigJson(discovery.address, instances);
+    change(json);
+    Config config = ParseConfig(json.dump(), "", "");
+    config.listen = Loopback();
+    sidecar = std::make_unique<Sidecar>(io, std::move(config));
+    sidecar->Start();
+    ASSERT_TRUE(RunUntil(io, [&] { return watching != nullptr; }));
+  }
+  void Tell(const nlohmann::json& list) {
+    const std::string text = list.dump() + "\n";
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx\r\n", text.size());
+    watching->Write(size + text + "\r\n");
+  }
+  static std::string Get(const std::string& id, const std::string& headers = "") {
+    return "GET /api?obj=k1 HTTP/1.1\r\nHost: origin.svc\r\nReq-Id: " + id +
+           "\r\nReq-Kind: look\r\nReq-Deadline: 5.0\r\n" + headers + "\r\n";
+  }
+  static std::string Post(const std::string& kind, const std::string& id,
+                          const std::string& deadline = "5.0") {
+    return "POST /api HTTP/1.1\r\nHost: origin.svc\r\nReq-Id: " + id + "\r\nReq-Kind: " + kind +
+           "\r\nReq-Deadline: " + deadline + "\r\nContent-Length: 4\r\n\r\nbody";
+  }
+  std::shared_ptr<Peer> Client(const std::string& text) {
+    auto client = Connect(io, sidecar->address());
+    client->Write(text);
+    return client;
+  }
+  // The status of the client's n-th answer; empty if none comes.
+  std::string Status(Peer& client, int n = 1) {
+    if (!RunUntil(io, [&] { return client.requests() >= n; })) return "";
+    std::size_t at = 0;
+    for (int i = 1; i < n; ++i) at = client.received.find("HTTP/1.1 ", at + 1);
+    return client.received.substr(at + 9, 3);
+  }
+  std::string Ask(const std::string& text) { return Status(*Client(text)); }
+
+  asio::io_context io;
+  Peer* watching = nullptr;
+  ScriptedServer discovery;
+  std::unique_ptr<Sidecar> sidecar;
+};
+
+TEST_F(SidecarTest, IsReadyOnceItKnowsAServer) {
+  ScriptedServer server(io, Serves("ok"));
+  Start(std::vector<nlohmann::json>());
+  EXPECT_EQ(Ask("GET /ready HTTP/1.1\r\n\r\n"), "503");
+  Tell(List(2, true, {Entry("s1", server.address)}));
+  ASSERT_TRUE(RunUntil(io, [&] { return Ask("GET /ready HTTP/1.1\r\n\r\n") == "200"; }));
+  EXPECT_EQ(Ask(Get("r1")), "200");
+}
+
+TEST_F(SidecarTest, PassesRequestAndAnswerOn) {
+  ScriptedServer server(io, Serves("the body"));
+  Start({Entry("s1", server.address)});
+  auto client = Client(Get("r1", "Connection: keep-alive\r\nTE: trailers\r\n"));
+  EXPECT_EQ(Status(*client), "200");
+  ASSERT_TRUE(RunUntil(io, [&] { return client->received.find("the body") != std::string::npos; }));
+  const std::string& sent = server.peers[0]->received;
+  EXPECT_EQ(sent.rfind("GET /api?obj=k1 HTTP/1.1\r\n", 0), 0U);
+  EXPECT_NE(sent.find("Req-Id: r1\r\n"), std::string::npos);
+  EXPECT_NE(sent.find("Req-Deadline: 4.9"), std::string::npos) << sent;  // what is left, with the margin off
+  EXPECT_EQ(sent.find("TE: "), std::string::npos);
+  client->Write(Get("r2"));
+  EXPECT_EQ(Status(*client, 2), "200");
+  EXPECT_EQ(sidecar->requests_held(), 0U);
+}
+
+TEST_F(SidecarTest, AnswersPipelinedRequestsInTurn) {
+  ScriptedServer server(io, Serves("ok"));
+  Start({Entry("s1", server.address)});
+  auto client = Client(Post("pay", "r1") + Get("r2") + Get("r3"));
+  EXPECT_EQ(Status(*client, 3), "200");
+  EXPECT_EQ(server.requests(), 3);
+}
+
+TEST_F(SidecarTest, RejectsWhatIsMalformedOrTooLargeAndLivesOn) {
+  ScriptedServer server(io, Serves("ok"));
+  Start({Entry("s1", server.address)});
+  const std::pair<std::string, std::string> cases[] = {
+      {"nonsense\r\n\r\n", "400"},
+      {"GET /api HTTP/1.1\r\nno colon\r\n\r\n", "400"},
+      {"POST /api HTTP/1.1\r\nContent-Length: -4\r\n\r\n", "400"},
+      {"POST /api HTTP/1.1\r\nContent-Length: 70000\r\n\r\n" + std::string(70000, 'x'), "413"},
+      {"GET /api HTTP/1.1\r\nX: " + std::string(30000, 'x') + "\r\n\r\n", "431"}};
+  for (const auto& [text, status] : cases) {
+    auto client = Client(text);
+    EXPECT_EQ(Status(*client), status) << text.substr(0, 40);
+    EXPECT_TRUE(RunUntil(io, [&] { return client->ended; })) << "left open: " << text.substr(0, 40);
+  }
+  EXPECT_EQ(Ask("GET /api HTTP/1.1\r\nReq-Kind: look\r\n\r\n"), "400");
+  EXPECT_EQ(Ask("GET /api HTTP/1.1\r\nReq-Id: r1\r\nReq-Kind: other\r\n\r\n"), "404");
+  EXPECT_EQ(Ask("GET /api HTTP/1.1\r\nReq-Id: r1\r\nReq-Kind: look\r\nReq-Deadline: soon\r\n\r\n"), "400");
+  EXPECT_EQ(server.requests(), 0);
+  EXPECT_EQ(Ask(Get("r2")), "200");
+}
+
+TEST_F(SidecarTest, AnUnsafeRequestThatMayHaveRunFailsAndIsSentOnce) {
+  const auto reset = [](Peer& peer) { peer.Reset(); };
+  ScriptedServer one(io, reset);
+  ScriptedServer two(io, reset);
+  Start({Entry("s1", one.address), Entry("s2", two.address)});
+  EXPECT_EQ(Ask(Post("port", "r1")), "502");
+  RunFor(io, 300ms);
+  EXPECT_EQ(one.requests() + two.requests(), 1);
+}
+
+TEST_F(SidecarTest, AnUnsafeRequestThatWasDeclinedGoesElsewhere) {
+  int seen = 0;
+  const auto decline_first = [&](Peer& peer) {
+    peer.Write(seen++ == 0 ? Reply("503 Service Unavailable", "", "Srv-Declined: 1\r\n")
+                           : Reply("200 OK", "ok"));
+  };
+  ScriptedServer one(io, decline_first);
+  ScriptedServer two(io, decline_first);
+  Start({Entry("s1", one.address), Entry("s2", two.address)});
+  EXPECT_EQ(Ask(Post("port", "r1")), "200");
+  EXPECT_EQ(one.requests(), 1);
+  EXPECT_EQ(two.requests(), 1);
+}
+
+TEST_F(SidecarTest, ASilentServerGetsNoMoreThanTheClientsTime) {
+  ScriptedServer server(io);
+  Start({Entry("s1", server.address)});
+  const auto begin = std::chrono::steady_clock::now();
+  EXPECT_EQ(Ask(Post("port", "r1", "0.6")), "502");
+  EXPECT_LT(std::chrono::steady_clock::now() - begin, 600ms);
+  EXPECT_TRUE(RunUntil(io, [&] { return server.peers[0]->ended; })) << "the attempt's connection was kept";
+  EXPECT_EQ(sidecar->requests_held(), 0U);
+}
+
+TEST_F(SidecarTest, AClientThatLeavesEndsItsAttempt) {
+  ScriptedServer server(io);
+  Start({Entry("s1", server.address)});
+  auto client = Client(Get("r1"));
+  ASSERT_TRUE(RunUntil(io, [&] { return server.requests() == 1; }));
+  client->Close();
+  EXPECT_TRUE(RunUntil(io, [&] { return server.peers[0]->ended; }));
+  EXPECT_TRUE(RunUntil(io, [&] { return sidecar->requests_held() == 0; }));
+}
+
+TEST_F(SidecarTest, ATruncatedAnswerIsNeverPassedOn) {
+  int seen = 0;
+  ScriptedServer server(io, [&](Peer& peer) {
+    if (seen++ > 0) return peer.Write(Reply("200 OK", "whole"));
+    peer.Write("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort");
+    peer.Close();
+  });
+  Start({Entry("s1", server.address)});
+  auto client = Client(Get("r1"));
+  EXPECT_EQ(Status(*client), "200");  // safe to repeat: the module sends it again
+  ASSERT_TRUE(RunUntil(io, [&] { return client->received.find("whole") != std::string::npos; }));
+  EXPECT_EQ(client->received.find("short"), std::string::npos);
+}
+
+TEST_F(SidecarTest, RefusesWithAdviceWhenNoServerCanBeReached) {
+  ScriptedServer server(io);
+  server.StopListening();
+  Start({Entry("s1", server.address)});
+  auto client = Client(Get("r1"));
+  EXPECT_EQ(Status(*client), "503");
+  EXPECT_NE(client->received.find("Retry-After: "), std::string::npos);
+}
+
+TEST_F(SidecarTest, SendsNothingToAServerThatDrains) {
+  ScriptedServer one(io, Serves("one"));
+  ScriptedServer two(io, Serves("two"));
+  Start({Entry("s1", one.address)});
+  EXPECT_EQ(Ask(Get("r1")), "200");
+  Tell(List(2, false, {Entry("s1", one.address, "draining"), Entry("s2", two.address)}));
+  ASSERT_TRUE(RunUntil(io, [&] { return one.peers[0]->ended; }));
+  for (int i = 0; i < 5; ++i) EXPECT_EQ(Ask(Get("d" + std::to_string(i))), "200");
+  EXPECT_EQ(one.requests(), 1);
+  EXPECT_EQ(two.requests(), 5);
+}
+
+TEST_F(SidecarTest, AnIdInUseIsNotTakenTwice) {
+  ScriptedServer server(io);
+  Start({Entry("s1", server.address)});
+  auto first = Client(Post("port", "r1"));
+  ASSERT_TRUE(RunUntil(io, [&] { return server.requests() == 1; }));
+  EXPECT_EQ(Ask(Post("port", "r1")), "409");
+  EXPECT_EQ(server.requests(), 1);
+  server.peers[0]->Write(Reply("200 OK", "ok"));
+  EXPECT_EQ(Status(*first), "200");
+}
+
+TEST_F(SidecarTest, MakesRoomForClientsByClosingIdleConnections) {
+  ScriptedServer server(io, Serves("ok"));
+  Start({Entry("s1", server.address)}, [](nlohmann::json& json) { json["limits"]["sockets"] = 64; });
+  std::vector<std::shared_ptr<Peer>> clients;
+  for (int i = 0; i < 60; ++i) {  // three times what 64 descriptors leave room for
+    clients.push_back(Client(Get("r" + std::to_string(i))));
+    EXPECT_EQ(Status(*clients.back()), "200") << i;
+  }
+  EXPECT_TRUE(clients.front()->ended);
+  EXPECT_FALSE(clients.back()->ended);
+}
+
+TEST_F(SidecarTest, ADrainTakesWhatStillComesAndFinishesWhatIsHeld) {
+  ScriptedServer server(io);
+  Start({Entry("s1", server.address)});
+  auto idle = Connect(io, sidecar->address());
+  auto held = Client(Get("r1"));
+  ASSERT_TRUE(RunUntil(io, [&] { return server.requests() == 1; }));
+  bool finished = false;
+  sidecar->Drain([&] { finished = true; });
+  RunFor(io, 200ms);
+  auto late = Client(Get("r2"));
+  ASSERT_TRUE(RunUntil(io, [&] { return server.requests() == 2; }));
+  RunFor(io, 800ms);
+  EXPECT_FALSE(finished);
+  EXPECT_TRUE(idle->ended);
+  for (auto& peer : server.peers) peer->Write(Reply("200 OK", "ok"));
+  for (const auto& client : {held, late}) {
+    EXPECT_EQ(Status(*client), "200");
+    EXPECT_NE(client->received.find("Connection: close\r\n"), std::string::npos);
+    ASSERT_TRUE(RunUntil(io, [&] { return client->ended; }));
+    client->Close();
+  }
+  EXPECT_TRUE(RunUntil(io, [&] { return finished; }));
+}
+
+TEST_F(SidecarTest, ADrainEndsInTimeEvenIfServersStaySilent) {
+  ScriptedServer server(io);
+  Start({Entry("s1", server.address)});
+  auto client = Client(Post("port", "r1"));
+  ASSERT_TRUE(RunUntil(io, [&] { return server.requests() == 1; }));
+  bool finished = false;
+  const auto begin = std::chrono::steady_clock::now();
+  sidecar->Drain([&] { finished = true; });
+  EXPECT_EQ(Status(*client), "502");
+  EXPECT_TRUE(RunUntil(io, [&] { return finished; }));
+  EXPECT_LT(std::chrono::steady_clock::now() - begin, 3700ms);  // the kill comes no sooner
+}
+
+}  // namespace
+}  // namespace merlinrun::net
