Keep a dial time-out from touching an attempt that was given up

Mended with a look at closed_; no small test can force that order, so it rests on the comment. Destructors no longer run code that may throw.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -175,7 +175,9 @@
       random_(seed),
       backoff_(io) {}
 
-Discovery::~Discovery() { Stop(); }
+Discovery::~Discovery() {
+  if (stream_ != nullptr) stream_->Stop();
+}
 
 void Discovery::Watch(std::int64_t generation) {
   if (stream_ != nullptr) return;
@@ -183,11 +185,6 @@
   Open();
 }
 
-void Discovery::Stop() {
-  backoff_.cancel();
-  if (stream_ != nullptr) std::exchange(stream_, nullptr)->Stop();
-}
-
 void Discovery::Open() {
   stream_ = std::make_shared<Stream>(*this);
   stream_->Open();
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -58,7 +58,6 @@
 
   // Opens the watch, to be told of what changed after `generation`. Does nothing if it is open already.
   void Watch(std::int64_t generation);
-  void Stop();
 
  private:
   class Stream;
--- a/src/net/inbound.cpp
+++ b/src/net/inbound.cpp
@@ -26,6 +26,17 @@
   return response;
 }
 
+struct Incoming {
+  Incoming() {
+    parser.eager(true);
+    parser.header_limit(kMostHeader);
+    parser.body_limit(kMostBody);
+  }
+
+  http::request_parser<http::string_body> parser;
+  bool begun = false;
+};
+
 }  // namespace
 
 class Inbound::Session : public std::enable_shared_from_this<Session> {
@@ -56,11 +67,17 @@
   }
 
   void Close() {
-    if (std::exchange(state_, State::kClosed) == State::kClosed) return;
+    if (state_ == State::kClosed) return;
+    Abandon();
     linger_.cancel();
+    owner_.Remove(*this);
+  }
+
+  // Closes without a word to the owner, which is going: what is still to be called back finds it closed.
+  void Abandon() {
+    state_ = State::kClosed;
     ErrorCode ignored;
     socket_.close(ignored);
-    owner_.Remove(*this);
   }
 
   std::list<SessionPtr>::iterator place;
@@ -68,18 +85,6 @@
  private:
   enum class State { kReading, kBusy, kWriting, kLingering, kClosed };
 
-  struct Parser : http::request_parser<http::string_body> {
-    Parser() {
-      eager(true);
-      header_limit(kMostHeader);
-      body_limit(kMostBody);
-    }
-  };
-  struct Incoming {
-    Parser parser;
-    bool begun = false;
-  };
-
   void NextRequest() {
     state_ = State::kReading;
     parser_.emplace();
@@ -191,8 +196,7 @@
 }
 
 Inbound::~Inbound() {
-  for (const SessionPtr& session : std::vector<SessionPtr>(sessions_.begin(), sessions_.end()))
-    session->Close();
+  for (const SessionPtr& session : sessions_) session->Abandon();
 }
 
 void Inbound::Respond(const SessionPtr& session, HttpResponse response) {
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -411,7 +411,8 @@
 // Guards against ending with answers still unsent: each session goes when its client has read its answer.
 void Sidecar::CheckFinished() {
   if (!closing_ || !calls_.empty() || !finished_) return;
-  if (inbound_->sessions() == 0 || Now() >= drain_end_ + kLastWords) return std::exchange(finished_, nullptr)();
+  if (inbound_->sessions() == 0 || Now() >= drain_end_ + kLastWords)
+    return std::exchange(finished_, nullptr)();
   drain_timer_.expires_after(std::chrono::microseconds(kDrainPoll));
   drain_timer_.async_wait([this](ErrorCode error) {
     if (!error) CheckFinished();
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -67,7 +67,9 @@
     if (pool_.limits_.dial_timeout > 0) {
       dial_timer_.expires_after(std::chrono::microseconds(pool_.limits_.dial_timeout));
       dial_timer_.async_wait([self = shared_from_this()](ErrorCode stopped) {
-        if (!stopped && self->dialing_) self->Finish(Result::kUnreachable, {}, /*reuse=*/false);
+        // The time may run out in the very turn of the loop in which the attempt is given up.
+        if (!stopped && self->dialing_ && !self->closed_)
+          self->Finish(Result::kUnreachable, {}, /*reuse=*/false);
       });
     }
     dialing_ = true;
@@ -80,14 +82,20 @@
     Write();
   }
 
-  // Says nothing to anybody: for idle connections and attempts that are given up.
+  // Says nothing to the attempt's owner: for idle connections and attempts that are given up.
   void Close() {
-    if (std::exchange(closed_, true)) return;
-    job_.reset();
+    if (closed_) return;
+    Abandon();
     dial_timer_.cancel();
+    pool_.Forget(*this);
+  }
+
+  // Closes without a word to the pool, which is going: what is still to be called back finds it closed.
+  void Abandon() {
+    closed_ = true;
+    job_.reset();
     ErrorCode ignored;
     socket_.close(ignored);
-    pool_.Forget(*this);
   }
 
   // Guards against writing to a connection whose end has come in but has not been handled: what is written
@@ -233,10 +241,12 @@
 Upstream::Upstream(asio::io_context& io, Limits limits) : io_(io), limits_(limits), sweep_(io) {}
 
 Upstream::~Upstream() {
-  for (auto& [id, connection] : std::exchange(attempts_, {}))
-    if (connection != nullptr) connection->Close();
-  for (auto& [id, server] : servers_)
-    for (const ConnectionPtr& connection : std::exchange(server->idle, {})) connection->Close();
+  for (const auto& [id, connection] : attempts_)
+    if (connection != nullptr) connection->Abandon();
+  for (const auto& [id, server] : servers_) {
+    for (const ConnectionPtr& connection : server->idle) connection->Abandon();
+    server->idle.clear();  // the two hold each other
+  }
 }
 
 void Upstream::Update(Server& server, const Endpoint& endpoint) {
@@ -306,7 +316,7 @@
 
 Upstream::ConnectionPtr Upstream::TakeIdle(Server& server) {
   while (!server.idle.empty()) {
-    const ConnectionPtr connection = server.idle.back();
+    ConnectionPtr connection = server.idle.back();
     server.idle.pop_back();
     if (connection->Usable()) return connection;
     connection->Close();
@@ -322,8 +332,8 @@
         (oldest == nullptr || server->idle.front()->idle_since < oldest->idle.front()->idle_since))
       oldest = server.get();
   if (oldest == nullptr) return false;
-  const ConnectionPtr connection = oldest->idle.front();
-  connection->Close();
+  const ConnectionPtr kept = oldest->idle.front();
+  kept->Close();
   return true;
 }
 
