Answer also a connection that was accepted as the listener closed

Seen on reading OnAccepted in inbound.cpp: at the end of accepting, a connection whose accept had completed in the same turn of the loop was dropped, and with it a request that its client may have sent. Now it is added first. The order cannot be forced in a small test; the drain tests pass before and after.

--- a/src/net/inbound.cpp
+++ b/src/net/inbound.cpp
@@ -214,11 +214,12 @@
 }
 
 void Inbound::OnAccepted(ErrorCode error, Tcp::socket socket) {
-  if (error == asio::error::operation_aborted || !acceptor_.is_open()) return;
   if (!error) {
+    // Also if the listener has closed since: the client may have sent its request already.
     Add(std::move(socket));
     return Accept();
   }
+  if (error == asio::error::operation_aborted || !acceptor_.is_open()) return;
   if (error == asio::error::connection_aborted) return Accept();
   CloseOneIdle();
   pause_.expires_after(kAcceptPause);
