Check answer lengths ourselves; follow the new discovery at SIGHUP

A loopback probe of eight spoilt forms showed one that is read for ever: 'Content-Length:'. To blame: eager(true) in Upstream::Connection; Boost 1.74's put() loses the body_limit error of finish_header when eager, and goes on with the body. Ruled out: chunked, endless heads, noise, both framings and close-delimited bodies, all of which ended at their limits. The header is now parsed by itself and its length checked before the body.

SIGHUP: no handler in main.cpp. The file is read again, its discovery holds, the new address is asked for its whole list and then watched; the old list serves meanwhile. A lower generation without reset asks for the whole list too. Discovery's body_limit(none) refused every Content-Length (same Boost: length > none holds); whole lists could not be read with it.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -14,6 +14,8 @@
 
 using merlinrun::net::Sidecar;
 
+const char* Environment(const char* name) { return std::getenv(name); }
+
 // What escapes a handler ends that handler and not the sidecar, with all that it holds.
 void RunToTheEnd(boost::asio::io_context& io) {
   for (;;) {
@@ -26,9 +28,32 @@
   }
 }
 
+// Reads the configuration again at each SIGHUP. A file that makes no sense is told, and changes nothing.
+class Reloader {
+ public:
+  explicit Reloader(boost::asio::io_context& io) : signals_(io, SIGHUP) {}
+
+  void Serve(Sidecar& sidecar) {
+    signals_.async_wait([this, &sidecar](const boost::system::error_code& stopped, int) {
+      if (stopped) return;
+      try {
+        sidecar.Reload(merlinrun::net::ReloadConfig(Environment));
+      } catch (const std::exception& error) {
+        std::fprintf(stderr, "fennelhollow: the configuration is kept as it was: %s\n", error.what());
+      }
+      Serve(sidecar);
+    });
+  }
+
+ private:
+  boost::asio::signal_set signals_;
+};
+
 int Serve() {
   boost::asio::io_context io(1);
-  Sidecar sidecar(io, merlinrun::net::LoadConfig([](const char* name) { return std::getenv(name); }));
+  Reloader reloader(io);  // before all else: from here on SIGHUP ends nothing, it waits for the loop
+  Sidecar sidecar(io, merlinrun::net::LoadConfig(Environment));
+  reloader.Serve(sidecar);
   boost::asio::signal_set signals(io, SIGTERM, SIGINT);
   signals.async_wait([&](const boost::system::error_code& error, int) {
     if (!error) sidecar.Drain([&io] { io.stop(); });
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -88,6 +88,20 @@
   return config;
 }
 
+std::string Value(const Environment& environment, const char* name) {
+  const char* const text = environment(name);
+  return text == nullptr ? "" : text;
+}
+
+std::string ReadFile(const Environment& environment) {
+  const std::string path = Value(environment, "EDGE_CONFIG");
+  if (path.empty()) throw ConfigError("EDGE_CONFIG: not set");
+  std::ifstream file(path, std::ios::binary);
+  std::ostringstream text;
+  if (!(text << file.rdbuf())) throw ConfigError(path + ": cannot be read");
+  return text.str();
+}
+
 std::string OneLine(std::string text) {
   std::replace(text.begin(), text.end(), '\n', ' ');
   return text;
@@ -119,17 +133,13 @@
   }
 }
 
-Config LoadConfig(const std::function<const char*(const char*)>& environment) {
-  const auto value = [&](const char* name) {
-    const char* const text = environment(name);
-    return std::string(text == nullptr ? "" : text);
-  };
-  const std::string path = value("EDGE_CONFIG");
-  if (path.empty()) throw ConfigError("EDGE_CONFIG: not set");
-  std::ifstream file(path, std::ios::binary);
-  std::ostringstream text;
-  if (!(text << file.rdbuf())) throw ConfigError(path + ": cannot be read");
-  return ParseConfig(text.str(), value("EDGE_LISTEN"), value("EDGE_DISCOVERY"));
+Config LoadConfig(const Environment& environment) {
+  return ParseConfig(ReadFile(environment), Value(environment, "EDGE_LISTEN"),
+                     Value(environment, "EDGE_DISCOVERY"));
+}
+
+Config ReloadConfig(const Environment& environment) {
+  return ParseConfig(ReadFile(environment), Value(environment, "EDGE_LISTEN"), "");
 }
 
 }  // namespace merlinrun::net
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -37,8 +37,13 @@
 
 Config ParseConfig(const std::string& text, const std::string& listen, const std::string& discovery);
 
+using Environment = std::function<const char*(const char*)>;
+
 // Reads EDGE_CONFIG and what it names. Throws ConfigError, with one plain line, if anything is amiss.
-Config LoadConfig(const std::function<const char*(const char*)>& environment);
+Config LoadConfig(const Environment& environment);
+
+// The same for a file that has been replaced since: its own discovery holds, not EDGE_DISCOVERY.
+Config ReloadConfig(const Environment& environment);
 
 }  // namespace merlinrun::net
 
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -10,6 +10,7 @@
 #include <charconv>
 #include <chrono>
 #include <cstdio>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -83,7 +84,9 @@
 
   void Open() {
     request_.method(http::verb::get);
-    request_.target("/v1/endpoints?stream=1&index=" + std::to_string(owner_->generation_));
+    whole_ = owner_->generation_ == kUnknown;
+    request_.target(whole_ ? "/v1/endpoints"
+                           : "/v1/endpoints?stream=1&index=" + std::to_string(owner_->generation_));
     request_.set(http::field::host, "discovery");
     ExpectProgress();
     tcp_.async_connect(owner_->address_, [self = shared_from_this()](ErrorCode error) {
@@ -110,7 +113,8 @@
 
   void ReadHeader() {
     if (owner_ == nullptr) return;
-    parser_.body_limit(boost::none);
+    // A watch has no end. Not boost::none: Boost 1.74 then takes any Content-Length for too long.
+    parser_.body_limit(std::numeric_limits<std::uint64_t>::max());
     http::async_read_header(tcp_, buffer_, parser_,
                             [self = shared_from_this()](ErrorCode error, std::size_t) {
                               if (error) return self->End(error.message());
@@ -122,7 +126,7 @@
 
   void ReadBody() {
     if (owner_ == nullptr) return;
-    if (parser_.is_done()) return End("the watch ended");
+    if (parser_.is_done()) return OnBodyEnd();
     ExpectProgress();
     auto& body = parser_.get().body();
     body.data = piece_.data();
@@ -135,6 +139,18 @@
     });
   }
 
+  // A watch has no end of its own; a whole list has, and the watch follows upon it.
+  void OnBodyEnd() {
+    if (!whole_) return End("the watch ended");
+    Discovery* const owner = owner_;
+    if (!line_.empty()) owner->OnLine(line_);
+    if (owner_ == nullptr) return;  // it could not be read
+    if (owner->generation_ == kUnknown) return End("no list", true);
+    owner_ = nullptr;
+    tcp_.close();
+    owner->Open();
+  }
+
   void TakePiece() {
     line_.append(piece_.data(), piece_.size() - parser_.get().body().size);
     std::size_t begin = 0;
@@ -163,6 +179,7 @@
   http::response_parser<http::buffer_body> parser_;
   std::array<char, kReadSize> piece_{};
   std::string line_;
+  bool whole_ = false;  // asks for the whole list, not for a watch
 };
 
 Discovery::Discovery(asio::io_context& io, Tcp::endpoint address, const drill::WireSettings& names,
@@ -185,6 +202,17 @@
   Open();
 }
 
+void Discovery::Switch(const Tcp::endpoint& address) {
+  if (address == address_) return;
+  address_ = address;
+  generation_ = kUnknown;
+  failures_ = 0;
+  complained_ = false;
+  if (stream_ != nullptr) std::exchange(stream_, nullptr)->Stop();
+  backoff_.cancel();
+  Open();
+}
+
 void Discovery::Open() {
   stream_ = std::make_shared<Stream>(*this);
   stream_->Open();
@@ -194,6 +222,11 @@
   std::string error = "no JSON";
   const auto json = nlohmann::json::parse(line, nullptr, /*allow_exceptions=*/false);
   const auto list = json.is_discarded() ? std::nullopt : ParseList(json, names_, error);
+  if (list && !Follows(*list)) {
+    generation_ = kUnknown;
+    std::exchange(stream_, nullptr)->Stop();
+    return OnEnd("a lower generation", /*bad_input=*/true);
+  }
   if (!list) {
     std::exchange(stream_, nullptr)->Stop();
     return OnEnd(error, /*bad_input=*/true);
@@ -204,6 +237,12 @@
   events_.on_list(*list);
 }
 
+// Changes build on the list before them. A lower generation is told by a discovery that has begun anew:
+// guards against changes on top of a list that it does not have.
+bool Discovery::Follows(const EndpointList& list) const {
+  return list.whole || (generation_ != kUnknown && list.generation >= generation_);
+}
+
 void Discovery::OnEnd(const std::string& reason, bool bad_input) {
   stream_ = nullptr;
   if (bad_input && !std::exchange(complained_, true))  // once: it may say the same at each reopening
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -39,6 +39,8 @@
 
 class Discovery {
  public:
+  static constexpr std::int64_t kUnknown = -1;  // a generation: the whole list is asked for
+
   struct Timing {
     Micros silence = 4'500'000;       // an empty line comes every 2 s; what is told counts as told after 6 s
     Micros backoff_base = 200'000;    // the wait before the n-th reopening is random(0, base * 2^n) ...
@@ -59,22 +61,27 @@
   // Opens the watch, to be told of what changed after `generation`. Does nothing if it is open already.
   void Watch(std::int64_t generation);
 
+  // Follows another address from now on. Its versions are its own, so it is asked for the whole list first.
+  // Does nothing if the address is the one that is followed.
+  void Switch(const Tcp::endpoint& address);
+
  private:
   class Stream;
 
   void Open();
   void OnLine(const std::string& line);
   void OnEnd(const std::string& reason, bool bad_input);
+  bool Follows(const EndpointList& list) const;
 
   asio::io_context& io_;
-  const Tcp::endpoint address_;
+  Tcp::endpoint address_;
   const drill::WireSettings& names_;
   const Timing timing_;
   const Events events_;
   std::mt19937_64 random_;
   asio::steady_timer backoff_;
   std::shared_ptr<Stream> stream_;
-  std::int64_t generation_ = 0;
+  std::int64_t generation_ = kUnknown;
   int failures_ = 0;
   bool complained_ = false;
 };
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -125,9 +125,12 @@
   events.ready = [this] { return upstream_.any_server(); };
   inbound_ = std::make_unique<Inbound>(io_, config_.listen, (config_.sockets - kOtherSockets) / 2, events);
   OnList(ListUpdate::Kind::kStale, config_.known);
+  if (config_.known.endpoints.empty()) generation_ = Discovery::kUnknown;
   if (!config_.wire.settings.must_subscribe) discovery_.Watch(generation_);
 }
 
+void Sidecar::Reload(const Config& config) { discovery_.Switch(config.discovery); }
+
 // ---- The clock and the list ----
 
 Micros Sidecar::Now() const {
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -29,6 +29,9 @@
 
   // Listens and follows discovery. Throws boost::system::system_error if the address cannot be had.
   void Start();
+  // Follows the discovery of a new configuration; all else stays as it was at the start. The list is kept
+  // until the new address has told its own.
+  void Reload(const Config& config);
   // Takes what still comes for a short while, finishes all that it holds, then calls `finished`.
   void Drain(std::function<void()> finished);
 
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -20,6 +20,9 @@
 // Sweeps in the time that an idle connection is kept: few, as each wakes the process.
 constexpr int kSweeps = 4;
 
+// 1xx answers ahead of the one that counts; more are noise.
+constexpr int kMostInterim = 8;
+
 bool Declined(const HttpResponse& response) {
   const bool status = response.result() == http::status::service_unavailable ||
                       response.result() == http::status::gateway_timeout;
@@ -130,12 +133,10 @@
   }
 
   void Write() {
-    parser_.emplace();
-    parser_->eager(true);
-    parser_->header_limit(kMostHeader);
-    parser_->body_limit(kMostBody);
+    NextAnswer();
     writing_ = true;
     whole_ = false;
+    interim_ = 0;
     http::async_write(socket_, job_->request,
                       [self = shared_from_this()](ErrorCode error, std::size_t) { self->OnWritten(error); });
   }
@@ -166,25 +167,38 @@
     Read();
   }
 
-  // False if it is no HTTP.
+  void NextAnswer() {
+    parser_.emplace();
+    parser_->eager(false);  // the header alone: it is checked before the body begins
+    parser_->header_limit(kMostHeader);
+    parser_->body_limit(kMostBody);
+  }
+
+  // False if it is no answer that the protocol knows.
   bool Parse() {
     while (buffer_.size() > 0 && !parser_->is_done()) {
+      const bool had_header = parser_->is_header_done();
       ErrorCode error;
-      const std::size_t used = parser_->put(buffer_.data(), error);
-      buffer_.consume(used);
-      if (error == http::error::need_more) return true;
-      if (error) return false;
-      if (parser_->is_header_done() && parser_->get().result_int() < 200) Restart();  // 1xx: more comes
+      buffer_.consume(parser_->put(buffer_.data(), error));
+      if (error && error != http::error::need_more) return false;
+      if (!had_header && parser_->is_header_done() && !TakeHeader()) return false;
+      if (error) return true;
     }
     return true;
   }
 
-  void Restart() {
-    if (!parser_->is_done()) return;
-    parser_.emplace();
-    parser_->eager(true);
-    parser_->header_limit(kMostHeader);
-    parser_->body_limit(kMostBody);
+  // Guards against answers of no end: eager parsing forgets that a length was over the limit (Boost 1.74), so
+  // that an answer said to have 3 GB was read until memory ran out.
+  bool TakeHeader() {
+    const auto length = parser_->content_length();
+    if (length && *length > kMostBody) return false;
+    if (parser_->get().result_int() < 200) {  // 1xx: more comes
+      if (++interim_ > kMostInterim) return false;
+      NextAnswer();
+    } else {
+      parser_->eager(true);
+    }
+    return true;
   }
 
   // The peer closed or reset the connection.
@@ -231,6 +245,7 @@
   beast::flat_buffer buffer_{kMostUnparsed};
   std::optional<http::response_parser<http::string_body>> parser_;
   std::optional<Job> job_;
+  int interim_ = 0;  // 1xx answers to this request
   bool dialing_ = false;
   bool writing_ = false;
   bool whole_ = false;   // the request's last byte has been written
--- a/tests/net/discovery_test.cpp
+++ b/tests/net/discovery_test.cpp
@@ -86,6 +86,47 @@
   EXPECT_EQ(failures, static_cast<int>(bad.size()));
 }
 
+TEST_F(DiscoveryTest, AsksANewAddressForItsWholeListAndThenWatches) {
+  Start({Chunk(Line(42, "s-a"))});
+  ASSERT_TRUE(RunUntil(io, [&] { return lists.size() == 1; }));
+  ScriptedServer other(io, [](Peer& peer) {
+    const bool watch = peer.received.find("stream=1&index=7 ") != std::string::npos;
+    const std::string whole = List(7, true, {Entry("s-w", {asio::ip::make_address("127.0.0.1"), 80})}).dump();
+    peer.Write(watch ? "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Chunk(Line(8, "s-b"))
+                     : Reply("200 OK", whole));
+  });
+  discovery->Switch(other.address);
+  ASSERT_TRUE(RunUntil(io, [&] { return lists.size() == 3; }));
+  EXPECT_EQ(other.peers[0]->received.rfind("GET /v1/endpoints HTTP/1.1\r\n", 0), 0U);
+  EXPECT_TRUE(lists[1].whole);  // though its generation is lower: versions are each address's own
+  EXPECT_EQ(lists[2].generation, 8);
+  EXPECT_TRUE(RunUntil(io, [&] { return server->peers[0]->ended; }));
+  EXPECT_EQ(failures, 0);
+  discovery->Switch(other.address);  // told again: the watch goes on
+  RunFor(io, 30ms);
+  EXPECT_EQ(other.peers.size(), 2U);
+}
+
+TEST_F(DiscoveryTest, SwitchesAgainWhileTheFirstNewAddressIsSilent) {
+  Start({Chunk(Line(42, "s-a"))});
+  ASSERT_TRUE(RunUntil(io, [&] { return lists.size() == 1; }));
+  ScriptedServer silent(io);
+  ScriptedServer other(io, [](Peer& peer) { peer.Write(Reply("200 OK", List(3, true, {}).dump())); });
+  discovery->Switch(silent.address);
+  discovery->Switch(other.address);
+  ASSERT_TRUE(RunUntil(io, [&] { return lists.size() >= 2; }));
+  EXPECT_EQ(lists[1].generation, 3);
+}
+
+// A discovery that begins anew counts from the start: its changes do not build on the list that is held.
+TEST_F(DiscoveryTest, ALowerGenerationMakesItAskForTheWholeList) {
+  Start({Chunk(Line(42, "s-a")) + Chunk(Line(3, "s-b")),
+         Chunk(List(4, true, {Entry("s-c", {asio::ip::make_address("127.0.0.1"), 80})}).dump() + "\n")});
+  ASSERT_TRUE(RunUntil(io, [&] { return lists.size() == 2; }));
+  EXPECT_EQ(lists[1].generation, 4);
+  EXPECT_EQ(server->peers[1]->received.rfind("GET /v1/endpoints HTTP/1.1\r\n", 0), 0U);
+}
+
 TEST_F(DiscoveryTest, LeavesReopeningToTheModuleWhereListsAreAskedFor) {
   Discovery::Timing timing;
   timing.reopens = false;
--- /dev/null
+++ b/tests/net/program_test.cpp
@@ -0,0 +1,103 @@
+// The program itself: what only a process of its own can show.
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+
+#include "loopback.hpp"
+
+namespace merlinrun::net {
+namespace {
+
+using namespace testing;  // NOLINT(google-build-using-namespace)
+
+class ProgramTest : public ::testing::Test {
+ protected:
+  ProgramTest() : discovery_(io, TellsOf(List(7, true, {}))) {
+    Tcp::acceptor free_port(io, Loopback());
+    listen = free_port.local_endpoint();
+    char name[] = "/tmp/fennelhollow-test-XXXXXX";
+    const int file = ::mkstemp(name);
+    ::close(file);
+    path = name;
+  }
+  ~ProgramTest() override {
+    if (pid > 0) {
+      ::kill(pid, SIGKILL);
+      ::waitpid(pid, nullptr, 0);
+    }
+    ::unlink(path.c_str());
+  }
+
+  static std::function<void(Peer&)> TellsOf(const nlohmann::json& list) {
+    return [list](Peer& peer) {
+      if (peer.received.find("stream=1") == std::string::npos)
+        peer.Write(Reply("200 OK", list.dump()));
+      else
+        peer.Write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    };
+  }
+  void Configure(const std::string& text) { std::ofstream(path, std::ios::trunc) << text; }
+  std::string Text(const Tcp::endpoint& discovery, const std::vector<nlohmann::json>& instances) const {
+    nlohmann::json json = ConfigJson(discovery, instances);
+    json["listen"] = testing::Text(listen);
+    return json.dump();
+  }
+  void Start() {
+    const std::string config = "EDGE_CONFIG=" + path;
+    const std::string named = "EDGE_DISCOVERY=" + testing::Text(discovery_.address);
+    const std::vector<const char*> environment = {config.c_str(), named.c_str(), nullptr};
+    const std::vector<const char*> arguments = {FENNELHOLLOW_PROGRAM, nullptr};
+    ASSERT_EQ(::posix_spawn(&pid, FENNELHOLLOW_PROGRAM, nullptr, nullptr,
+                            const_cast<char* const*>(arguments.data()),
+                            const_cast<char* const*>(environment.data())),
+              0);
+    ASSERT_TRUE(RunUntil(io, [&] { return !Ask("GET /ready HTTP/1.1\r\n\r\n").empty(); }));
+  }
+  // The status of the answer; empty if there is none.
+  std::string Ask(const std::string& text) {
+    auto client = std::make_shared<Peer>(Tcp::socket(io));
+    ErrorCode error;
+    client->socket.connect(listen, error);
+    if (error) return "";
+    client->Read();
+    client->Write(text);
+    RunUntil(io, [&] { return client->requests() > 0 || client->ended; });
+    return client->requests() > 0 ? client->received.substr(9, 3) : "";
+  }
+  bool Runs() { return ::waitpid(pid, nullptr, WNOHANG) == 0; }
+
+  asio::io_context io;
+  ScriptedServer discovery_;
+  Tcp::endpoint listen;
+  std::string path;
+  pid_t pid = 0;
+};
+
+// SIGHUP used to end the program. It follows the discovery that the file names now, though EDGE_DISCOVERY
+// still names the old one; a file that makes no sense changes nothing.
+TEST_F(ProgramTest, SighupMakesItFollowTheDiscoveryOfTheNewFile) {
+  ScriptedServer server(io, Serves("ok"));
+  ScriptedServer other(io, TellsOf(List(2, true, {Entry("s1", server.address)})));
+  Configure(Text(other.address, {}));  // EDGE_DISCOVERY comes before the file at the start
+  Start();
+  ASSERT_TRUE(RunUntil(io, [&] { return discovery_.requests() >= 2; }));
+  EXPECT_TRUE(other.peers.empty());
+  Configure("{nonsense");
+  ::kill(pid, SIGHUP);
+  ::kill(pid, SIGHUP);
+  RunFor(io, 50ms);
+  EXPECT_TRUE(Runs());
+  EXPECT_FALSE(discovery_.peers.back()->ended);
+  Configure(Text(other.address, {}));
+  ::kill(pid, SIGHUP);
+  ASSERT_TRUE(RunUntil(io, [&] { return Ask("GET /ready HTTP/1.1\r\n\r\n") == "200"; }));
+  EXPECT_EQ(Ask("GET /api HTTP/1.1\r\nReq-Id: r1\r\nReq-Kind: look\r\n\r\n"), "200");
+  EXPECT_TRUE(RunUntil(io, [&] { return discovery_.peers.back()->ended; }));
+}
+
+}  // namespace
+}  // namespace merlinrun::net
--- a/tests/net/upstream_test.cpp
+++ b/tests/net/upstream_test.cpp
@@ -72,6 +72,23 @@
   EXPECT_EQ(answers.back().response.body(), "later");
 }
 
+// Boost 1.74 forgets the body limit of an answer when it parses eagerly: such an answer was read until memory
+// ran out.
+TEST_F(UpstreamTest, AnAnswerThatIsTooLongEndsTheAttemptAtOnce) {
+  for (const std::string head : {"Content-Length: 3221225472", "Content-Length: 65537",
+                                 "Transfer-Encoding: chunked", "Connection: close"}) {
+    const std::string chunk = head[0] == 'T' ? "C0000000\r\n" : "";
+    EXPECT_EQ(TryReply("HTTP/1.1 200 OK\r\n" + head + "\r\n\r\n" + chunk + std::string(70'000, 'x')),
+              Result::kError)
+        << head;
+    EXPECT_EQ(upstream().open_connections(), 0U) << head;
+  }
+  EXPECT_EQ(TryReply("HTTP/1.1 200 OK\r\nX: " + std::string(40'000, 'x')), Result::kError);
+  std::string interim;
+  for (int i = 0; i < 1000; ++i) interim += "HTTP/1.1 102 Processing\r\n\r\n";
+  EXPECT_EQ(TryReply(interim), Result::kError);
+}
+
 TEST_F(UpstreamTest, WhatBreaksAfterTheLastByteMayHaveRun) {
   EXPECT_EQ(TryReply("", /*close=*/true), Result::kReset);
   EXPECT_EQ(TryReply("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort", /*close=*/true), Result::kReset);
