--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -342,7 +342,7 @@
   const auto rested = Clock::now() - std::chrono::microseconds(limits_.rest);
   auto it = server.idle.end();
   while (it != server.idle.begin()) {
-    const ConnectionPtr connection = *--it;
+    ConnectionPtr connection = *--it;
     if (connection->idle_since > rested) continue;
     it = server.idle.erase(it);
     if (connection->Usable()) return connection;
