Keep an upstream request until its write has been told of

Cause: Connection::Abandon and Finish (src/net/upstream.cpp) destroyed the job, and with it the request, while http::async_write still referred to it. Closing the socket turns an unfinished write into an error, which Beast passes on untouched; a write that is already done, its completion queued, is told as a success, and Beast's serializer then walks the request's header fields. It takes a client that leaves, or a spoilt answer, in the very turn of the loop in which a request goes out on a retry or after a dial.

Checked: the new test gives up an attempt in the turn of its write; under the address sanitizer it ends with heap-use-after-free in serializer::consume called from write_some_op. Ruled out by reading: the inbound answer and the discovery request, which are members that outlive their writes; Server pointers of the module; pool removal while idle connections are walked.

--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -52,7 +52,6 @@
  public:
   struct Job {
     AttemptId id;
-    HttpRequest request;
     Done done;
   };
 
@@ -63,8 +62,9 @@
         socket_(pool.io_),
         dial_timer_(pool.io_) {}
 
-  void Dial(Job job) {
+  void Dial(Job job, HttpRequest request) {
     job_.emplace(std::move(job));
+    request_ = std::move(request);
     ErrorCode error;
     socket_.open(server_->address.protocol(), error);
     if (error) return FailLater();
@@ -82,8 +82,9 @@
                           [self = shared_from_this()](ErrorCode failed) { self->OnDialed(failed); });
   }
 
-  void Start(Job job) {
+  void Start(Job job, HttpRequest request) {
     job_.emplace(std::move(job));
+    request_ = std::move(request);
     Write();
   }
 
@@ -140,12 +141,13 @@
     writing_ = true;
     whole_ = false;
     interim_ = 0;
-    http::async_write(socket_, job_->request,
+    http::async_write(socket_, request_,
                       [self = shared_from_this()](ErrorCode error, std::size_t) { self->OnWritten(error); });
   }
 
   void OnWritten(ErrorCode error) {
     writing_ = false;
+    request_ = {};
     if (closed_) return;
     whole_ = !error;
     // An unfinished request is one that no server begins.
@@ -249,6 +251,9 @@
   beast::flat_buffer buffer_{kMostUnparsed};
   std::optional<http::response_parser<http::string_body>> parser_;
   std::optional<Job> job_;
+  // Kept until its write has been told of, whatever became of the attempt: a write that is done when the
+  // attempt ends is told of all the same, and Beast then looks at the request once more.
+  HttpRequest request_;
   Charge charge_;    // for the answer that is being read
   int interim_ = 0;  // 1xx answers to this request
   bool dialing_ = false;
@@ -306,14 +311,14 @@
   const AttemptId attempt = ++last_attempt_;
   if (connection != nullptr) {
     attempts_[attempt] = connection;
-    connection->Start({attempt, std::move(request), std::move(done)});
+    connection->Start({attempt, std::move(done)}, std::move(request));
     return attempt;
   }
   if (open_ >= limits_.connections && !MakeRoom()) return FailLater(std::move(done));
   connection = std::make_shared<Connection>(*this, server);
   ++open_;
   attempts_[attempt] = connection;
-  connection->Dial({attempt, std::move(request), std::move(done)});
+  connection->Dial({attempt, std::move(done)}, std::move(request));
   return attempt;
 }
 
--- a/tests/net/upstream_test.cpp
+++ b/tests/net/upstream_test.cpp
@@ -231,6 +231,20 @@
   EXPECT_EQ(server.peers.size(), 2U);
 }
 
+// Met in a long day: the program died at 146 s. What ends an attempt may come in the very turn of the loop in
+// which its request has gone out and nobody has been told yet. Fails for certain under the address sanitizer.
+TEST_F(UpstreamTest, GivingUpInTheTurnOfTheWriteTouchesNothingThatIsGone) {
+  ScriptedServer server(io, Serves("ok"));
+  Tell(server.address);
+  for (int i = 0; i < 20; ++i) {
+    EXPECT_EQ(Try(), Result::kSuccess);  // leaves an idle connection: the next write is done at once
+    upstream().GiveUp(Send("s1", 100));
+    RunFor(io, 5ms);
+  }
+  EXPECT_EQ(answers.size(), 20U);
+  EXPECT_EQ(upstream().open_connections(), 0U);
+}
+
 TEST_F(UpstreamTest, AFailureKnownAtOnceCanBeGivenUpToo) {
   upstream().GiveUp(Send("unknown"));
   RunFor(io, 30ms);
