--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -316,11 +316,11 @@
   }
 
   // What was fit for all of them is too much for those that are left, and they choke before it shows; what
-  // comes is given back. Guards against half of the servers going at once. Squared: what good
-  // answers have saved makes up for one server of eight, so that one that is replaced refuses nobody, and not
-  // for half of them. By the plain share of min(admit, 1) each replacement refused for a quarter second; the
-  // plain share of all that was saved would let in three quarters for half. It could harm where those that
-  // go were doing nothing; good answers mend that within a second.
+  // comes is given back. Guards against half of the servers going at once. Squared: what good answers have
+  // saved makes up for one server of eight, so that one that is replaced refuses nobody, and not for half of
+  // them. By the plain share of min(admit, 1) each replacement refused for a quarter second; the plain share
+  // of all that was saved would let in three quarters for half. It could harm where those that go were doing
+  // nothing; good answers mend that within a second.
   static void Rescale(Pool& pool, std::size_t before) {
     if (before == 0 || pool.ring.empty()) return;
     const double share = static_cast<double>(pool.ring.size()) / static_cast<double>(before);
