Take the life of a request out of the HTTP adapter into a core of its own

Need: Diameter requests have to pass through the same module under the same four rules, and the sidecar was core and HTTP adapter in one: its calls held HTTP requests and it called inbound and upstream by name.

Change: src/core holds attempts, deadlines, timers, the one final answer and the planned end. It knows the module's interface and a Loop (clock, timers, later turns), no codec and no socket; its CMake target links neither Boost nor Beast. Ingress and egress are narrow interfaces, HTTP the first pair (net/http_front). Sidecar only puts the parts together. New for the next pair: an attempt is told whether an earlier one may have run, and a failure carries the server's words.

--- /dev/null
+++ b/src/net/asio_loop.cpp
@@ -0,0 +1,74 @@
+#include "asio_loop.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <utility>
+
+namespace merlinrun::net {
+namespace {
+
+// Unix time and the steady clock compared once: the steady one alone moves afterwards. Were the difference
+// taken anew for each list, one start would be mapped to ever new times, and the module takes a new time for
+// a new start, with a cold server.
+Micros ClockOffset() {
+  const auto wall = std::chrono::system_clock::now().time_since_epoch();
+  const auto steady = std::chrono::steady_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::microseconds>(wall - steady).count();
+}
+
+// What is awaited outlives the timer by a turn: its time may have come just when it is stopped, and Asio then
+// calls back all the same. The count tells such a call from one that is still wanted.
+class AsioTimer : public core::Timer {
+ public:
+  explicit AsioTimer(asio::io_context& io) : state_(std::make_shared<State>(io)) {}
+  ~AsioTimer() override {
+    ++state_->turn;
+    state_->due = nullptr;
+    state_->timer.cancel();
+  }
+  AsioTimer(const AsioTimer&) = delete;
+  AsioTimer& operator=(const AsioTimer&) = delete;
+
+  void Start(Micros delay, std::function<void()> due) override {
+    state_->due = std::move(due);
+    state_->timer.expires_after(std::chrono::microseconds(delay));
+    state_->timer.async_wait([state = state_, turn = ++state_->turn](ErrorCode error) {
+      if (error || turn != state->turn) return;
+      const auto call = std::exchange(state->due, nullptr);
+      call();
+    });
+  }
+
+ private:
+  struct State {
+    explicit State(asio::io_context& io) : timer(io) {}
+    asio::steady_timer timer;
+    std::function<void()> due;
+    std::uint64_t turn = 0;
+  };
+  std::shared_ptr<State> state_;
+};
+
+}  // namespace
+
+AsioLoop::AsioLoop(asio::io_context& io) : io_(io), clock_offset_(ClockOffset()) {}
+
+Micros AsioLoop::Now() const {
+  const auto steady = std::chrono::steady_clock::now().time_since_epoch();
+  return clock_offset_ + std::chrono::duration_cast<std::chrono::microseconds>(steady).count();
+}
+
+void AsioLoop::Post(std::function<void()> next) { asio::post(io_, std::move(next)); }
+
+void AsioLoop::After(Micros delay, std::function<void()> due) {
+  const auto timer = std::make_shared<asio::steady_timer>(io_, std::chrono::microseconds(delay));
+  timer->async_wait([timer, due = std::move(due)](ErrorCode error) {
+    if (!error) due();
+  });
+}
+
+std::unique_ptr<core::Timer> AsioLoop::NewTimer() { return std::make_unique<AsioTimer>(io_); }
+
+}  // namespace merlinrun::net
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -7,10 +7,13 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
+#include "core/names.hpp"
+
 namespace merlinrun::net {
 namespace {
 
 using Json = nlohmann::json;
+using core::WireName;
 
 constexpr double kMostExact = 9007199254740992.0;  // 2^53: whole numbers are exact up to here
 
@@ -118,13 +121,6 @@
 
 }  // namespace
 
-std::string WireName(std::string_view name) {
-  std::string out(name);
-  std::replace_if(
-      out.begin(), out.end(), [](char c) { return c == ' ' || c == ','; }, '_');
-  return out;
-}
-
 std::string Flatten(const Json& settings) {
   std::string out;
   FlattenInto(settings, "", out);
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -33,9 +33,6 @@
 // The settings in the form that the adapter reads, path=value pairs: one mapping of names serves both.
 std::string Flatten(const nlohmann::json& settings);
 
-// As the wire writes names: no spaces and no commas.
-std::string WireName(std::string_view name);
-
 Config ParseConfig(const std::string& text, const std::string& listen, const std::string& discovery);
 
 using Environment = std::function<const char*(const char*)>;
--- /dev/null
+++ b/src/net/http_front.cpp
@@ -0,0 +1,141 @@
+#include "http_front.hpp"
+
+#include <boost/beast/http.hpp>
+#include <cstdio>
+#include <utility>
+
+#include "core/names.hpp"
+#include "validate.hpp"
+
+namespace merlinrun::net {
+namespace {
+
+constexpr double kMicrosASecond = 1e6;
+
+struct RequestMessage : core::Message {
+  explicit RequestMessage(HttpRequest request) : http(std::move(request)) {}
+  HttpRequest http;
+};
+
+struct AnswerMessage : core::Message {
+  AnswerMessage(HttpResponse response, Charge held) : http(std::move(response)), charge(std::move(held)) {}
+  HttpResponse http;
+  Charge charge;
+};
+
+std::string Seconds(Micros time) {
+  char text[32];
+  std::snprintf(text, sizeof text, "%.3f", static_cast<double>(time) / kMicrosASecond);
+  return text;
+}
+
+// The query parameter that says what a request is about; empty if it has none.
+std::string_view KeyOf(std::string_view target) {
+  const std::string name = std::string(kKeyParameter) + "=";
+  std::size_t at = target.find('?');
+  while (at != std::string_view::npos) {
+    const std::string_view rest = target.substr(at + 1);
+    const std::string_view pair = rest.substr(0, rest.find('&'));
+    if (pair.substr(0, name.size()) == name) return pair.substr(name.size());
+    at = target.find('&', at + 1);
+  }
+  return {};
+}
+
+// What the protocol names and nothing else: whatever else came along may mean something to a server.
+HttpRequest Forwarded(const HttpRequest& request, Micros left) {
+  HttpRequest out(request.method(), request.target(), 11);
+  for (const char* name : kRequestHeaders)
+    if (const auto it = request.find(name); it != request.end()) out.set(name, it->value());
+  out.set(kDeadlineHeader, Seconds(left));
+  out.body() = request.body();
+  out.prepare_payload();
+  return out;
+}
+
+// Answers over the connection that the request came by.
+class HttpCaller : public core::Caller {
+ public:
+  explicit HttpCaller(Inbound::SessionPtr session) : session_(std::move(session)) {}
+
+  void Serve(core::MessagePtr answer) override {
+    auto& from = static_cast<AnswerMessage&>(*answer);
+    HttpResponse response(http::status::ok, 11);
+    if (const auto type = from.http[http::field::content_type]; !type.empty())
+      response.set(http::field::content_type, type);
+    response.body() = std::move(from.http.body());
+    Inbound::Respond(session_, std::move(response), std::move(from.charge));
+  }
+
+  void Refuse(Micros retry_after) override {
+    HttpResponse response = Plain(http::status::service_unavailable, "refused\n");
+    if (retry_after > 0) response.set(http::field::retry_after, Seconds(retry_after));
+    Inbound::Respond(session_, std::move(response), {});
+  }
+
+  void Fail(core::Failure why, core::MessagePtr) override {
+    Inbound::Respond(session_,
+                     why == core::Failure::kOutOfTime ? Plain(http::status::gateway_timeout, "out of time\n")
+                                                      : Plain(http::status::bad_gateway, "failed\n"),
+                     {});
+  }
+
+ private:
+  const Inbound::SessionPtr session_;
+};
+
+}  // namespace
+
+core::Egress::AttemptId HttpEgress::Send(const std::string& server, const core::Message& request,
+                                         const Order& order, Done done) {
+  const auto& message = static_cast<const RequestMessage&>(request);
+  return upstream_.Send(
+      server, Forwarded(message.http, order.left), [done = std::move(done)](UpstreamAnswer answer) {
+        core::Answer out;
+        out.result = answer.result;
+        if (answer.result == Result::kSuccess)
+          out.message = std::make_unique<AnswerMessage>(std::move(answer.response), std::move(answer.charge));
+        done(std::move(out));
+      });
+}
+
+HttpFront::HttpFront(asio::io_context& io, const Tcp::endpoint& address, Inbound::Limits limits,
+                     Budget& budget, core::Exchanges& exchanges, core::Egress& egress,
+                     std::function<bool()> ready)
+    : exchanges_(exchanges),
+      egress_(egress),
+      inbound_(io, address, limits, budget,
+               {[this](const Inbound::SessionPtr& session, HttpRequest request) {
+                  OnRequest(session, std::move(request));
+                },
+                [this](const std::string& id) { exchanges_.OnClientGone(id); }, std::move(ready)}) {}
+
+std::optional<Fault> HttpFront::Check(const HttpRequest& request, int request_class) const {
+  if (request_class < 0) return Fault{http::status::not_found, "unknown Req-Kind\n"};
+  if (exchanges_.Holds(std::string(View(request[kIdHeader]))))
+    return Fault{http::status::conflict, "Req-Id is in use\n"};
+  return CheckAgainstClass(request,
+                           exchanges_.settings().classes[static_cast<std::size_t>(request_class)].repeat);
+}
+
+void HttpFront::OnRequest(const Inbound::SessionPtr& session, HttpRequest request) {
+  const Settings& settings = exchanges_.settings();
+  core::Arrival arrival;
+  arrival.request_class = core::ClassIndex(settings, View(request[kClassHeader]));
+  if (const auto fault = Check(request, arrival.request_class)) return Inbound::Reject(session, *fault);
+  arrival.id = std::string(View(request[kIdHeader]));
+  arrival.tenant = core::TenantIndex(settings, View(request[kTenantHeader]));
+  if (const auto seconds = ParseDecimal(View(request[kDeadlineHeader])))
+    arrival.deadline = static_cast<Micros>(*seconds * kMicrosASecond);
+  arrival.repeated = request[kRepeatHeader] == "1";
+  arrival.write = request.method() != http::verb::get;
+  if (const auto cost = ParseDecimal(View(request[kCostHeader])); cost && *cost < 1e12)
+    arrival.cost = static_cast<Micros>(*cost);
+  arrival.key = std::string(KeyOf(View(request.target())));
+  arrival.request = std::make_unique<RequestMessage>(std::move(request));
+  arrival.caller = std::make_unique<HttpCaller>(session);
+  arrival.egress = &egress_;
+  exchanges_.Take(std::move(arrival));
+}
+
+}  // namespace merlinrun::net
--- /dev/null
+++ b/src/net/http_front.hpp
@@ -0,0 +1,54 @@
+// HTTP/1.1 on both sides of the core: the ingress turns requests into arrivals, the egress turns attempts
+// into requests to servers.
+#ifndef MERLINRUN_NET_HTTP_FRONT_HPP_
+#define MERLINRUN_NET_HTTP_FRONT_HPP_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "budget.hpp"
+#include "core/drain.hpp"
+#include "core/exchange.hpp"
+#include "inbound.hpp"
+#include "upstream.hpp"
+
+namespace merlinrun::net {
+
+class HttpEgress : public core::Egress {
+ public:
+  explicit HttpEgress(Upstream& upstream) : upstream_(upstream) {}
+  AttemptId Send(const std::string& server, const core::Message& request, const Order& order,
+                 Done done) override;
+  void GiveUp(AttemptId attempt) override { upstream_.GiveUp(attempt); }
+
+ private:
+  Upstream& upstream_;
+};
+
+class HttpFront : public core::Front {
+ public:
+  // Throws boost::system::system_error if the address cannot be listened on. All that it is given must
+  // outlive it.
+  HttpFront(asio::io_context& io, const Tcp::endpoint& address, Inbound::Limits limits, Budget& budget,
+            core::Exchanges& exchanges, core::Egress& egress, std::function<bool()> ready);
+
+  void Drain() override { inbound_.Drain(); }
+  void StopAccepting() override { inbound_.StopAccepting(); }
+  void CloseIdle() override { inbound_.CloseIdle(); }
+  std::size_t sessions() const override { return inbound_.sessions(); }
+  Tcp::endpoint address() const { return inbound_.address(); }
+
+ private:
+  void OnRequest(const Inbound::SessionPtr& session, HttpRequest request);
+  std::optional<Fault> Check(const HttpRequest& request, int request_class) const;
+
+  core::Exchanges& exchanges_;
+  core::Egress& egress_;
+  Inbound inbound_;  // last: it calls back into the rest
+};
+
+}  // namespace merlinrun::net
+
+#endif  // MERLINRUN_NET_HTTP_FRONT_HPP_
