Diameter clients and servers on the same core, and a rig with a ledger that judges it

Need: requests that reach the servers over Diameter pass the sidecar by, and escape the rule against running twice.

Change: a Diameter front and upstream on Asio beside HTTP's, both ends of the same exchanges and the same module. The module learns one thing: by which protocols a server can be reached (MayUse, 1 line). A resend (same Origin-Host and end-to-end id) joins the first, or has its answer; what is unsafe, marked as sent before and not known here is failed, not run. The operator's TOML file names peers, application, commands and AVPs; unset, nothing is loaded. The rig: stand-in servers (HTTP and Diameter, cores, queue, cold start, dropped repeats, faults by script), discovery, clients of both kinds, a ledger of the four rules.

--- a/include/merlinrun/balancer.hpp
+++ b/include/merlinrun/balancer.hpp
@@ -116,8 +116,9 @@
   int zone = -1;
   int machine = -1;  // kind of machine, as an index; -1 = unknown
   std::int64_t cell = -1;
-  double weight = 1;   // comparable between servers
-  Micros started = 0;  // 0 = long ago
+  double weight = 1;    // comparable between servers
+  Micros started = 0;   // 0 = long ago
+  unsigned fronts = 1;  // by which protocols it can be reached: bit n for Request::front n
   enum class State { kHealthy, kDraining, kGone } state = State::kHealthy;
 };
 
@@ -141,6 +142,7 @@
   bool repeated = false;       // the client says that it is a repeat
   bool write = false;
   std::string_view key;  // what it concerns; empty = none
+  int front = 0;         // the protocol that it came by, and goes on by: 0 to 31
 };
 
 enum class Result {
--- /dev/null
+++ b/rig/clients.cpp
@@ -0,0 +1,221 @@
+#include "rig/clients.hpp"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <cstdio>
+#include <utility>
+
+#include "net/protocol.hpp"
+#include "rig/names.hpp"
+
+namespace merlinrun::rig {
+namespace {
+
+namespace http = boost::beast::http;
+using diameter::ErrorCode;
+
+}  // namespace
+
+Traffic::Traffic(const std::vector<WorkClass>& classes, std::uint64_t count, std::uint64_t seed)
+    : classes_(classes), count_(count), random_(seed) {
+  for (const WorkClass& c : classes_) shares_ += c.share;
+}
+
+const WorkClass* Traffic::Next() {
+  if (asked_ >= count_) return nullptr;
+  ++asked_;
+  int at = static_cast<int>(random_() % static_cast<std::uint64_t>(shares_));
+  for (const WorkClass& c : classes_)
+    if ((at -= c.share) < 0) return &c;
+  return &classes_.back();
+}
+
+// ---- HTTP ----
+
+struct HttpClient::Session {
+  explicit Session(boost::asio::io_context& io) : socket(io) {}
+  Tcp::socket socket;
+  boost::beast::flat_buffer buffer;
+  net::HttpRequest request;
+  net::HttpResponse response;
+};
+
+HttpClient::HttpClient(boost::asio::io_context& io, core::Loop& loop, Ledger& ledger, Traffic& traffic,
+                       Tcp::endpoint sidecar, std::string name)
+    : io_(io), loop_(loop), ledger_(ledger), traffic_(traffic), sidecar_(sidecar), name_(std::move(name)) {}
+
+HttpClient::~HttpClient() {
+  ErrorCode ignored;
+  if (session_ != nullptr) session_->socket.close(ignored);
+}
+
+void HttpClient::Start() {
+  session_ = std::make_shared<Session>(io_);
+  session_->socket.async_connect(sidecar_, [this, session = session_](ErrorCode error) {
+    if (error || session != session_) return;
+    ErrorCode ignored;
+    session->socket.set_option(Tcp::no_delay(true), ignored);
+    Next();
+  });
+}
+
+void HttpClient::Next() {
+  const WorkClass* const its_class = traffic_.Next();
+  idle_ = its_class == nullptr;
+  if (idle_) return;
+  const std::string id = name_ + "-" + std::to_string(++last_);
+  const bool safe = its_class->repeat == Repeat::kSafe;
+  const auto session = session_;
+  session->request = {safe ? http::verb::get : http::verb::post, "/api", 11};
+  session->request.set(http::field::host, "origin.svc");
+  session->request.set(net::kIdHeader, id);
+  session->request.set(net::kClassHeader, its_class->name);
+  char deadline[32];
+  std::snprintf(deadline, sizeof deadline, "%.3f", static_cast<double>(its_class->deadline) / 1e6);
+  session->request.set(net::kDeadlineHeader, deadline);
+  if (its_class->repeat == Repeat::kDeduplicated) session->request.set(net::kIdempotencyHeader, "k" + id);
+  if (!safe) session->request.body() = "a port or an activation";
+  session->request.prepare_payload();
+  ledger_.Asked(id, *its_class, loop_.Now());
+  http::async_write(session->socket, session->request, [this, session, id](ErrorCode error, std::size_t) {
+    if (session != session_) return;
+    session->response = {};
+    if (error) return OnAnswer(session, id);
+    http::async_read(session->socket, session->buffer, session->response,
+                     [this, session, id](ErrorCode failed, std::size_t) {
+                       if (failed) session->response = {};
+                       if (session == session_) OnAnswer(session, id);
+                     });
+  });
+}
+
+void HttpClient::OnAnswer(const std::shared_ptr<Session>& session, const std::string& id) {
+  const net::HttpResponse& response = session->response;
+  const unsigned status = response.result_int();
+  if (response.version() == 0 || status == 0) return Start();  // no whole answer: it stays owed
+  const auto outcome = status == 200                    ? Ledger::Outcome::kServed
+                       : status == 503 || status == 429 ? Ledger::Outcome::kRefused
+                                                        : Ledger::Outcome::kFailed;
+  ledger_.Answered(id, outcome, response.body(), loop_.Now());
+  response.keep_alive() ? Next() : Start();
+}
+
+// ---- Diameter ----
+
+DiameterClient::DiameterClient(boost::asio::io_context& io, core::Loop& loop, Ledger& ledger,
+                               Traffic& traffic, Tcp::endpoint sidecar, std::string host,
+                               std::uint32_t application, std::size_t window)
+    : io_(io),
+      loop_(loop),
+      ledger_(ledger),
+      traffic_(traffic),
+      sidecar_(sidecar),
+      application_(application),
+      window_(window) {
+  identity_.host = std::move(host);
+  identity_.realm = "franchise.example";
+  identity_.state_id = 1;
+  identity_.addresses = {diameter::AddressData(std::string("\177\0\0\1", 4))};
+  identity_.applications = {application};
+}
+
+DiameterClient::~DiameterClient() {
+  *alive_ = false;
+  if (connection_ != nullptr) connection_->Close();
+}
+
+void DiameterClient::Start() { Connect(); }
+
+void DiameterClient::Connect() {
+  const auto socket = std::make_shared<Tcp::socket>(io_);
+  socket->async_connect(sidecar_, [this, socket, alive = alive_](ErrorCode error) {
+    if (error || !*alive) return;
+    connection_ = diameter::Connection::Plain(std::move(*socket), {});
+    diameter::Connection::Events events;
+    events.on_frame = [this, alive](std::string_view frame) {
+      if (*alive) OnFrame(frame);
+    };
+    events.on_broken = [](const diameter::BadMessage&) {};
+    events.on_end = [this, alive] {
+      if (*alive) up_ = false;
+    };
+    connection_->Start(std::move(events));
+    Send(diameter::MakeCer(identity_));
+  });
+}
+
+void DiameterClient::Restart() {
+  up_ = false;
+  if (connection_ != nullptr) connection_->Reset();
+  ++identity_.state_id;
+  for (const auto& [hop, asked] : under_way_) ledger_.ClientDied(asked.id);
+  Connect();
+}
+
+void DiameterClient::Send(const diameter::Message& message) {
+  connection_->Write(diameter::Encode(message.header, message.avps));
+}
+
+void DiameterClient::OnFrame(std::string_view frame) {
+  const auto decoded = diameter::Decode(frame);
+  const auto* message = std::get_if<diameter::Message>(&decoded);
+  if (message == nullptr) return;
+  if (message->header.request())
+    return Send(diameter::MakeAnswer(identity_, *message, diameter::ResultCode::kSuccess));
+  if (message->header.application != 0) return OnAnswer(*message);
+  if (message->header.command != diameter::kCapabilitiesExchange || up_) return;
+  up_ = true;
+  for (auto& [hop, asked] : under_way_) {  // what had no answer when it died
+    asked.message.header.flags |= diameter::kResendBit;
+    ledger_.AskedAgain(asked.id);
+    Send(asked.message);
+  }
+  Fill();
+}
+
+void DiameterClient::Fill() {
+  while (up_ && under_way_.size() < window_) {
+    const WorkClass* const its_class = traffic_.Next();
+    if (its_class == nullptr) return;
+    Ask(*its_class);
+  }
+}
+
+std::string DiameterClient::Ask(const WorkClass& its_class) {
+  diameter::Message request;
+  request.header = {diameter::kRequestBit | diameter::kProxiableBit, kCommand, application_, ++last_hop_,
+                    ++last_end_};
+  const std::string id = "D" + identity_.host + "-" + std::to_string(last_end_);
+  diameter::AvpWriter avps;
+  avps.Add(diameter::avp::kSessionId, identity_.host + ";1;" + std::to_string(last_end_));
+  avps.Add(diameter::avp::kOriginHost, identity_.host).Add(diameter::avp::kOriginRealm, identity_.realm);
+  avps.Add(diameter::avp::kDestinationRealm, "activation.example");
+  avps.Add(kClassCode, its_class.name, diameter::kMandatoryBit, kVendor);
+  avps.AddU32(kDeadlineCode, static_cast<std::uint32_t>(its_class.deadline / 1000), 0, kVendor);
+  avps.Add(kIdCode, id, 0, kVendor);
+  if (its_class.repeat == Repeat::kDeduplicated) avps.Add(kKeyCode, "k" + id, 0, kVendor);
+  request.avps = avps.Take();
+  ledger_.Asked(id, its_class, loop_.Now());
+  under_way_[last_hop_] = {id, request};
+  Send(request);
+  return id;
+}
+
+void DiameterClient::OnAnswer(const diameter::Message& answer) {
+  ++answers_;
+  last_answer_ = answer;
+  const auto it = under_way_.find(answer.header.hop_by_hop);
+  if (it == under_way_.end()) return ledger_.Answered("?", Ledger::Outcome::kFailed, "", loop_.Now());
+  const auto code = diameter::ResultOf(answer);
+  const auto outcome =
+      code == diameter::ResultCode::kSuccess ? Ledger::Outcome::kServed
+      : code == diameter::ResultCode::kTooBusy || code == diameter::ResultCode::kUnableToDeliver
+          ? Ledger::Outcome::kRefused
+          : Ledger::Outcome::kFailed;
+  const auto token = diameter::Find(answer.avps, kTokenCode, kVendor);
+  ledger_.Answered(it->second.id, outcome, token ? std::string(token->data) : "", loop_.Now());
+  under_way_.erase(it);
+  Fill();
+}
+
+}  // namespace merlinrun::rig
--- a/src/core/exchange.cpp
+++ b/src/core/exchange.cpp
@@ -64,6 +64,7 @@
   in.write = arrival.write;
   in.cost = arrival.cost;
   in.key = arrival.key;
+  in.front = arrival.front;
   balancer_->OnRequest(now, in);
   EraseIfOver(id);
 }
--- a/src/core/exchange.hpp
+++ b/src/core/exchange.hpp
@@ -82,6 +82,7 @@
   bool repeated = false;
   bool write = false;
   std::string key;  // what it concerns; empty = none
+  int front = 0;    // the protocol's number, as ServerInfo::fronts counts them
   MessagePtr request;
   std::unique_ptr<Caller> caller;
   Egress* egress = nullptr;  // outlives the request
--- /dev/null
+++ b/src/diameter/io/front.hpp
@@ -0,0 +1,99 @@
+// Diameter towards the clients: listens, exchanges capabilities, lets in who is listed, and hands requests to
+// the core. What is sent again gets the outcome of the first, see Recall; so a client that leaves does not
+// end its request, which goes on until it has its outcome.
+#ifndef MERLINRUN_DIAMETER_IO_FRONT_HPP_
+#define MERLINRUN_DIAMETER_IO_FRONT_HPP_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/drain.hpp"
+#include "core/exchange.hpp"
+#include "diameter/application.hpp"
+#include "diameter/io/peer_host.hpp"
+#include "diameter/io/upstream.hpp"
+#include "diameter/recall.hpp"
+#include "net/budget.hpp"
+
+namespace merlinrun::diameter {
+
+class Front : public core::Front {
+ public:
+  struct Limits {
+    // Connections that have not said who they are; one more makes the oldest of them go.
+    std::size_t strangers = 32;
+    Micros introduction = 5'000'000;  // for a CER to come
+    Connection::Limits connection;
+  };
+  // Makes a connection of an accepted socket; null if it can't be had.
+  using Wrap = std::function<void(Tcp::socket, std::function<void(ConnectionPtr)>)>;
+  struct Listener {
+    Tcp::endpoint address;
+    Wrap wrap;
+  };
+
+  // Throws boost::system::system_error if an address cannot be listened on. All that it is given must outlive
+  // it.
+  Front(boost::asio::io_context& io, core::Loop& loop, const std::vector<Listener>& listeners, Limits limits,
+        const Application& application, const Identity& self, net::Budget& budget, core::Exchanges& exchanges,
+        Upstream& upstream, std::uint64_t seed);
+  ~Front() override;
+  Front(const Front&) = delete;
+  Front& operator=(const Front&) = delete;
+
+  void Drain() override {}
+  void StopAccepting() override;
+  void CloseIdle() override;
+  std::size_t sessions() const override;
+
+  Tcp::endpoint address(std::size_t listener = 0) const;
+  std::size_t remembered() const { return recall_.entries(); }
+
+ private:
+  struct Stranger;
+  struct Client;
+  class Caller;
+  struct Port;
+
+  void Accept(Port& port);
+  void Greet(ConnectionPtr connection);
+  void OnIntroduction(std::uint64_t stranger, std::string_view frame);
+  void TurnAway(std::uint64_t stranger, const Header& header, std::string_view avps, const Fault& fault);
+  void OnRequest(Client& client, Message request);
+  // Looks whether the request has been here before; true if it has been dealt with by that.
+  bool Recalled(Client& client, const Message& request, const RequestKey& key, std::uint64_t digest,
+                const Recall::Waiter& waiter);
+  // Answers by this node's own words.
+  void Say(Client& client, const Message& request, ResultCode code, const char* text);
+  void Finish(const RequestKey& key, const Message& answer, const std::string& proxy_info, bool keep);
+  void OnChange(Client& client);
+  void PartIfIdle(Client& client);
+
+  core::Loop& loop_;
+  const Limits limits_;
+  const Application& application_;
+  const Identity& self_;
+  net::Budget& budget_;
+  core::Exchanges& exchanges_;
+  Upstream& upstream_;
+  Recall recall_;
+  std::uint64_t seed_;
+  std::uint64_t last_connection_ = 0;
+  std::list<std::unique_ptr<Port>> ports_;
+  std::map<std::uint64_t, std::unique_ptr<Stranger>> strangers_;      // the oldest first
+  std::unordered_map<std::string, std::unique_ptr<Client>> clients_;  // by Origin-Host in lower case
+  std::unordered_map<std::uint64_t, Client*> by_connection_;          // those that are open
+  bool parting_ = false;
+};
+
+}  // namespace merlinrun::diameter
+
+#endif  // MERLINRUN_DIAMETER_IO_FRONT_HPP_
--- /dev/null
+++ b/src/diameter/io/node.cpp
@@ -0,0 +1,120 @@
+#include "diameter/io/node.hpp"
+
+#include <boost/asio/ip/address.hpp>
+#include <stdexcept>
+#include <utility>
+
+#include "diameter/io/messages.hpp"
+#include "net/address.hpp"
+
+namespace merlinrun::diameter {
+namespace {
+
+constexpr Micros kSecond = 1'000'000;
+// For dialling and the capabilities exchange, where the settings do not say how long a dial may take.
+constexpr Micros kConnect = 2 * kSecond;
+// Descriptors beside the clients' connections: listeners, and a few that are being closed.
+constexpr std::size_t kOtherSockets = 8;
+
+Tcp::endpoint AddressOf(const std::string& text) {
+  const auto address = net::ParseAddress(text);
+  if (!address) throw std::invalid_argument("diameter: '" + text + "': not an address with a port");
+  return *address;
+}
+
+Identity IdentityOf(core::Loop& loop, const Application& application) {
+  Identity self;
+  self.host = application.host;
+  self.realm = application.realm;
+  // Section 8.16: it grows with every start.
+  self.state_id = static_cast<std::uint32_t>(loop.Now() / kSecond);
+  const std::string& listen = application.listen.empty() ? application.tls_listen : application.listen;
+  const auto address = AddressOf(listen).address();
+  if (address.is_v4()) {
+    const auto bytes = address.to_v4().to_bytes();
+    self.addresses = {AddressData({reinterpret_cast<const char*>(bytes.data()), bytes.size()})};
+  } else {
+    const auto bytes = address.to_v6().to_bytes();
+    self.addresses = {AddressData({reinterpret_cast<const char*>(bytes.data()), bytes.size()})};
+  }
+  self.applications = {application.id};
+  return self;
+}
+
+Connection::Limits ConnectionLimits(const Application& application) {
+  Connection::Limits limits;
+  limits.most_message = application.most_message;
+  return limits;
+}
+
+// Dials without TLS.
+Upstream::Connector PlainConnector(boost::asio::io_context& io, Connection::Limits limits) {
+  return [&io, limits](const Tcp::endpoint& address, const std::string&,
+                       std::function<void(ConnectionPtr)> done) {
+    const auto socket = std::make_shared<Tcp::socket>(io);
+    socket->async_connect(address, [socket, limits, done = std::move(done)](ErrorCode error) {
+      done(error ? nullptr : Connection::Plain(std::move(*socket), limits));
+    });
+    return [socket] {
+      ErrorCode ignored;
+      socket->close(ignored);
+    };
+  };
+}
+
+Front::Wrap PlainWrap(Connection::Limits limits) {
+  return [limits](Tcp::socket socket, const std::function<void(ConnectionPtr)>& done) {
+    done(Connection::Plain(std::move(socket), limits));
+  };
+}
+
+}  // namespace
+
+Node::Node(boost::asio::io_context& io, core::Loop& loop, Application application, Limits limits,
+           std::uint64_t seed, std::function<void(const std::string&)> usable_changed)
+    : io_(io),
+      loop_(loop),
+      application_(std::move(application)),
+      identity_(IdentityOf(loop, application_)),
+      seed_(seed) {
+  const Connection::Limits connection = ConnectionLimits(application_);
+  if (!application_.listen.empty())
+    listeners_.push_back({AddressOf(application_.listen), PlainWrap(connection)});
+  Upstream::Limits upstream;
+  upstream.connect = limits.dial_timeout > 0 ? limits.dial_timeout : kConnect;
+  upstream.connections = limits.server_connections;
+  upstream.connection = connection;
+  upstream_ = std::make_unique<Upstream>(
+      loop, application_, identity_, upstream, seed, PlainConnector(io, connection),
+      [this, changed = std::move(usable_changed)](const std::string& server, bool usable) {
+        usable ? void(unusable_.erase(server)) : void(unusable_.insert(server));
+        changed(server);
+      });
+}
+
+Node::~Node() = default;
+
+void Node::Listen(net::Budget& budget, core::Exchanges& exchanges) {
+  Front::Limits limits;
+  limits.connection = ConnectionLimits(application_);
+  front_ = std::make_unique<Front>(io_, loop_, listeners_, limits, application_, identity_, budget, exchanges,
+                                   *upstream_, seed_);
+}
+
+void Node::Apply(bool whole, const std::vector<ServerAddress>& servers) {
+  if (whole) speaking_.clear();
+  for (const ServerAddress& server : servers)
+    server.address ? void(speaking_.insert(server.info.id)) : void(speaking_.erase(server.info.id));
+  upstream_->Apply(whole, servers);
+  std::erase_if(unusable_, [this](const std::string& id) { return speaking_.count(id) == 0; });
+}
+
+unsigned Node::Fronts(const std::string& server) const {
+  return speaking_.count(server) > 0 && unusable_.count(server) == 0 ? 1U << kDiameterFront : 0U;
+}
+
+std::size_t Node::Sockets(const Application& application) {
+  return application.clients.size() + Front::Limits{}.strangers + kOtherSockets;
+}
+
+}  // namespace merlinrun::diameter
--- a/src/diameter/peer.hpp
+++ b/src/diameter/peer.hpp
@@ -87,6 +87,7 @@
   std::uint32_t NextHopByHop() { return ++hop_by_hop_; }
 
   State state() const { return state_; }
+  Side side() const { return side_; }  // of the connection that is open
   Watchdog::State watchdog() const { return watchdog_.state(); }
   // Whether requests may be sent to it.
   bool usable() const { return Open() && watchdog_.usable(); }
--- /dev/null
+++ b/src/diameter/relay.cpp
@@ -0,0 +1,81 @@
+#include "diameter/relay.hpp"
+
+#include <algorithm>
+#include <cctype>
+
+namespace merlinrun::diameter {
+
+bool SameName(std::string_view a, std::string_view b) {
+  return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                    [](unsigned char x, unsigned char y) { return std::tolower(x) == std::tolower(y); });
+}
+
+std::optional<Fault> CheckRoute(const Identity& self, const std::vector<std::string>& realms,
+                                const Message& request) {
+  AvpReader reader(request.avps);
+  while (const auto avp = reader.Next()) {
+    const auto whole = [&] { return AvpWriter().Copy(*avp).Take(); };
+    if (avp->Is(avp::kRouteRecord) && SameName(avp->data, self.host))
+      return Fault{ResultCode::kLoopDetected, {}, "it has passed here already"};
+    if (avp->Is(avp::kDestinationRealm) &&
+        std::none_of(realms.begin(), realms.end(),
+                     [&](const std::string& realm) { return SameName(realm, avp->data); }))
+      return Fault{ResultCode::kRealmNotServed, whole(), "this realm is not served"};
+    if (avp->Is(avp::kDestinationHost) && !SameName(avp->data, self.host))
+      return Fault{ResultCode::kUnableToDeliver, whole(), "no host can be asked for by name"};
+  }
+  return std::nullopt;
+}
+
+Message Forward(const Message& request, const Onward& onward) {
+  Message out;
+  out.header = request.header;
+  out.header.hop_by_hop = onward.hop_by_hop;
+  if (onward.resend) out.header.flags |= kResendBit;
+  AvpWriter avps;
+  AvpReader reader(request.avps);
+  while (const auto avp = reader.Next()) {
+    if (avp->Is(avp::kDestinationHost)) continue;
+    if (onward.deadline_code != 0 && avp->Is(onward.deadline_code, onward.deadline_vendor))
+      avps.AddU32(avp->code, onward.deadline, avp->flags, avp->vendor);
+    else
+      avps.Copy(*avp);
+  }
+  avps.Add(avp::kRouteRecord, onward.from);
+  out.avps = avps.Take();
+  return out;
+}
+
+bool Answers(const Message& answer, const Header& request) {
+  return !answer.header.request() && answer.header.command == request.command &&
+         answer.header.application == request.application && answer.header.end_to_end == request.end_to_end;
+}
+
+Message Backward(const Message& answer, std::uint32_t hop_by_hop) {
+  Message out = answer;
+  out.header.hop_by_hop = hop_by_hop;
+  return out;
+}
+
+Message BackwardTo(const Message& answer, std::uint32_t hop_by_hop, std::string_view proxy_info) {
+  Message out;
+  out.header = answer.header;
+  out.header.hop_by_hop = hop_by_hop;
+  AvpWriter avps;
+  AvpReader reader(answer.avps);
+  while (const auto avp = reader.Next())
+    if (!avp->Is(avp::kProxyInfo)) avps.Copy(*avp);
+  out.avps = avps.Take();
+  out.avps += proxy_info;
+  return out;
+}
+
+std::string ProxyInfoOf(const Message& request) {
+  AvpWriter out;
+  AvpReader reader(request.avps);
+  while (const auto avp = reader.Next())
+    if (avp->Is(avp::kProxyInfo)) out.Copy(*avp);
+  return out.Take();
+}
+
+}  // namespace merlinrun::diameter
--- /dev/null
+++ b/src/net/address.hpp
@@ -0,0 +1,29 @@
+// Addresses as configurations and lists write them.
+#ifndef MERLINRUN_NET_ADDRESS_HPP_
+#define MERLINRUN_NET_ADDRESS_HPP_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <charconv>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace merlinrun::net {
+
+// "127.0.0.1:80"; empty if it is anything else.
+inline std::optional<boost::asio::ip::tcp::endpoint> ParseAddress(std::string_view text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos) return std::nullopt;
+  boost::system::error_code bad;
+  const auto host = boost::asio::ip::make_address(std::string(text.substr(0, colon)), bad);
+  std::uint16_t port = 0;
+  const char* const last = text.data() + text.size();
+  const auto [end, error] = std::from_chars(text.data() + colon + 1, last, port);
+  if (bad || error != std::errc() || end != last || port == 0) return std::nullopt;
+  return boost::asio::ip::tcp::endpoint(host, port);
+}
+
+}  // namespace merlinrun::net
+
+#endif  // MERLINRUN_NET_ADDRESS_HPP_
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -105,13 +105,10 @@
   return text == nullptr ? "" : text;
 }
 
-std::string ReadFile(const Environment& environment) {
+std::string ReadConfig(const Environment& environment) {
   const std::string path = Value(environment, "EDGE_CONFIG");
   if (path.empty()) throw ConfigError("EDGE_CONFIG: not set");
-  std::ifstream file(path, std::ios::binary);
-  std::ostringstream text;
-  if (!(text << file.rdbuf())) throw ConfigError(path + ": cannot be read");
-  return text.str();
+  return ReadFile(path);
 }
 
 std::string OneLine(std::string text) {
@@ -121,6 +118,13 @@
 
 }  // namespace
 
+std::string ReadFile(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  std::ostringstream text;
+  if (!(text << file.rdbuf())) throw ConfigError(path + ": cannot be read");
+  return text.str();
+}
+
 std::string Flatten(const Json& settings) {
   std::string out;
   FlattenInto(settings, "", out);
@@ -139,12 +143,14 @@
 }
 
 Config LoadConfig(const Environment& environment) {
-  return ParseConfig(ReadFile(environment), Value(environment, "EDGE_LISTEN"),
-                     Value(environment, "EDGE_DISCOVERY"));
+  Config config = ParseConfig(ReadConfig(environment), Value(environment, "EDGE_LISTEN"),
+                              Value(environment, "EDGE_DISCOVERY"));
+  config.diameter = Value(environment, "EDGE_DIAMETER");
+  return config;
 }
 
 Config ReloadConfig(const Environment& environment) {
-  return ParseConfig(ReadFile(environment), Value(environment, "EDGE_LISTEN"), "");
+  return ParseConfig(ReadConfig(environment), Value(environment, "EDGE_LISTEN"), "");
 }
 
 }  // namespace merlinrun::net
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -27,12 +27,16 @@
   std::size_t sockets = 1024;                  // descriptors that the process may hold
   std::size_t memory = std::size_t{64} << 20;  // bytes that it may use
   drill::WireSettings wire;
-  EndpointList known;  // the list as this sidecar last had it
+  EndpointList known;    // the list as this sidecar last had it
+  std::string diameter;  // the operator's Diameter file (EDGE_DIAMETER); empty: no Diameter
 };
 
 // The settings in the form that the adapter reads, path=value pairs: one mapping of names serves both.
 std::string Flatten(const nlohmann::json& settings);
 
+// All of a file. Throws ConfigError, with one plain line, if it cannot be had.
+std::string ReadFile(const std::string& path);
+
 Config ParseConfig(const std::string& text, const std::string& listen, const std::string& discovery);
 
 using Environment = std::function<const char*(const char*)>;
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -7,7 +7,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
-#include <charconv>
 #include <chrono>
 #include <cstdio>
 #include <limits>
@@ -37,6 +36,10 @@
   const auto address = ParseAddress(json.value("hostPort", std::string()));
   if (!address && out.info.state != ServerInfo::State::kGone) error = "a hostPort that is no address";
   out.address = address.value_or(Tcp::endpoint());
+  if (json.contains("diameterHostPort")) {
+    out.diameter = ParseAddress(json.at("diameterHostPort").get<std::string>());
+    if (!out.diameter) error = "a diameterHostPort that is no address";
+  }
   out.info.zone = drill::IndexOf(names.zones, json.value("zone", std::string()));
   out.info.machine = drill::IndexOf(names.machines, json.value("machineType", std::string()));
   out.info.cell = json.value("cell", std::int64_t{-1});
@@ -49,18 +52,6 @@
 
 }  // namespace
 
-std::optional<Tcp::endpoint> ParseAddress(std::string_view text) {
-  const std::size_t colon = text.rfind(':');
-  if (colon == std::string_view::npos) return std::nullopt;
-  ErrorCode bad;
-  const auto host = asio::ip::make_address(std::string(text.substr(0, colon)), bad);
-  std::uint16_t port = 0;
-  const char* const last = text.data() + text.size();
-  const auto [end, error] = std::from_chars(text.data() + colon + 1, last, port);
-  if (bad || error != std::errc() || end != last || port == 0) return std::nullopt;
-  return Tcp::endpoint(host, port);
-}
-
 std::optional<EndpointList> ParseList(const nlohmann::json& json, const drill::WireSettings& names,
                                       std::string& error) {
   error.clear();
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "address.hpp"
 #include "merlinrun/balancer.hpp"
 #include "protocol.hpp"
 #include "wire.hpp"
@@ -22,6 +23,7 @@
 struct Endpoint {
   ServerInfo info;
   Tcp::endpoint address;
+  std::optional<Tcp::endpoint> diameter;  // where it speaks Diameter, if it does
 };
 
 struct EndpointList {
@@ -34,9 +36,6 @@
 std::optional<EndpointList> ParseList(const nlohmann::json& json, const drill::WireSettings& names,
                                       std::string& error);
 
-// "127.0.0.1:80"; empty if it is anything else.
-std::optional<Tcp::endpoint> ParseAddress(std::string_view text);
-
 class Discovery {
  public:
   static constexpr std::int64_t kUnknown = -1;  // a generation: the whole list is asked for
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -3,8 +3,10 @@
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <cstdio>
+#include <span>
 #include <stdexcept>
 #include <utility>
+#include <variant>
 
 namespace merlinrun::net {
 namespace {
@@ -28,12 +30,20 @@
   return static_cast<std::size_t>(kClientShare * static_cast<double>(config.sockets - kOtherSockets));
 }
 
+// Connections to servers, over all protocols.
+std::size_t ServerSockets(const Config& config) {
+  return config.sockets - kOtherSockets - ClientSockets(config);
+}
+
+// What Diameter may have of them; HTTP has the rest. It holds one to a server.
+std::size_t DiameterServerSockets(const Config& config) { return ServerSockets(config) / 3; }
+
 Upstream::Limits UpstreamLimits(const Config& config) {
   Upstream::Limits limits;
   limits.keep_idle =
       static_cast<Micros>(kIdleShare * static_cast<double>(config.wire.settings.connection_idle));
   limits.dial_timeout = config.wire.settings.dial_timeout;
-  limits.connections = config.sockets - kOtherSockets - ClientSockets(config);
+  limits.connections = ServerSockets(config) - (config.diameter.empty() ? 0 : DiameterServerSockets(config));
   return limits;
 }
 
@@ -43,6 +53,16 @@
   return timing;
 }
 
+diameter::Application ReadApplication(const Config& config) {
+  auto read = diameter::ParseApplication(ReadFile(config.diameter), config.diameter, config.wire.settings,
+                                         config.name);
+  if (const auto* error = std::get_if<std::string>(&read)) throw ConfigError(*error);
+  auto application = std::get<diameter::Application>(std::move(read));
+  if (2 * diameter::Node::Sockets(application) > ClientSockets(config))
+    throw ConfigError(config.diameter + ": more clients than limits.sockets leaves descriptors for");
+  return application;
+}
+
 void Log(std::string_view text) {
   std::fprintf(stderr, "module: %.*s\n", static_cast<int>(std::min(text.size(), kMostLogged)), text.data());
 }
@@ -68,14 +88,29 @@
     throw ConfigError(std::string("settings: ") + error.what());
   }
   drain_.emplace(loop_, *exchanges_);
+  if (config_.diameter.empty()) return;
+  diameter::Node::Limits limits;
+  limits.dial_timeout = config_.wire.settings.dial_timeout;
+  limits.server_connections = DiameterServerSockets(config_);
+  try {
+    diameter_ =
+        std::make_unique<diameter::Node>(io, loop_, ReadApplication(config_), limits, config_.seed,
+                                         [this](const std::string& server) { OnDiameterUsable(server); });
+  } catch (const std::invalid_argument& error) {
+    throw ConfigError(error.what());
+  }
 }
 
 void Sidecar::Start() {
   Inbound::Limits limits;
-  limits.sessions = ClientSockets(config_);
+  limits.sessions = ClientSockets(config_) - (diameter_ == nullptr ? 0 : diameter_->sockets());
   http_ = std::make_unique<HttpFront>(io_, config_.listen, limits, budget_, *exchanges_, http_egress_,
                                       [this] { return upstream_.any_server(); });
   drain_->Add(*http_);
+  if (diameter_ != nullptr) {
+    diameter_->Listen(budget_, *exchanges_);
+    drain_->Add(diameter_->front());
+  }
   OnList(ListUpdate::Kind::kStale, config_.known);
   if (config_.known.endpoints.empty()) generation_ = Discovery::kUnknown;
   if (!config_.wire.settings.must_subscribe) discovery_.Watch(generation_);
@@ -90,12 +125,37 @@
   EndpointList applied = list;
   applied.whole = kind != ListUpdate::Kind::kDelta;
   upstream_.Apply(applied);
+  if (diameter_ != nullptr) TellDiameter(applied);
   std::vector<ServerInfo> servers;
   servers.reserve(list.endpoints.size());
-  for (const Endpoint& endpoint : list.endpoints) servers.push_back(endpoint.info);
+  for (const Endpoint& endpoint : list.endpoints) {
+    servers.push_back(endpoint.info);
+    if (diameter_ != nullptr) servers.back().fronts |= diameter_->Fronts(endpoint.info.id);
+  }
   exchanges_->OnServers({kind, list.generation, servers});
 }
 
+void Sidecar::TellDiameter(const EndpointList& list) {
+  if (list.whole) listed_.clear();
+  std::vector<diameter::ServerAddress> servers;
+  for (const Endpoint& endpoint : list.endpoints) {
+    servers.push_back({endpoint.info, endpoint.diameter});
+    listed_[endpoint.info.id] = endpoint.info;
+    if (endpoint.info.state == ServerInfo::State::kGone) listed_.erase(endpoint.info.id);
+  }
+  diameter_->Apply(list.whole, servers);
+}
+
+// A server that can be reached over Diameter, or can't any more, is the same server: the module hears of it
+// as of any change.
+void Sidecar::OnDiameterUsable(const std::string& server) {
+  const auto it = listed_.find(server);
+  if (it == listed_.end()) return;
+  ServerInfo info = it->second;
+  info.fronts |= diameter_->Fronts(server);
+  exchanges_->OnServers({ListUpdate::Kind::kDelta, generation_, {&info, 1}});
+}
+
 void Sidecar::OnDiscoveryFailed() {
   if (config_.wire.settings.must_subscribe)
     exchanges_->OnServers({ListUpdate::Kind::kFailed, generation_, {}});
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -7,6 +7,8 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "asio_loop.hpp"
@@ -14,6 +16,7 @@
 #include "config.hpp"
 #include "core/drain.hpp"
 #include "core/exchange.hpp"
+#include "diameter/io/node.hpp"
 #include "discovery.hpp"
 #include "http_front.hpp"
 #include "upstream.hpp"
@@ -22,7 +25,7 @@
 
 class Sidecar {
  public:
-  // Throws ConfigError if the settings make no sense; opens no socket.
+  // Throws ConfigError if the settings or the Diameter file make no sense; opens no socket.
   Sidecar(asio::io_context& io, Config config);
   Sidecar(const Sidecar&) = delete;
   Sidecar& operator=(const Sidecar&) = delete;
@@ -38,10 +41,13 @@
   Tcp::endpoint address() const { return http_->address(); }
   std::size_t requests_held() const { return exchanges_->held(); }
   std::size_t upstream_connections() const { return upstream_.open_connections(); }
+  diameter::Node* diameter() { return diameter_.get(); }  // null if it is off
 
  private:
   void OnList(ListUpdate::Kind kind, const EndpointList& list);
   void OnDiscoveryFailed();
+  void TellDiameter(const EndpointList& list);
+  void OnDiameterUsable(const std::string& server);
 
   asio::io_context& io_;
   const Config config_;
@@ -52,6 +58,8 @@
   HttpEgress http_egress_;
   Discovery discovery_;
   std::unique_ptr<HttpFront> http_;
+  std::unique_ptr<diameter::Node> diameter_;
+  std::unordered_map<std::string, ServerInfo> listed_;  // only where Diameter is on
   std::optional<core::Drain> drain_;
   std::int64_t generation_ = 0;
 };
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -297,7 +297,7 @@
     if (endpoint.info.state == ServerInfo::State::kGone) servers_.erase(endpoint.info.id);
   }
   for (auto& [id, server] : before) {  // not in the whole list: gone
-    Endpoint gone{server->info, server->address};
+    Endpoint gone{server->info, server->address, {}};
     gone.info.state = ServerInfo::State::kGone;
     Update(*server, gone);
   }
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -195,6 +195,7 @@
     if (!fresh) return;
     Held& held = it->second;
     held.request_class = static_cast<std::size_t>(in.request_class);
+    held.front = in.front;
     held.arrived = now_;
     held.deadline = now_ + in.budget;
     ClassLoad& load = load_[held.request_class];
@@ -579,6 +580,7 @@
 
   // After a refusal another server is tried; after an attempt that may have run, only what drops the repeat.
   bool MayUse(const Held& held, const Server& server) const {
+    if ((server.info.fronts >> held.front & 1) == 0) return false;
     if (!held.attempts.empty() && held.attempts.back().server == &server &&
         Width(pools_[server.pool], set_) > 1)
       return false;
--- a/src/records.hpp
+++ b/src/records.hpp
@@ -59,6 +59,7 @@
 
 struct Held {  // a request, from its arrival until its last attempt is resolved
   std::size_t request_class = 0;
+  int front = 0;      // the protocol that it goes by
   bool late = false;  // its client has waited past the aim already, over earlier tries
   std::size_t pool = 0;
   Micros arrived = 0;
