--- a/src/diameter/io/front.cpp
+++ b/src/diameter/io/front.cpp
@@ -209,6 +209,7 @@
       Peer::Settings settings;
       settings.host = its.host;
       settings.watchdog = application_.watchdog;
+      settings.probation = false;
       settings.seed = seed_ += 0x9e3779b97f4a7c15ULL;
       PeerHost::Events events;
       events.on_message = [this, &its](Message message) {
--- a/src/diameter/io/peer_host.cpp
+++ b/src/diameter/io/peer_host.cpp
@@ -112,11 +112,13 @@
 }
 
 void PeerHost::Stop(DisconnectCause cause) {
+  if (!peer_.Open()) return;
   peer_.Stop(loop_.Now(), cause);
   Changed();
 }
 
 void PeerHost::Drained() {
+  if (peer_.state() != Peer::State::kDraining) return;
   peer_.Drained(loop_.Now());
   Changed();
 }
--- a/src/diameter/peer.cpp
+++ b/src/diameter/peer.cpp
@@ -155,6 +155,7 @@
   state_ = side == Side::kInitiator ? State::kIOpen : State::kROpen;
   due_ = 0;
   ++lives_;
+  if (!settings_.probation) watchdog_ = Watchdog(settings_.watchdog, settings_.seed + lives_);
   Obey(watchdog_.OnUp(now));
 }
 
--- a/src/diameter/peer.hpp
+++ b/src/diameter/peer.hpp
@@ -45,6 +45,9 @@
     Micros watchdog = 30'000'000;  // see Watchdog
     Micros connect = 5'000'000;    // from dialling to the CEA
     Micros drain = 5'000'000;      // how long a DPA is kept back for, or waited for
+    // Whether it has to show that it stays after it was down (RFC 3539's REOPEN) before it is used. A client
+    // need not: nothing is sent to it of this node's own, and its requests would be thrown away meanwhile.
+    bool probation = true;
     std::uint64_t seed = 0;
   };
   // What becomes of a connection whose CER has been read.
--- a/src/diameter/watchdog.hpp
+++ b/src/diameter/watchdog.hpp
@@ -42,7 +42,7 @@
   void Set(Micros now);
   Order Ask(Micros now);
 
-  const Micros interval_;
+  Micros interval_;
   std::mt19937_64 random_;
   State state_ = State::kInitial;
   bool pending_ = false;  // a DWR is out
