--- /dev/null
+++ b/rig/demo.cpp
@@ -0,0 +1,148 @@
+// Shows that it works: stand-in servers, a real sidecar process, some seconds of traffic over HTTP and
+// Diameter, a server killed in the midst of it with a port begun, another drained, a back office restarted;
+// then what became of each class, and what the ledger says. Exit status 0 if no rule was broken.
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+
+#include "rig/world.hpp"
+
+namespace merlinrun::rig {
+namespace {
+
+constexpr int kServers = 6;
+constexpr std::uint64_t kRequests = 20'000;
+constexpr int kHttpClients = 16;
+
+// A sidecar as a process of its own, with its files in a folder of its own. Ended with the object.
+class Sidecar {
+ public:
+  Sidecar(const std::string& program, const World& world, const std::string& diameter_file,
+          std::string listen)
+      : folder_(std::filesystem::temp_directory_path() /
+                ("fennelhollow-demo-" + std::to_string(::getpid()))) {
+    std::filesystem::create_directory(folder_);
+    std::ofstream(folder_ / "config.json") << world.Config();
+    std::ofstream(folder_ / "diameter.toml") << diameter_file;
+    std::vector<std::string> environment = {"EDGE_CONFIG=" + (folder_ / "config.json").string(),
+                                            "EDGE_DIAMETER=" + (folder_ / "diameter.toml").string(),
+                                            "EDGE_LISTEN=" + std::move(listen)};
+    std::vector<char*> pointers;
+    for (std::string& variable : environment) pointers.push_back(variable.data());
+    pointers.push_back(nullptr);
+    std::string name = program;
+    char* arguments[] = {name.data(), nullptr};
+    if (::posix_spawn(&pid_, program.c_str(), nullptr, nullptr, arguments, pointers.data()) != 0) pid_ = -1;
+  }
+  ~Sidecar() {
+    if (pid_ > 0) {
+      ::kill(pid_, SIGKILL);
+      ::waitpid(pid_, nullptr, 0);
+    }
+    std::filesystem::remove_all(folder_);
+  }
+  Sidecar(const Sidecar&) = delete;
+  Sidecar& operator=(const Sidecar&) = delete;
+  bool runs() const { return pid_ > 0 && ::waitpid(pid_, nullptr, WNOHANG) == 0; }
+
+ private:
+  std::filesystem::path folder_;
+  pid_t pid_ = -1;
+};
+
+Tcp::endpoint At(const std::string& address) {
+  const auto port = std::stoi(address.substr(address.find(':') + 1));
+  return {boost::asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(port)};
+}
+
+bool Accepts(World& world, const Tcp::endpoint& address) {
+  Tcp::socket socket(world.io);
+  boost::system::error_code error;
+  socket.connect(address, error);
+  return !error;
+}
+
+void Print(const Ledger& ledger, Micros now) {
+  std::printf("\n%-12s %7s %7s %8s %7s %7s %9s %9s\n", "class", "asked", "served", "refused", "failed", "ran",
+              "p50 ms", "p99 ms");
+  for (const auto& [name, row] : ledger.Rows())
+    std::printf("%-12s %7lu %7lu %8lu %7lu %7lu %9.1f %9.1f\n", name.c_str(), row.asked, row.served,
+                row.refused, row.failed, row.ran, static_cast<double>(row.Quantile(0.5)) / 1000,
+                static_cast<double>(row.Quantile(0.99)) / 1000);
+  const std::size_t owed = ledger.Owed(now).size();
+  std::printf("\nledger: %lu broken rules, %zu answers owed\n", ledger.broken_count(), owed);
+  for (const std::string& line : ledger.broken()) std::printf("  %s\n", line.c_str());
+}
+
+int Run(const std::string& program) {
+  const std::string http = FreeAddress();
+  const std::string diameter = FreeAddress();
+  const std::string file = ExampleDiameterFile(diameter);
+  World world(ShortClasses(), kServers, {}, file);
+  const Sidecar sidecar(program, world, file, http);
+  if (!world.RunUntil([&] { return Accepts(world, At(http)) && Accepts(world, At(diameter)); },
+                      std::chrono::seconds(10)) ||
+      !sidecar.runs()) {
+    std::fprintf(stderr, "demo: the sidecar does not come up\n");
+    return 1;
+  }
+  std::printf("%d stand-in servers, a sidecar, %d till connections over HTTP, 2 back offices over Diameter\n",
+              kServers, kHttpClients);
+  Traffic traffic(world.classes, kRequests, 42);
+  bool killed = false;
+  world.servers[1]->set_script([&](const std::string& id, const std::string& name) {
+    if (killed || name != "number-port" || traffic.asked() < kRequests / 3) return Server::Fault::kNone;
+    killed = true;
+    std::printf("killing s-1 with port %s begun\n", id.c_str());
+    world.loop.Post([&] { world.discovery.Set(*world.servers[1], "removed"); });
+    return Server::Fault::kDie;
+  });
+  std::vector<std::unique_ptr<HttpClient>> tills;
+  for (int i = 0; i < kHttpClients; ++i) {
+    tills.push_back(std::make_unique<HttpClient>(world.io, world.loop, world.ledger, traffic, At(http),
+                                                 "till" + std::to_string(i)));
+    tills.back()->Start();
+  }
+  std::vector<std::unique_ptr<DiameterClient>> offices;
+  for (int i = 1; i <= 2; ++i) {
+    offices.push_back(std::make_unique<DiameterClient>(
+        world.io, world.loop, world.ledger, traffic, At(diameter),
+        "backoffice-" + std::to_string(i) + ".franchise.example", world.application.id, 8));
+    offices.back()->Start();
+  }
+  const auto reach = [&](std::uint64_t asked) {
+    return world.RunUntil([&] { return traffic.asked() >= asked; });
+  };
+  bool whole = reach(kRequests / 2);
+  std::printf("draining s-2\n");
+  world.discovery.Set(*world.servers[2], "draining");
+  whole = whole && reach(2 * kRequests / 3);
+  std::printf("restarting back office 1, which sends again what it has no answer to\n");
+  offices[0]->Restart();
+  whole = whole && world.RunUntil([&] {
+    bool idle = traffic.left() == 0;
+    for (const auto& till : tills) idle = idle && till->idle();
+    for (const auto& office : offices) idle = idle && office->idle();
+    return idle;
+  });
+  Print(world.ledger, world.loop.Now());
+  return whole && killed && sidecar.runs() && world.ledger.broken_count() == 0 ? 0 : 1;
+}
+
+}  // namespace
+}  // namespace merlinrun::rig
+
+int main(int argc, char** argv) {
+  if (argc != 2) {
+    std::fprintf(stderr, "usage: fennelhollow_demo PROGRAM\n");
+    return 2;
+  }
+  std::setvbuf(stdout, nullptr, _IOLBF, 0);
+  return merlinrun::rig::Run(argv[1]);
+}
--- a/rig/world.cpp
+++ b/rig/world.cpp
@@ -11,40 +11,22 @@
 
 constexpr std::size_t kMostServers = 1000;
 
-nlohmann::json ClassJson(const WorkClass& c) {
-  const char* const repeat = c.repeat == Repeat::kSafe           ? "idempotent"
-                             : c.repeat == Repeat::kDeduplicated ? "deduplicated"
-                                                                 : "at_most_once";
-  return {{"name", c.name},    {"aim_us", c.deadline / 2}, {"hard_limit_us", c.deadline},
-          {"importance", 1.0}, {"repeat", repeat},         {"group", "zone"},
-          {"late_value", 0.5}, {"window_us", 12'000'000},  {"stream", false}};
+// What operators are given as an example, the classes in it and all.
+nlohmann::json Example() {
+  return nlohmann::json::parse(
+      net::ReadFile(std::string(FENNELHOLLOW_SOURCE) + "/deploy/config.example.json"));
 }
 
+// The example's settings, with each class's times as the stand-ins have them.
 nlohmann::json SettingsJson(const std::vector<WorkClass>& classes) {
-  nlohmann::json grades = nlohmann::json::array();
-  for (const WorkClass& c : classes) grades.push_back(ClassJson(c));
-  return {{"allowed",
-           {{"cancel", true},
-            {"conn_idle_us", 60'000'000},
-            {"dial_timeout_us", 250'000},
-            {"max_attempts", 5},
-            {"retry_after", true},
-            {"max_retry_after_us", 2'000'000}}},
-          {"azs", {"east", "west"}},
-          {"host_types", {"std"}},
-          {"my_zone", "east"},
-          {"grades", grades},
-          {"membership_mode", "automatic"},
-          {"quantum_us", 5000},
-          {"rank", 0},
-          {"siblings", 1},
-          {"rules",
-           {{"drain_grace_us", 500'000},
-            {"cold_from", 0.32},
-            {"warm_after_us", 8'900'000},
-            {"overload_factor", 4.0},
-            {"fall_us", 2'000'000}}},
-          {"tenants", nlohmann::json::array()}};
+  nlohmann::json settings = Example().at("settings");
+  for (nlohmann::json& grade : settings.at("grades"))
+    for (const WorkClass& c : classes)
+      if (grade.at("name") == c.name) {
+        grade["aim_us"] = c.deadline / 2;
+        grade["hard_limit_us"] = c.deadline;
+      }
+  return settings;
 }
 
 }  // namespace
@@ -56,6 +38,18 @@
           {"number-port", Repeat::kNever, 12'000, 5'000'000, 10}};
 }
 
+std::string FreeAddress() {
+  boost::asio::io_context io;
+  const Tcp::acceptor free_port(io, Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+  return "127.0.0.1:" + std::to_string(free_port.local_endpoint().port());
+}
+
+std::string ExampleDiameterFile(const std::string& listen) {
+  std::string text = net::ReadFile(std::string(FENNELHOLLOW_SOURCE) + "/deploy/diameter.example.toml");
+  const std::string address = "127.0.0.1:3868";
+  return text.replace(text.find(address), address.size(), listen);
+}
+
 World::World(std::vector<WorkClass> its_classes, int count, ServerOptions options,
              const std::string& diameter_file)
     : loop(io), classes(std::move(its_classes)), discovery(io, loop, ledger) {
@@ -75,13 +69,11 @@
 
 nlohmann::json World::Config() const {
   const Tcp::endpoint at = discovery.address();
-  return {{"name", "n0"},
-          {"listen", "127.0.0.1:1"},
-          {"discovery", at.address().to_string() + ":" + std::to_string(at.port())},
-          {"seed", "8c1f30d27a5be964"},
-          {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 1024}}},
-          {"known", discovery.List()},
-          {"settings", SettingsJson(classes)}};
+  nlohmann::json config = Example();
+  config["discovery"] = at.address().to_string() + ":" + std::to_string(at.port());
+  config["known"] = discovery.List();
+  config["settings"] = SettingsJson(classes);
+  return config;
 }
 
 Settings World::ModuleSettings() const {
--- a/rig/world.hpp
+++ b/rig/world.hpp
@@ -24,6 +24,12 @@
 // many requests takes seconds.
 std::vector<WorkClass> ShortClasses();
 
+// An address on loopback with a port that was free a moment ago.
+std::string FreeAddress();
+
+// The Diameter file that operators are given as an example, with `listen` in its place.
+std::string ExampleDiameterFile(const std::string& listen);
+
 class World {
  public:
   // `diameter_file`: the text of the Diameter file that stand-ins and sidecar go by.
@@ -32,7 +38,7 @@
   World(const World&) = delete;
   World& operator=(const World&) = delete;
 
-  // The sidecar's JSON configuration. Where `known` is set it has the list from the start.
+  // The example configuration with this world's discovery, list and classes.
   nlohmann::json Config() const;
   // The settings that the configuration holds, as the module has them.
   Settings ModuleSettings() const;
--- a/tests/rig/fixture.hpp
+++ b/tests/rig/fixture.hpp
@@ -10,7 +10,6 @@
 #include <cstdio>
 #include <fstream>
 #include <memory>
-#include <sstream>
 #include <string>
 #include <vector>
 
@@ -33,21 +32,7 @@
 
 inline Tcp::endpoint Loopback() { return {boost::asio::ip::make_address("127.0.0.1"), 0}; }
 
-inline std::string FreeAddress() {
-  boost::asio::io_context io;
-  Tcp::acceptor free_port(io, Loopback());
-  return "127.0.0.1:" + std::to_string(free_port.local_endpoint().port());
-}
-
-// The example that operators are given, on a port that the kernel chooses.
-inline std::string ExampleFile() {
-  std::ifstream file(FENNELHOLLOW_SOURCE "/deploy/diameter.example.toml");
-  std::ostringstream text;
-  text << file.rdbuf();
-  std::string out = text.str();
-  Replace(out, "127.0.0.1:3868", FreeAddress());
-  return out;
-}
+inline std::string ExampleFile() { return ExampleDiameterFile(FreeAddress()); }
 
 // A connection to the sidecar over which the test says what it likes.
 class RawPeer {
