Diameter over TLS on a port of its own, with the certificate's name held to Origin-Host

Need: back offices come over networks that are not the store's own.

Change: a connection over OpenSSL behind the same interface as the plain one; both sides' certificates are required, the name is checked against Origin-Host at CER and against the dialled server's name.

--- a/src/diameter/io/node.cpp
+++ b/src/diameter/io/node.cpp
@@ -1,10 +1,12 @@
 #include "diameter/io/node.hpp"
 
 #include <boost/asio/ip/address.hpp>
+#include <optional>
 #include <stdexcept>
 #include <utility>
 
 #include "diameter/io/messages.hpp"
+#include "diameter/io/tls.hpp"
 #include "net/address.hpp"
 
 namespace merlinrun::diameter {
@@ -80,12 +82,17 @@
   const Connection::Limits connection = ConnectionLimits(application_);
   if (!application_.listen.empty())
     listeners_.push_back({AddressOf(application_.listen), PlainWrap(connection)});
+  std::optional<Tls> tls;
+  if (!application_.tls.certificate.empty()) tls.emplace(io, application_.tls, connection);
+  if (!application_.tls_listen.empty())
+    listeners_.push_back({AddressOf(application_.tls_listen), tls->Wrap()});
   Upstream::Limits upstream;
   upstream.connect = limits.dial_timeout > 0 ? limits.dial_timeout : kConnect;
   upstream.connections = limits.server_connections;
   upstream.connection = connection;
   upstream_ = std::make_unique<Upstream>(
-      loop, application_, identity_, upstream, seed, PlainConnector(io, connection),
+      loop, application_, identity_, upstream, seed,
+      application_.servers_tls ? tls->Connector() : PlainConnector(io, connection),
       [this, changed = std::move(usable_changed)](const std::string& server, bool usable) {
         usable ? void(unusable_.erase(server)) : void(unusable_.insert(server));
         changed(server);
--- a/tests/rig/fixture.hpp
+++ b/tests/rig/fixture.hpp
@@ -38,15 +38,15 @@
 class RawPeer {
  public:
   RawPeer(World& world, const Tcp::endpoint& sidecar, const std::string& host, std::uint32_t state_id = 1)
-      : world_(world) {
+      : RawPeer(world, Connected(world, sidecar), host, state_id) {}
+  RawPeer(World& world, diameter::ConnectionPtr connection, const std::string& host,
+          std::uint32_t state_id = 1)
+      : world_(world), connection_(std::move(connection)) {
     identity.host = host;
     identity.realm = "franchise.example";
     identity.state_id = state_id;
     identity.addresses = {diameter::AddressData(std::string("\177\0\0\1", 4))};
     identity.applications = {world.application.id};
-    Tcp::socket socket(world.io);
-    socket.connect(sidecar);
-    connection_ = diameter::Connection::Plain(std::move(socket), {});
     Listen();
   }
   ~RawPeer() { connection_->Close(); }
@@ -113,8 +113,13 @@
   bool broken = false;
 
  private:
+  static diameter::ConnectionPtr Connected(World& world, const Tcp::endpoint& sidecar) {
+    Tcp::socket socket(world.io);
+    socket.connect(sidecar);
+    return diameter::Connection::Plain(std::move(socket), {});
+  }
   World& world_;
-  diameter::ConnectionPtr connection_;
+  const diameter::ConnectionPtr connection_;
   std::uint32_t last_hop_ = 0;
 };
 
