--- a/rig/clients.cpp
+++ b/rig/clients.cpp
@@ -34,6 +34,7 @@
 
 struct HttpClient::Session {
   explicit Session(boost::asio::io_context& io) : socket(io) {}
+  bool over = false;  // its client has another, or is gone
   Tcp::socket socket;
   boost::beast::flat_buffer buffer;
   net::HttpRequest request;
@@ -46,13 +47,16 @@
 
 HttpClient::~HttpClient() {
   ErrorCode ignored;
-  if (session_ != nullptr) session_->socket.close(ignored);
+  if (session_ == nullptr) return;
+  session_->over = true;
+  session_->socket.close(ignored);
 }
 
 void HttpClient::Start() {
+  if (session_ != nullptr) session_->over = true;
   session_ = std::make_shared<Session>(io_);
   session_->socket.async_connect(sidecar_, [this, session = session_](ErrorCode error) {
-    if (error || session != session_) return;
+    if (error || session->over) return;
     ErrorCode ignored;
     session->socket.set_option(Tcp::no_delay(true), ignored);
     Next();
@@ -78,13 +82,14 @@
   session->request.prepare_payload();
   ledger_.Asked(id, *its_class, loop_.Now());
   http::async_write(session->socket, session->request, [this, session, id](ErrorCode error, std::size_t) {
-    if (session != session_) return;
+    if (session->over) return;
     session->response = {};
     if (error) return OnAnswer(session, id);
     http::async_read(session->socket, session->buffer, session->response,
                      [this, session, id](ErrorCode failed, std::size_t) {
+                       if (session->over) return;
                        if (failed) session->response = {};
-                       if (session == session_) OnAnswer(session, id);
+                       OnAnswer(session, id);
                      });
   });
 }
@@ -104,7 +109,7 @@
 
 DiameterClient::DiameterClient(boost::asio::io_context& io, core::Loop& loop, Ledger& ledger,
                                Traffic& traffic, Tcp::endpoint sidecar, std::string host,
-                               std::uint32_t application, std::size_t window)
+                               std::uint32_t application, std::size_t window, std::uint32_t state_id)
     : io_(io),
       loop_(loop),
       ledger_(ledger),
@@ -114,7 +119,8 @@
       window_(window) {
   identity_.host = std::move(host);
   identity_.realm = "franchise.example";
-  identity_.state_id = 1;
+  identity_.state_id = state_id;
+  last_end_ = state_id << 20;
   identity_.addresses = {diameter::AddressData(std::string("\177\0\0\1", 4))};
   identity_.applications = {application};
 }
--- a/rig/clients.hpp
+++ b/rig/clients.hpp
@@ -66,7 +66,8 @@
 class DiameterClient {
  public:
   DiameterClient(boost::asio::io_context& io, core::Loop& loop, Ledger& ledger, Traffic& traffic,
-                 Tcp::endpoint sidecar, std::string host, std::uint32_t application, std::size_t window);
+                 Tcp::endpoint sidecar, std::string host, std::uint32_t application, std::size_t window,
+                 std::uint32_t state_id = 1);
   ~DiameterClient();
   void Start();
   // Dies with its connection, and is back at once with a new Origin-State-Id; what had no answer is sent
--- a/rig/demo.cpp
+++ b/rig/demo.cpp
@@ -1,16 +1,9 @@
 // Shows that it works: stand-in servers, a real sidecar process, some seconds of traffic over HTTP and
 // Diameter, a server killed in the midst of it with a port begun, another drained, a back office restarted;
 // then what became of each class, and what the ledger says. Exit status 0 if no rule was broken.
-#include <spawn.h>
-#include <sys/wait.h>
-#include <unistd.h>
-
-#include <csignal>
 #include <cstdio>
-#include <cstdlib>
-#include <filesystem>
-#include <fstream>
 
+#include "rig/process.hpp"
 #include "rig/world.hpp"
 
 namespace merlinrun::rig {
@@ -20,54 +13,6 @@
 constexpr std::uint64_t kRequests = 20'000;
 constexpr int kHttpClients = 16;
 
-// A sidecar as a process of its own, with its files in a folder of its own. Ended with the object.
-class Sidecar {
- public:
-  Sidecar(const std::string& program, const World& world, const std::string& diameter_file,
-          std::string listen)
-      : folder_(std::filesystem::temp_directory_path() /
-                ("fennelhollow-demo-" + std::to_string(::getpid()))) {
-    std::filesystem::create_directory(folder_);
-    std::ofstream(folder_ / "config.json") << world.Config();
-    std::ofstream(folder_ / "diameter.toml") << diameter_file;
-    std::vector<std::string> environment = {"EDGE_CONFIG=" + (folder_ / "config.json").string(),
-                                            "EDGE_DIAMETER=" + (folder_ / "diameter.toml").string(),
-                                            "EDGE_LISTEN=" + std::move(listen)};
-    std::vector<char*> pointers;
-    for (std::string& variable : environment) pointers.push_back(variable.data());
-    pointers.push_back(nullptr);
-    std::string name = program;
-    char* arguments[] = {name.data(), nullptr};
-    if (::posix_spawn(&pid_, program.c_str(), nullptr, nullptr, arguments, pointers.data()) != 0) pid_ = -1;
-  }
-  ~Sidecar() {
-    if (pid_ > 0) {
-      ::kill(pid_, SIGKILL);
-      ::waitpid(pid_, nullptr, 0);
-    }
-    std::filesystem::remove_all(folder_);
-  }
-  Sidecar(const Sidecar&) = delete;
-  Sidecar& operator=(const Sidecar&) = delete;
-  bool runs() const { return pid_ > 0 && ::waitpid(pid_, nullptr, WNOHANG) == 0; }
-
- private:
-  std::filesystem::path folder_;
-  pid_t pid_ = -1;
-};
-
-Tcp::endpoint At(const std::string& address) {
-  const auto port = std::stoi(address.substr(address.find(':') + 1));
-  return {boost::asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(port)};
-}
-
-bool Accepts(World& world, const Tcp::endpoint& address) {
-  Tcp::socket socket(world.io);
-  boost::system::error_code error;
-  socket.connect(address, error);
-  return !error;
-}
-
 void Print(const Ledger& ledger, Micros now) {
   std::printf("\n%-12s %7s %7s %8s %7s %7s %9s %9s\n", "class", "asked", "served", "refused", "failed", "ran",
               "p50 ms", "p99 ms");
@@ -85,10 +30,8 @@
   const std::string diameter = FreeAddress();
   const std::string file = ExampleDiameterFile(diameter);
   World world(ShortClasses(), kServers, {}, file);
-  const Sidecar sidecar(program, world, file, http);
-  if (!world.RunUntil([&] { return Accepts(world, At(http)) && Accepts(world, At(diameter)); },
-                      std::chrono::seconds(10)) ||
-      !sidecar.runs()) {
+  const Process sidecar(program, world, file, http);
+  if (!WaitFor(world, At(http)) || !WaitFor(world, At(diameter)) || !sidecar.runs()) {
     std::fprintf(stderr, "demo: the sidecar does not come up\n");
     return 1;
   }
--- /dev/null
+++ b/rig/process.cpp
@@ -0,0 +1,87 @@
+#include "rig/process.hpp"
+
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <csignal>
+#include <fstream>
+#include <sstream>
+#include <vector>
+
+namespace merlinrun::rig {
+namespace {
+
+std::filesystem::path NewFolder() {
+  static std::atomic<int> count = 0;
+  const auto folder = std::filesystem::temp_directory_path() /
+                      ("fennelhollow-rig-" + std::to_string(::getpid()) + "-" + std::to_string(++count));
+  std::filesystem::create_directory(folder);
+  return folder;
+}
+
+}  // namespace
+
+Tcp::endpoint At(const std::string& address) {
+  const auto port = std::stoi(address.substr(address.find(':') + 1));
+  return {boost::asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(port)};
+}
+
+Process::Process(const std::string& program, const World& world, const std::string& diameter_file,
+                 std::string listen)
+    : folder_(NewFolder()) {
+  std::ofstream(folder_ / "config.json") << world.Config();
+  std::ofstream(folder_ / "diameter.toml") << diameter_file;
+  std::vector<std::string> environment = {"EDGE_CONFIG=" + (folder_ / "config.json").string(),
+                                          "EDGE_LISTEN=" + std::move(listen)};
+  if (!diameter_file.empty()) environment.push_back("EDGE_DIAMETER=" + (folder_ / "diameter.toml").string());
+  std::vector<char*> pointers;
+  for (std::string& variable : environment) pointers.push_back(variable.data());
+  pointers.push_back(nullptr);
+  std::string name = program;
+  char* arguments[] = {name.data(), nullptr};
+  if (::posix_spawn(&pid_, program.c_str(), nullptr, nullptr, arguments, pointers.data()) != 0) pid_ = -1;
+}
+
+Process::~Process() {
+  if (pid_ > 0) {
+    ::kill(pid_, SIGKILL);
+    ::waitpid(pid_, nullptr, 0);
+  }
+  std::filesystem::remove_all(folder_);
+}
+
+bool Process::runs() const { return pid_ > 0 && ::waitpid(pid_, nullptr, WNOHANG) == 0; }
+
+double Process::cpu() const {
+  std::ifstream file("/proc/" + std::to_string(pid_) + "/stat");
+  std::string text((std::istreambuf_iterator<char>(file)), {});
+  std::istringstream fields(text.substr(text.rfind(')') + 2));
+  std::string skipped;
+  for (int i = 0; i < 11; ++i) fields >> skipped;  // up to the 14th field, utime (proc(5))
+  double user = 0;
+  double system = 0;
+  fields >> user >> system;
+  return (user + system) * 1e6 / static_cast<double>(::sysconf(_SC_CLK_TCK));
+}
+
+long Process::memory() const {
+  std::ifstream file("/proc/" + std::to_string(pid_) + "/status");
+  for (std::string line; std::getline(file, line);)
+    if (line.rfind("VmRSS:", 0) == 0) return std::stol(line.substr(6));
+  return 0;
+}
+
+bool WaitFor(World& world, const Tcp::endpoint& address) {
+  return world.RunUntil(
+      [&] {
+        Tcp::socket socket(world.io);
+        boost::system::error_code error;
+        socket.connect(address, error);
+        return !error;
+      },
+      std::chrono::seconds(10));
+}
+
+}  // namespace merlinrun::rig
