--- a/src/diameter/io/node.cpp
+++ b/src/diameter/io/node.cpp
@@ -19,7 +19,7 @@
 constexpr std::size_t kOtherSockets = 8;
 
 Tcp::endpoint AddressOf(const std::string& text) {
-  const auto address = net::ParseAddress(text);
+  const auto address = net::ParseAddress(text, /*to_listen_on=*/true);
   if (!address) throw std::invalid_argument("diameter: '" + text + "': not an address with a port");
   return *address;
 }
--- a/src/net/address.hpp
+++ b/src/net/address.hpp
@@ -11,8 +11,9 @@
 
 namespace merlinrun::net {
 
-// "127.0.0.1:80"; empty if it is anything else.
-inline std::optional<boost::asio::ip::tcp::endpoint> ParseAddress(std::string_view text) {
+// "127.0.0.1:80"; empty if it is anything else. To listen on, port 0 leaves the choice to the kernel.
+inline std::optional<boost::asio::ip::tcp::endpoint> ParseAddress(std::string_view text,
+                                                                  bool to_listen_on = false) {
   const std::size_t colon = text.rfind(':');
   if (colon == std::string_view::npos) return std::nullopt;
   boost::system::error_code bad;
@@ -20,7 +21,7 @@
   std::uint16_t port = 0;
   const char* const last = text.data() + text.size();
   const auto [end, error] = std::from_chars(text.data() + colon + 1, last, port);
-  if (bad || error != std::errc() || end != last || port == 0) return std::nullopt;
+  if (bad || error != std::errc() || end != last || (port == 0 && !to_listen_on)) return std::nullopt;
   return boost::asio::ip::tcp::endpoint(host, port);
 }
 
--- a/tests/rig/fixture.hpp
+++ b/tests/rig/fixture.hpp
@@ -32,7 +32,7 @@
 
 inline Tcp::endpoint Loopback() { return {boost::asio::ip::make_address("127.0.0.1"), 0}; }
 
-inline std::string ExampleFile() { return ExampleDiameterFile(FreeAddress()); }
+inline std::string ExampleFile() { return ExampleDiameterFile("127.0.0.1:0"); }
 
 // A connection to the sidecar over which the test says what it likes.
 class RawPeer {
--- a/tests/rig/tls_test.cpp
+++ b/tests/rig/tls_test.cpp
@@ -16,7 +16,7 @@
   void BuildWithTls() {
     const auto files = certificates.Make("n0.sidecars.example");
     std::string file = ExampleFile();
-    Replace(file, "# tls_listen = \"127.0.0.1:5868\"", "tls_listen = \"" + FreeAddress() + "\"");
+    Replace(file, "# tls_listen = \"127.0.0.1:5868\"", "tls_listen = \"127.0.0.1:0\"");
     Replace(file, "# [tls]", "[tls]");
     Replace(file, "# certificate = \"deploy/tls/sidecar.pem\"",
             "certificate = \"" + files.certificate + "\"");
