--- a/rig/server.cpp
+++ b/rig/server.cpp
@@ -36,6 +36,19 @@
   std::string token;
   Fault fault = Fault::kNone;
   bool gone = false;  // its client has closed: what has not begun never does
+
+  // To whoever is still there; what it calls may let go of it.
+  void Answer(Fault how, const std::string& its_token) {
+    const auto call = std::exchange(answer, nullptr);
+    if (!gone && call) call(how, its_token);
+    decline = nullptr;
+  }
+  // Lets go of the session, which holds on to this.
+  void Leave() {
+    gone = true;
+    answer = nullptr;
+    decline = nullptr;
+  }
 };
 
 // ---- HTTP ----
@@ -51,7 +64,7 @@
                      [self = shared_from_this()](ErrorCode error, std::size_t) { self->OnRead(error); });
   }
   void Kill() {
-    if (work_ != nullptr) work_->gone = true;
+    if (work_ != nullptr) work_->Leave();
     dead_ = true;
     Reset(socket_);
   }
@@ -99,7 +112,7 @@
   }
   void End() {
     if (std::exchange(dead_, true)) return;
-    if (work_ != nullptr) work_->gone = true;
+    if (work_ != nullptr) work_->Leave();
     ErrorCode ignored;
     socket_.close(ignored);
     owner_.http_.erase(number_);
@@ -135,7 +148,7 @@
   }
   void Kill() {
     dead_ = true;
-    for (const auto& work : works_) work->gone = true;
+    for (const auto& work : std::exchange(works_, {})) work->Leave();
     connection_->Reset();
   }
 
@@ -209,7 +222,7 @@
   }
   void End() {
     if (std::exchange(dead_, true)) return;
-    for (const auto& work : works_) work->gone = true;
+    for (const auto& work : std::exchange(works_, {})) work->Leave();
     const auto self = shared_from_this();
     connection_->Close();
     owner_.diameter_.erase(number_);
@@ -354,7 +367,7 @@
     const auto seen = centre_.keys.find(work->key);
     if (seen != centre_.keys.end() && loop_.Now() < seen->second.at + centre_.window) {
       const std::string token = seen->second.token;  // dropped: it is answered as the first was
-      return loop_.After(0, [work, token] { work->answer(Fault::kNone, token); });
+      return loop_.After(0, [work, token] { work->Answer(Fault::kNone, token); });
     }
   }
   if (busy_ < options_.cores) return Run(work);
@@ -379,8 +392,7 @@
   --busy_;
   std::erase(running_, work);
   ledger_.Ended(work->id);
-  if (!work->gone) work->answer(work->fault, work->token);
-  work->answer = nullptr;
+  work->Answer(work->fault, work->token);
   while (busy_ < options_.cores && !queue_.empty()) {
     const auto next = queue_.front();
     queue_.pop_front();
--- a/src/diameter/application_file.cpp
+++ b/src/diameter/application_file.cpp
@@ -50,7 +50,7 @@
     return Has(key) ? Text(key) : otherwise;
   }
   std::string Identity(std::string_view key) const {
-    const std::string value = Text(key);
+    std::string value = Text(key);
     if (!Fits(Format::kIdentity, value)) Reject(key, "'" + value + "' is no DiameterIdentity");
     return value;
   }
--- a/src/diameter/io/front.cpp
+++ b/src/diameter/io/front.cpp
@@ -128,8 +128,8 @@
   port.acceptor.async_accept([this, &port](ErrorCode error, Tcp::socket socket) {
     if (error == boost::asio::error::operation_aborted) return;
     if (!error)
-      port.wrap(std::move(socket), [this](ConnectionPtr connection) {
-        if (connection != nullptr) Greet(std::move(connection));
+      port.wrap(std::move(socket), [this](const ConnectionPtr& connection) {
+        if (connection != nullptr) Greet(connection);
       });
     if (!port.acceptor.is_open()) return;
     if (!error || error == boost::asio::error::connection_aborted) return Accept(port);
@@ -142,7 +142,7 @@
 
 // Waits for the CER of a new connection. Guards against connections that say nothing: they are few, and the
 // one that has said nothing for longest makes room for the next.
-void Front::Greet(ConnectionPtr connection) {
+void Front::Greet(const ConnectionPtr& connection) {
   if (strangers_.size() >= limits_.strangers) {
     strangers_.begin()->second->connection->Close();
     strangers_.erase(strangers_.begin());
--- a/src/diameter/io/front.hpp
+++ b/src/diameter/io/front.hpp
@@ -64,7 +64,7 @@
   struct Port;
 
   void Accept(Port& port);
-  void Greet(ConnectionPtr connection);
+  void Greet(const ConnectionPtr& connection);
   void OnIntroduction(std::uint64_t stranger, std::string_view frame);
   void TurnAway(std::uint64_t stranger, const Header& header, std::string_view avps, const Fault& fault);
   void OnRequest(Client& client, Message request);
--- a/src/net/asio_loop.cpp
+++ b/src/net/asio_loop.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/system/system_error.hpp>
 #include <chrono>
 #include <utility>
 
@@ -26,7 +27,10 @@
   ~AsioTimer() override {
     ++state_->turn;
     state_->due = nullptr;
-    state_->timer.cancel();
+    try {
+      state_->timer.cancel();
+    } catch (const boost::system::system_error&) {  // nothing to be called back then
+    }
   }
   AsioTimer(const AsioTimer&) = delete;
   AsioTimer& operator=(const AsioTimer&) = delete;
