Ask the upstream whether a server is usable over Diameter instead of keeping a copy

A server that went down and then restarted under its id stayed in it, as its new peer had nothing to tell, and was never used over Diameter again. Change: the two sets are gone; the upstream's own state of the present server is asked. One test more.

--- a/src/diameter/io/node.cpp
+++ b/src/diameter/io/node.cpp
@@ -90,13 +90,10 @@
   upstream.connect = limits.dial_timeout > 0 ? limits.dial_timeout : kConnect;
   upstream.connections = limits.server_connections;
   upstream.connection = connection;
-  upstream_ = std::make_unique<Upstream>(
-      loop, application_, identity_, upstream, seed,
-      application_.servers_tls ? tls->Connector() : PlainConnector(io, connection),
-      [this, changed = std::move(usable_changed)](const std::string& server, bool usable) {
-        usable ? void(unusable_.erase(server)) : void(unusable_.insert(server));
-        changed(server);
-      });
+  upstream_ =
+      std::make_unique<Upstream>(loop, application_, identity_, upstream, seed,
+                                 application_.servers_tls ? tls->Connector() : PlainConnector(io, connection),
+                                 std::move(usable_changed));
 }
 
 Node::~Node() = default;
@@ -108,16 +105,10 @@
                                    *upstream_, seed_);
 }
 
-void Node::Apply(bool whole, const std::vector<ServerAddress>& servers) {
-  if (whole) speaking_.clear();
-  for (const ServerAddress& server : servers)
-    server.address ? void(speaking_.insert(server.info.id)) : void(speaking_.erase(server.info.id));
-  upstream_->Apply(whole, servers);
-  std::erase_if(unusable_, [this](const std::string& id) { return speaking_.count(id) == 0; });
-}
+void Node::Apply(bool whole, const std::vector<ServerAddress>& servers) { upstream_->Apply(whole, servers); }
 
 unsigned Node::Fronts(const std::string& server) const {
-  return speaking_.count(server) > 0 && unusable_.count(server) == 0 ? 1U << kDiameterFront : 0U;
+  return upstream_->Usable(server) ? 1U << kDiameterFront : 0U;
 }
 
 std::size_t Node::Sockets(const Application& application) {
--- a/src/diameter/io/node.hpp
+++ b/src/diameter/io/node.hpp
@@ -8,7 +8,6 @@
 #include <functional>
 #include <memory>
 #include <string>
-#include <unordered_set>
 #include <vector>
 
 #include "diameter/io/front.hpp"
@@ -51,8 +50,6 @@
   const Identity identity_;
   const std::uint64_t seed_;
   std::vector<Front::Listener> listeners_;
-  std::unordered_set<std::string> speaking_;  // servers that have an address for Diameter
-  std::unordered_set<std::string> unusable_;
   std::unique_ptr<Upstream> upstream_;
   std::unique_ptr<Front> front_;
 };
--- a/src/diameter/io/upstream.cpp
+++ b/src/diameter/io/upstream.cpp
@@ -267,7 +267,7 @@
     });
   }
   if (std::exchange(server.told_usable, usable) == usable) return;
-  loop_.Post([this, id = server.info.id, usable] { on_usable_(id, usable); });
+  loop_.Post([this, id = server.info.id] { on_usable_(id); });
 }
 
 void Upstream::PartIfIdle(Server& server) {
@@ -286,6 +286,11 @@
   return std::nullopt;
 }
 
+bool Upstream::Usable(const std::string& id) const {
+  const auto it = servers_.find(id);
+  return it != servers_.end() && it->second->told_usable;
+}
+
 std::size_t Upstream::open_connections() const {
   return static_cast<std::size_t>(std::count_if(servers_.begin(), servers_.end(), [](const auto& entry) {
     return entry.second->host->peer().state() != Peer::State::kClosed;
--- a/src/diameter/io/upstream.hpp
+++ b/src/diameter/io/upstream.hpp
@@ -34,8 +34,8 @@
   // Opens connections, plain or over TLS.
   using Connector = std::function<std::function<void()>(const Tcp::endpoint&, const std::string& host,
                                                         std::function<void(ConnectionPtr)>)>;
-  // Called from the loop when a server can be reached over Diameter or can't any more.
-  using OnUsable = std::function<void(const std::string& server, bool usable)>;
+  // Called from the loop when the answer of Usable has changed for a server, other than by Apply.
+  using OnUsable = std::function<void(const std::string& server)>;
 
   Upstream(core::Loop& loop, const Application& application, const Identity& self, Limits limits,
            std::uint64_t seed, Connector connector, OnUsable on_usable);
@@ -55,6 +55,8 @@
   std::optional<Peer::Verdict> Adopt(const ConnectionPtr& connection, const Message& cer,
                                      const Remote& remote);
 
+  // Whether requests may be sent to it: it is listed with an address, and not down, suspect or on probation.
+  bool Usable(const std::string& server) const;
   std::size_t open_connections() const;  // those included that are being opened
 
  private:
--- a/tests/rig/server_fault_test.cpp
+++ b/tests/rig/server_fault_test.cpp
@@ -29,6 +29,25 @@
   EXPECT_EQ(Broken(), "");
 }
 
+// Its process is another one: what was found out of the old one, that it is down, is not the new one's.
+TEST_F(ServerFaultTest, ARestartedServerIsUsedOverDiameterAgain) {
+  ServerOptions options;
+  options.cold_for = 100'000;  // so that the list says when it started
+  Build(1, options);
+  Script([](const std::string&, const std::string&) { return Server::Fault::kDie; });
+  auto peer = Raw();
+  EXPECT_EQ(peer->Ask(peer->Request("number-port", 1)), ResultCode::kUnableToComply);
+  Script({});
+  world->servers[0]->Restart();
+  world->discovery.Set(*world->servers[0], "up");
+  world->RunFor(std::chrono::milliseconds(600));  // the module's strike
+  // The module sends a cold server a share of what comes; the rest is refused.
+  ResultCode code = ResultCode::kNone;
+  for (std::uint32_t id = 2; id < 22 && code != ResultCode::kSuccess; ++id)
+    code = peer->Ask(peer->Request("sim-lookup", id));
+  EXPECT_EQ(code, ResultCode::kSuccess);
+}
+
 TEST_F(ServerFaultTest, ASpoiltAnswerIsNeverPassedOn) {
   for (const auto fault : {Server::Fault::kWrongAnswer, Server::Fault::kGarbage, Server::Fault::kCut}) {
     Build(4);
