--- a/rig/server.cpp
+++ b/rig/server.cpp
@@ -247,8 +247,7 @@
       classes_(classes),
       application_(application),
       options_(std::move(options)) {
-  identity_.host = application.server_host;
-  identity_.host.replace(identity_.host.find("{id}"), 4, options_.id);
+  identity_.host = application.ServerHost(options_.id);
   identity_.realm = application.realms.front();
   identity_.addresses = {diameter::AddressData(std::string("\177\0\0\1", 4))};
   identity_.applications = {application.id};
--- a/src/diameter/application.cpp
+++ b/src/diameter/application.cpp
@@ -53,6 +53,13 @@
   return it == commands.end() ? nullptr : &*it;
 }
 
+std::string Application::ServerHost(std::string_view server) const {
+  constexpr std::string_view kPlace = "{id}";
+  std::string out = server_host;
+  if (const auto at = out.find(kPlace); at != std::string::npos) out.replace(at, kPlace.size(), server);
+  return out;
+}
+
 std::variant<Reading, Fault> ReadRequest(const Application& application, const Settings& settings,
                                          const Message& request) {
   if (request.header.application != application.id)
--- a/src/diameter/application.hpp
+++ b/src/diameter/application.hpp
@@ -68,6 +68,8 @@
   std::vector<CommandMap> commands;
 
   const CommandMap* FindCommand(std::uint32_t code) const;
+  // The Origin-Host of the server that discovery lists under this id.
+  std::string ServerHost(std::string_view server) const;
 };
 
 // Reads the file's text. `settings` names the classes that a command may be fixed to; `name` is the sidecar's
--- a/src/diameter/application_file.cpp
+++ b/src/diameter/application_file.cpp
@@ -159,8 +159,7 @@
   const Section servers = root.Table("servers");
   servers.Allow({"host", "tls"});
   out.server_host = servers.Text("host");
-  std::string example = out.server_host;
-  Replace(example, "{id}", "s-1");
+  const std::string example = out.ServerHost("s-1");
   if (example == out.server_host || !Fits(Format::kIdentity, example))
     servers.Reject("host", "a DiameterIdentity with {id} in it is needed");
   out.servers_tls = servers.Flag("tls", false);
--- a/src/diameter/io/front.cpp
+++ b/src/diameter/io/front.cpp
@@ -1,7 +1,5 @@
 #include "diameter/io/front.hpp"
 
-#include <algorithm>
-#include <cctype>
 #include <chrono>
 #include <cstdio>
 #include <utility>
@@ -17,13 +15,6 @@
 constexpr auto kAcceptPause = std::chrono::milliseconds(50);
 constexpr double kMicrosASecond = 1e6;
 
-std::string Lower(std::string_view text) {
-  std::string out(text);
-  std::transform(out.begin(), out.end(), out.begin(),
-                 [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-  return out;
-}
-
 }  // namespace
 
 struct Front::Port {
@@ -106,7 +97,7 @@
     auto client = std::make_unique<Client>();
     client->host = rule.host;
     client->tls = rule.tls;
-    clients_[Lower(rule.host)] = std::move(client);
+    clients_[LowerName(rule.host)] = std::move(client);
   }
   for (const Listener& listener : listeners) {
     ports_.push_back(std::make_unique<Port>(io, listener));
@@ -194,7 +185,7 @@
   const ConnectionPtr connection = it->second->connection;
   if (!connection->MayBe(remote.host))
     return away({ResultCode::kUnknownPeer, {}, "the certificate is another host's"});
-  const auto client = clients_.find(Lower(remote.host));
+  const auto client = clients_.find(LowerName(remote.host));
   if (client != clients_.end() && client->second->tls && !connection->tls())
     return away({ResultCode::kNoCommonSecurity, {}, "this peer has to use TLS"});
   std::optional<Peer::Verdict> verdict;
@@ -269,7 +260,7 @@
     return say(ResultCode::kTooBusy, "too many requests at once");
 
   const Reading& reading = std::get<Reading>(read);
-  const RequestKey key{Lower(Find(request.avps, avp::kOriginHost)->data), request.header.end_to_end};
+  const RequestKey key{LowerName(Find(request.avps, avp::kOriginHost)->data), request.header.end_to_end};
   const std::uint64_t digest = DigestOf(request);
   const Recall::Waiter waiter{client.connection, request.header.hop_by_hop, ProxyInfoOf(request)};
   if (Recalled(client, request, key, digest, waiter)) return;
--- a/src/diameter/io/upstream.cpp
+++ b/src/diameter/io/upstream.cpp
@@ -69,8 +69,7 @@
 
 void Upstream::Begin(Server& server) {
   Peer::Settings settings;
-  settings.host = application_.server_host;
-  settings.host.replace(settings.host.find("{id}"), 4, server.info.id);
+  settings.host = application_.ServerHost(server.info.id);
   settings.watchdog = application_.watchdog;
   settings.connect = limits_.connect;
   settings.seed = random_();
@@ -278,11 +277,9 @@
 
 std::optional<Peer::Verdict> Upstream::Adopt(const ConnectionPtr& connection, const Message& cer,
                                              const Remote& remote) {
-  for (const auto& [id, server] : servers_) {
-    std::string name = application_.server_host;
-    name.replace(name.find("{id}"), 4, id);
-    if (SameName(name, remote.host)) return server->host->Adopt(connection, cer, remote);
-  }
+  for (const auto& [id, server] : servers_)
+    if (SameName(application_.ServerHost(id), remote.host))
+      return server->host->Adopt(connection, cer, remote);
   return std::nullopt;
 }
 
--- a/src/diameter/messages.cpp
+++ b/src/diameter/messages.cpp
@@ -1,6 +1,7 @@
 #include "diameter/messages.hpp"
 
 #include <algorithm>
+#include <cctype>
 
 namespace merlinrun::diameter {
 namespace {
@@ -63,8 +64,21 @@
   return !any;
 }
 
+char Small(char c) { return static_cast<char>(std::tolower(static_cast<unsigned char>(c))); }
+
 }  // namespace
 
+std::string LowerName(std::string_view name) {
+  std::string out(name);
+  std::transform(out.begin(), out.end(), out.begin(), Small);
+  return out;
+}
+
+bool SameName(std::string_view a, std::string_view b) {
+  return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                    [](char x, char y) { return Small(x) == Small(y); });
+}
+
 std::string AddressData(std::string_view bytes) {
   std::string out("\0", 1);
   out.push_back(bytes.size() == 4 ? '\1' : '\2');
--- a/src/diameter/messages.hpp
+++ b/src/diameter/messages.hpp
@@ -37,6 +37,11 @@
   std::vector<std::uint32_t> applications;
 };
 
+// A node's name or realm with its letters small: two are the same, and are put in order, without case (RFC
+// 6733, section 4.3.1, DiameterIdentity).
+std::string LowerName(std::string_view name);
+bool SameName(std::string_view a, std::string_view b);
+
 // An address as Host-IP-Address holds it; `bytes` are the 4 or 16 of an IPv4 or IPv6 address.
 std::string AddressData(std::string_view bytes);
 
--- a/src/diameter/peer.cpp
+++ b/src/diameter/peer.cpp
@@ -1,18 +1,11 @@
 #include "diameter/peer.hpp"
 
 #include <algorithm>
-#include <cctype>
 #include <utility>
 
 namespace merlinrun::diameter {
 namespace {
 
-std::string Lower(std::string text) {
-  std::transform(text.begin(), text.end(), text.begin(),
-                 [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-  return text;
-}
-
 // RFC 6733, section 3: the high 12 bits from the time, the low 20 random, so that ids differ across restarts.
 std::uint32_t FirstEndToEnd(std::uint32_t state_id, std::uint64_t seed) {
   return state_id << 20 | static_cast<std::uint32_t>(seed & 0xfffff);
@@ -80,7 +73,7 @@
 }
 
 // Section 5.6.4: the node whose name comes later keeps the connection that the other one opened.
-bool Peer::WinsElection() const { return Lower(self_.host) > Lower(remote_.host); }
+bool Peer::WinsElection() const { return LowerName(self_.host) > LowerName(remote_.host); }
 
 void Peer::Elect(Micros now) {
   state_ = State::kWaitReturns;
@@ -139,7 +132,7 @@
   auto read = ReadCapabilities(self_, dictionary_, cea);
   const Remote* const remote = std::get_if<Remote>(&read);
   const bool good = answers && remote != nullptr && ResultOf(cea) == ResultCode::kSuccess &&
-                    (settings_.host.empty() || Lower(remote->host) == Lower(settings_.host));
+                    (settings_.host.empty() || SameName(remote->host, settings_.host));
   if (good) {
     if (state_ == State::kWaitReturns) sink_.Close(Side::kResponder);
     remote_ = *remote;
@@ -241,7 +234,7 @@
       // CER once more (section 5.3 knows no second exchange): the answer is the same as long as the peer is.
       const auto read = ReadCapabilities(self_, dictionary_, message);
       const Remote* const remote = std::get_if<Remote>(&read);
-      if (remote != nullptr && Lower(remote->host) == Lower(remote_.host))
+      if (remote != nullptr && SameName(remote->host, remote_.host))
         answer(MakeCea(self_, message));
       else
         answer(MakeError(self_, message, {ResultCode::kUnknownPeer, {}, "another peer on one connection"}));
--- a/src/diameter/relay.cpp
+++ b/src/diameter/relay.cpp
@@ -1,15 +1,9 @@
 #include "diameter/relay.hpp"
 
 #include <algorithm>
-#include <cctype>
 
 namespace merlinrun::diameter {
 
-bool SameName(std::string_view a, std::string_view b) {
-  return std::equal(a.begin(), a.end(), b.begin(), b.end(),
-                    [](unsigned char x, unsigned char y) { return std::tolower(x) == std::tolower(y); });
-}
-
 std::optional<Fault> CheckRoute(const Identity& self, const std::vector<std::string>& realms,
                                 const Message& request) {
   AvpReader reader(request.avps);
--- a/src/diameter/relay.hpp
+++ b/src/diameter/relay.hpp
@@ -43,8 +43,6 @@
 // The request's Proxy-Info AVPs, as they came.
 std::string ProxyInfoOf(const Message& request);
 
-bool SameName(std::string_view a, std::string_view b);  // without case
-
 }  // namespace merlinrun::diameter
 
 #endif  // MERLINRUN_DIAMETER_RELAY_HPP_
