--- a/include/merlinrun/balancer.hpp
+++ b/include/merlinrun/balancer.hpp
@@ -54,6 +54,29 @@
   double quota_per_s = 0;  // requests a second over all sidecars; 0 = no limit
 };
 
+// Figures of the decisions themselves, the same for every deployment. They are here to be compared by the
+// fleet model; what the design fixes (full jitter, the doubling wait) is left only to measure what it is
+// worth.
+struct Tuning {
+  // Servers in the window. Few enough that each server holds connections from few sidecars, enough to leave a
+  // choice.
+  std::size_t window_width = 3;
+  // A busy sidecar's window is wider: this many servers for each attempt it lately had out at once.
+  double servers_per_out = 0.25;
+  // The wait before attempt n+1 is random(0, min(cap, base * 2^n)).
+  Micros retry_base = 100'000;
+  Micros retry_cap = 30'000'000;
+  double jitter = 1;  // the share of the wait that chance decides, 0 to 1
+  // From out_from times the attempts that a busy sidecar usually has out at each server less is let in, down
+  // to the least at out_full. Twice the square root of what is usual, for those that have just enough, is
+  // chance and no pressure: 1.4.
+  double out_from = 1.4;
+  double out_full = 2.0;
+  // At most this part of the window is left alone at once: a slowdown that all share must not empty it. 0:
+  // none is ever left alone.
+  double most_away = 0.5;
+};
+
 // What a deployment states at the start. Every figure that depends on the deployment comes from here.
 struct Settings {
   std::vector<RequestClass> classes;
@@ -109,6 +132,7 @@
   double goal_worst_tenant = 0;
   bool worth_by_work = false;
   double over_share_worth = 1;
+  Tuning tuning;
 };
 
 struct ServerInfo {
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -19,16 +19,8 @@
 constexpr Micros kMillisecond = 1000;
 constexpr Micros kSecond = 1000 * kMillisecond;
 
-// Servers in the window. Few enough that each server holds connections from few sidecars, enough to leave a
-// choice.
-constexpr std::size_t kWindowWidth = 3;
-// A busy sidecar's window is wider: this many servers for each attempt it lately had out at once.
-constexpr double kServersPerOut = 0.25;
-// The same where open connections cost nothing. 0.25 to 2 were tried.
+// Tuning::servers_per_out where open connections cost nothing. 0.25 to 2 were tried.
 constexpr double kServersPerOutFree = 1;
-// The wait before attempt n+1 is random(0, min(cap, base * 2^n)).
-constexpr Micros kRetryBase = 100 * kMillisecond;
-constexpr Micros kRetryCap = 30 * kSecond;
 // The design's stop; the deployment may set a lower limit.
 constexpr int kMaxAttempts = 5;
 // Draws from the window before it is searched from end to end: bounds the work of an ordinary choice.
@@ -66,13 +58,9 @@
 constexpr double kBusyFrom = 32;
 constexpr double kBusyFull = 48;
 constexpr double kUsualMemory = 30;
-// A sidecar that usually has kSteadyOut attempts out or more has a concurrency limit besides: from kOutFrom
-// times the attempts that it usually has out at each server less is let in, down to the least at kOutFull.
-// Twice the square root of what is usual, for those that have just enough, is chance and no pressure: 1.4.
-constexpr double kOutFrom = 1.4;
-constexpr double kOutFull = 2.0;
-// Answers over which it learns what is usual, and how many it takes to begin. Over 1,000 an overload of ten
-// seconds, in which admission goes up and down, taught it a third more.
+// A sidecar that usually has kSteadyOut attempts out or more has a concurrency limit besides, from
+// Tuning::out_from to out_full. Answers over which it learns what is usual, and how many it takes to begin.
+// Over 1,000 an overload of ten seconds, in which admission goes up and down, taught it a third more.
 constexpr double kOutMemory = 5000;
 constexpr double kOutLearnt = 500;
 // One good answer recovers no more than it would at this level: servers that choked recover only if they are
@@ -94,7 +82,7 @@
 // chance a gap of four times that comes once in fifty.
 constexpr double kSilence = 4;
 // A server that fails to connect, resets, times out or lets a request outlive its aim is left alone for
-// random(0, min(kRetryCap, base * 2^n)), n being such events in a row: the request's own wait, applied to a
+// random(0, min(retry cap, base * 2^n)), n being such events in a row: the request's own wait, applied to a
 // server.
 constexpr Micros kServerBase = 500 * kMillisecond;
 // From this share on a class counts as turned away by a server.
@@ -106,8 +94,6 @@
 constexpr double kRefusalMost = 0.95;
 // The same for errors, which one answer in a thousand is anywhere: one alone must not count for much.
 constexpr double kErrorMemory = 4;
-// At most this part of the window is left alone at once: a slowdown that all share must not empty it.
-constexpr double kMostAway = 0.5;
 // From this price of a crossing on (share of the result) servers of other zones serve only what their own
 // zone's cannot; below it a choice from all servers gains more than the crossings cost.
 constexpr double kCrossingPriced = 0.05;
@@ -133,8 +119,8 @@
 // servers takes a longer run of the ring, by its own traffic and never by the fleet's size: else a few busy
 // callers choke the servers of their windows while others idle.
 std::size_t Width(const Pool& pool, const Settings& set) {
-  const double per_out = set.price_connection > 0 ? kServersPerOut : kServersPerOutFree;
-  return std::min(std::max(kWindowWidth, static_cast<std::size_t>(per_out * pool.out_peak)),
+  const double per_out = set.price_connection > 0 ? set.tuning.servers_per_out : kServersPerOutFree;
+  return std::min(std::max(set.tuning.window_width, static_cast<std::size_t>(per_out * pool.out_peak)),
                   pool.ring.size());
 }
 
@@ -345,7 +331,8 @@
   double Room(const Pool& pool) const {
     if (!pool.limited) return 1;
     const double over = pool.out / (pool.out_each * static_cast<double>(pool.ring.size()));
-    return std::clamp((kOutFull - over) / (kOutFull - kOutFrom), kAdmitLeast, 1.0);
+    const Tuning& t = set_.tuning;
+    return std::clamp((t.out_full - over) / (t.out_full - t.out_from), kAdmitLeast, 1.0);
   }
 
   static void LearnOut(Pool& pool) {
@@ -497,8 +484,8 @@
     const std::size_t width = Width(pool, set_);
     std::size_t away = 0;
     for (std::size_t i = 0; i < width; ++i) away += Away(pool.InWindow(i));
-    if (static_cast<double>(away + 1) > kMostAway * static_cast<double>(width)) return;
-    server.away_until = now_ + random_.Upto(Doubled(kServerBase, server.strikes++, kRetryCap));
+    if (static_cast<double>(away + 1) > set_.tuning.most_away * static_cast<double>(width)) return;
+    server.away_until = now_ + random_.Upto(Doubled(kServerBase, server.strikes++, set_.tuning.retry_cap));
   }
 
   // A server in its wait, or with its one trial attempt out.
@@ -621,7 +608,10 @@
   void Wait(HeldIt it) {
     Held& held = it->second;
     const int n = held.refusals++;
-    const Micros wait = random_.Upto(Doubled(kRetryBase, n, kRetryCap));
+    const Tuning& t = set_.tuning;
+    const auto most = static_cast<double>(Doubled(t.retry_base, n, t.retry_cap));
+    const Micros wait =
+        static_cast<Micros>(most * (1 - t.jitter)) + random_.Upto(static_cast<Micros>(most * t.jitter));
     const int limit = std::min(kMaxAttempts, set_.max_attempts);
     if (held.refusals >= limit || now_ + wait + set_.tick >= held.deadline || !MayRepeat(held))
       return End(it);
@@ -723,6 +713,10 @@
     if (!(c.worth >= 0)) error = "negative worth in class " + c.name;
   }
   if (s.max_attempts < 1) error = "max_attempts under 1";
+  if (s.tuning.window_width < 1 || s.tuning.retry_base < 0 || s.tuning.retry_cap < 0)
+    error = "tuning: below its least";
+  if (!(s.tuning.jitter >= 0 && s.tuning.jitter <= 1)) error = "tuning: jitter outside [0, 1]";
+  if (!(s.tuning.out_full > s.tuning.out_from)) error = "tuning: out_full not above out_from";
   if (s.siblings < 1 || s.rank >= s.siblings) error = "rank outside the number of sidecars";
   if (!(s.cold_share > 0 && s.cold_share <= 1)) error = "cold_share outside (0, 1]";
   if (!(s.overload_factor > 0)) error = "overload_factor not above 0";
