Let a side of the fleet model be another build's adapter program

One that ends, hangs, or answers what is no reply is a fault of its side and a result of the comparison.

--- a/model/events.hpp
+++ b/model/events.hpp
@@ -15,11 +15,12 @@
 
 struct Event {
   Micros at = 0;
-  std::uint64_t order = 0;  // set by the queue
-  std::uint32_t kind = 0;
+  std::uint64_t tag = 0;  // its kind, below 256; above it the queue puts the order
   std::uint32_t a = 0;
-  std::uint64_t b = 0;
+  std::uint32_t b = 0;
+  std::uint32_t kind() const { return static_cast<std::uint32_t>(tag & 255); }
 };
+static_assert(sizeof(Event) == 24);  // they are moved much
 
 class EventQueue {
  public:
@@ -31,7 +32,7 @@
 
   // No earlier than what was taken last.
   void Push(Event event) {
-    event.order = ++last_order_;
+    event.tag |= ++last_order_ << 8;
     ++size_;
     const std::int64_t bucket = event.at >> shift_;
     if (bucket <= bucket_) {
@@ -61,9 +62,7 @@
  private:
   static constexpr std::int64_t kBuckets = 4096;
   static constexpr std::int64_t kMask = kBuckets - 1;
-  static bool Before(const Event& x, const Event& y) {
-    return x.at != y.at ? x.at < y.at : x.order < y.order;
-  }
+  static bool Before(const Event& x, const Event& y) { return x.at != y.at ? x.at < y.at : x.tag < y.tag; }
   struct Later {
     bool operator()(const Event& x, const Event& y) const { return Before(y, x); }
   };
--- a/model/random.hpp
+++ b/model/random.hpp
@@ -54,19 +54,26 @@
   }
   const double s = (m - 1) / (m + 1);
   const double s2 = s * s;
+  // The odd numbers' reciprocals; the next term is under 1e-17.
+  constexpr double kTerms[] = {1.0 / 21, 1.0 / 19, 1.0 / 17, 1.0 / 15, 1.0 / 13, 1.0 / 11,
+                               1.0 / 9,  1.0 / 7,  1.0 / 5,  1.0 / 3,  1.0};
   double sum = 0;
-  for (int n = 21; n >= 1; n -= 2) sum = sum * s2 + 1.0 / n;
+  for (const double term : kTerms) sum = sum * s2 + term;
   return exponent * kLn2 + 2 * s * sum;
 }
 
 // e to the x, for x within +-700, by Taylor's series after reduction by powers of two.
 inline double Exp(double x) {
   constexpr double kLn2 = 0.6931471805599453094;
-  const double k = std::floor(x / kLn2 + 0.5);
+  const double k = std::floor(x * (1 / kLn2) + 0.5);
   const double r = x - k * kLn2;
-  double sum = 1;
-  for (int n = 14; n >= 1; --n) sum = 1 + sum * r / n;
-  return std::ldexp(sum, static_cast<int>(k));
+  // The factorials' reciprocals, from 13 down.
+  constexpr double kTerms[] = {
+      1.0 / 6227020800, 1.0 / 479001600, 1.0 / 39916800, 1.0 / 3628800, 1.0 / 362880, 1.0 / 40320, 1.0 / 5040,
+      1.0 / 720,        1.0 / 120,       1.0 / 24,       1.0 / 6,       1.0 / 2,      1.0,         1.0};
+  double sum = 0;
+  for (const double term : kTerms) sum = sum * r + term;
+  return sum * std::bit_cast<double>(static_cast<std::uint64_t>(1023 + static_cast<std::int64_t>(k)) << 52);
 }
 
 class Draws {
--- a/model/side.cpp
+++ b/model/side.cpp
@@ -5,6 +5,8 @@
 #include <cstdio>
 #include <iterator>
 
+#include "model/adapter.hpp"
+
 namespace merlinrun::model {
 namespace {
 
@@ -17,6 +19,7 @@
   const char* text;
   double (*get)(const Side&);
   void (*set)(Side&, double);
+  bool tuning = true;  // of the module, and so of this build alone
 };
 
 constexpr Setting kSettings[] = {
@@ -41,10 +44,11 @@
     {"most_away", 0, 1, "share of the window that may be left alone; 0: no outlier ejection",
      [](const Side& s) { return s.tuning.most_away; }, [](Side& s, double v) { s.tuning.most_away = v; }},
     {"cold_care", 0, 1, "0: not told that servers start cold",
-     [](const Side& s) { return s.cold_care ? 1.0 : 0.0; }, [](Side& s, double v) { s.cold_care = v != 0; }},
+     [](const Side& s) { return s.cold_care ? 1.0 : 0.0; }, [](Side& s, double v) { s.cold_care = v != 0; },
+     false},
     {"salt", 0, 1e9, "of the sidecars' own chance: sides that differ in it alone are equal",
      [](const Side& s) { return static_cast<double>(s.salt); },
-     [](Side& s, double v) { s.salt = static_cast<std::uint64_t>(v); }},
+     [](Side& s, double v) { s.salt = static_cast<std::uint64_t>(v); }, false},
 };
 
 bool IsName(std::string_view text) {
@@ -54,8 +58,17 @@
   });
 }
 
+// The program of a side that is another build.
+constexpr std::string_view kProgram = "program=";
+
 // Sets what "setting=value" says; what is wrong with it, or nothing.
 std::string Set(std::string_view item, Side& side) {
+  if (item.substr(0, kProgram.size()) == kProgram) {
+    const std::string program(item.substr(kProgram.size()));
+    if (program.empty()) return "program: a path is needed";
+    side.make = [program](Actions& actions) { return Adapter(actions, program); };
+    return "";
+  }
   const auto equals = item.find('=');
   const std::string_view name = item.substr(0, equals);
   const auto* const setting = std::find_if(std::begin(kSettings), std::end(kSettings),
@@ -91,12 +104,17 @@
     if (!wrong.empty()) return fail(wrong);
     rest = comma == std::string_view::npos ? "" : rest.substr(comma + 1);
   }
+  // The wire has no names for the module's tuning: guards against a comparison of what was never set.
+  const bool other = text.find(kProgram) != std::string_view::npos;
+  if (other && std::any_of(std::begin(kSettings), std::end(kSettings),
+                           [&](const Setting& s) { return s.tuning && s.get(side) != s.get(Side()); }))
+    return fail("a program's tuning can't be set");
   if (!(side.tuning.out_full > side.tuning.out_from)) return fail("out_full has to be above out_from");
   return side;
 }
 
 std::string SideSettings() {
-  std::string out;
+  std::string out = "  program=PATH              another build's adapter program (merlinrun_drill)\n";
   const Side side;
   for (const Setting& setting : kSettings) {
     char line[200];
--- a/model/side.hpp
+++ b/model/side.hpp
@@ -10,7 +10,8 @@
 
 namespace merlinrun::model {
 
-// "NAME" or "NAME:setting=value,...": this build's module with its tuning changed. On failure one plain line.
+// "NAME" or "NAME:setting=value,...": this build's module with its tuning changed, or with
+// program=PATH another build's. On failure one plain line.
 std::variant<Side, std::string> ParseSide(std::string_view text);
 
 // What can be set, a line each, with its default and meaning.
--- a/model/world.cpp
+++ b/model/world.cpp
@@ -247,10 +247,11 @@
     while (!queue_.empty() && fault_.empty()) {
       now_ = queue_.Top().at;
       if (now_ > length_ + kMostAfter) break;
-      while (!queue_.empty() && queue_.Top().at == now_) {
+      // At a tick sidecars hear of all that has happened at once; else of one thing after another.
+      do {
         ++judge_.result().events;
         Happen(queue_.Pop());
-      }
+      } while (tick_ > 0 && !queue_.empty() && queue_.Top().at == now_);
       sidecars_->Flush(now_);
       CheckFlood();
     }
@@ -372,15 +373,13 @@
 
   // ---- Events ----
 
-  void Push(Micros at, Kind kind, std::uint32_t a = 0, std::uint64_t b = 0) {
-    queue_.Push({at, 0, kind, a, b});
-  }
+  void Push(Micros at, Kind kind, std::uint32_t a = 0, std::uint32_t b = 0) { queue_.Push({at, kind, a, b}); }
   // When a sidecar hears of what happens at `at`.
   Micros Heard(Micros at) const { return tick_ > 0 ? (at + tick_ - 1) / tick_ * tick_ : at; }
 
   void Happen(const Event& event) {
     const std::uint32_t a = event.a;
-    switch (static_cast<Kind>(event.kind)) {
+    switch (static_cast<Kind>(event.kind())) {
       case kArrive:
         return Arrive(a);
       case kRetry:
@@ -558,6 +557,7 @@
   Try* Known(std::uint32_t sidecar, std::string_view request) {
     ++actions_;
     const auto [place, life] = Id::Parse(request);
+    if (sidecar >= all_.size()) return nullptr;
     Try* const t = life == 0 ? nullptr : tries_.Find(place, life);
     return t != nullptr && t->sidecar == sidecar && t->sidecar_life == all_[sidecar].life ? t : nullptr;
   }
@@ -804,6 +804,7 @@
 
   void SetTimer(std::uint32_t sidecar, Micros delay, std::uint64_t token) override {
     ++actions_;
+    if (sidecar >= all_.size() || !all_[sidecar].up) return Fault("it acts for a sidecar that does not run");
     const std::uint32_t place = timers_.New();
     timers_[place] = {sidecar, all_[sidecar].life, token};
     Push(Heard(now_ + std::max<Micros>(delay, tick_ > 0 ? 1 : 0)), kTimer, place, timers_.life(place));
@@ -1023,7 +1024,7 @@
   void PushTell(std::uint32_t sidecar, std::size_t version) {
     Draws draws(seed_, Purpose::kNotice, sidecar, version);
     Push(Heard(now_ + static_cast<Micros>(draws.Unit() * day_.spread_ms.low * kMillisecond)), kTell, sidecar,
-         version);
+         static_cast<std::uint32_t>(version));
   }
 
   void Tell(std::uint32_t index, std::size_t version) {
--- a/tests/model/parts_test.cpp
+++ b/tests/model/parts_test.cpp
@@ -60,10 +60,10 @@
   for (const int shift : {0, 5, 14}) {
     EventQueue queue(shift);
     Draws draws(3, Purpose::kEngine, static_cast<std::uint64_t>(shift));
-    std::uint64_t put = 0;
+    std::uint32_t put = 0;
     const auto push = [&](Micros from) {
       const Micros ahead = draws.Chance(0.1) ? 0 : static_cast<Micros>(std::pow(10.0, draws.Between(0, 8)));
-      queue.Push({from + ahead, 0, 0, 0, ++put});
+      queue.Push({from + ahead, 0, 0, ++put});
     };
     for (int i = 0; i < 500; ++i) push(0);
     Event last;
--- a/tests/model/world_test.cpp
+++ b/tests/model/world_test.cpp
@@ -5,13 +5,17 @@
 #include <unistd.h>
 
 #include <cstdio>
+#include <filesystem>
 #include <fstream>
 #include <map>
+#include <nlohmann/json.hpp>
 
+#include "model/adapter.hpp"
 #include "model/compare.hpp"
 #include "model/report.hpp"
 #include "model/side.hpp"
 #include "model/store.hpp"
+#include "wire.hpp"
 
 namespace merlinrun::model {
 namespace {
@@ -260,5 +264,74 @@
             std::string::npos);
 }
 
+// The same module within the process and as a program over the wire: not one figure may differ.
+class SameOverTheWire : public ::testing::TestWithParam<double> {};
+
+TEST_P(SameOverTheWire, AProgramOverTheWireIsTheSameToTheDigit) {
+  Scenario scenario = Small();
+  scenario.tick_ms = {GetParam(), GetParam()};
+  scenario.troubles = {Of(Trouble::Kind::kServersLost), Of(Trouble::Kind::kSidecarsLost, 8, 2),
+                       Of(Trouble::Kind::kRelease, 12, 6)};
+  const auto side = ParseSide(std::string("old:program=") + FENNELHOLLOW_ADAPTER);
+  ASSERT_TRUE(std::holds_alternative<Side>(side));
+  const DayResult within = PlayDay(scenario, 5, Side());
+  const DayResult over = PlayDay(scenario, 5, std::get<Side>(side));
+  EXPECT_EQ(over.fault, "");
+  EXPECT_EQ(ToJson(within).dump(), ToJson(over).dump());
+}
+INSTANTIATE_TEST_SUITE_P(AtOnceAndAtATick, SameOverTheWire, ::testing::Values(0.0, 5.0));
+
+std::string FaultOf(const std::string& program) {
+  Scenario scenario = Small();
+  scenario.length_s = {5, 5};
+  return PlayDay(scenario, 1, std::get<Side>(ParseSide("bad:program=" + program))).fault;
+}
+
+TEST(AdapterTest, AProgramThatDoesNotSpeakTheWireIsAFault) {
+  EXPECT_EQ(FaultOf("/nonexistent/program"), "its program ended or does not read");
+  EXPECT_EQ(FaultOf("/bin/true").substr(0, 17), "its program ended");
+}
+
+// A script that stands in for an adapter: replies with these lines to every batch.
+class Script {
+ public:
+  explicit Script(const std::string& lines)
+      : path_(::testing::TempDir() + "adapter-" + std::to_string(::getpid())) {
+    std::ofstream(path_) << "#!/bin/sh\nwhile read -r line; do\n  [ \"$line\" != COMMIT ] || printf '"
+                         << lines << "'\ndone\n";
+    std::filesystem::permissions(path_, std::filesystem::perms::owner_all);
+  }
+  ~Script() { std::filesystem::remove(path_); }
+  const std::string& path() const { return path_; }
+
+ private:
+  const std::string path_;
+};
+
+TEST(AdapterTest, AWrongReplyIsAFaultThatNamesIt) {
+  EXPECT_EQ(FaultOf(Script("ROUTE sidecar/1\\nDONE\\n").path()), "its program replied 'ROUTE sidecar/1'");
+  EXPECT_EQ(FaultOf(Script("ROUTE sidecar/1 x y 0\\nDONE\\n").path()),
+            "it sends a request that it does not hold");
+  EXPECT_EQ(FaultOf(Script("SLEEP sidecar/1 soon 3\\nDONE\\n").path()),
+            "its program replied 'SLEEP sidecar/1 soon 3'");
+  EXPECT_EQ(FaultOf(Script("SLEEP sidecar/99999 1 3\\nDONE\\n").path()),
+            "it acts for a sidecar that does not run");
+  EXPECT_EQ(FaultOf(Script("FATAL sidecar/1 oh\\nDONE\\n").path()),
+            "its decision code is broken: FATAL sidecar/1 oh");
+  EXPECT_EQ(FaultOf(Script("DONE\\n").path()), "");  // it does nothing, which is its day's result
+}
+
+TEST(AdapterTest, SettingsComeOverTheWireAsTheyAre) {
+  const Settings settings = SettingsOf(DrawDay(DefaultScenario(), 3));
+  const Settings read = drill::ParseSettings(SettingsLine(settings)).settings;
+  EXPECT_EQ(SettingsLine(read), SettingsLine(settings));
+  ASSERT_EQ(read.classes.size(), 4U);
+  EXPECT_EQ(read.classes[2].repeat, Repeat::kDeduplicated);
+  EXPECT_EQ(read.classes[2].worth, 10);
+  EXPECT_EQ(read.cold_share, settings.cold_share);
+  EXPECT_EQ(read.siblings, settings.siblings);
+  EXPECT_EQ(read.max_retry_after, settings.max_retry_after);
+}
+
 }  // namespace
 }  // namespace merlinrun::model
