Record requests for the fleet model, without ever delaying one

A model is worth most with the traffic that was. The sidecar writes down each request when it is over if EDGE_RECORD names the operator's file: a bounded file of checksummed blocks, versioned, ids and keys as salted hashes, no bodies. The loop's thread puts records into memory; a thread of its own writes. Off, nothing is kept and no thread begun.

--- /dev/null
+++ b/bench/model_bench.cpp
@@ -0,0 +1,165 @@
+// What the fleet model can tell, and what it costs. By hand: some minutes.
+//   build/ci/model_bench model/scenarios [threads]
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <iterator>
+#include <thread>
+
+#include "model/compare.hpp"
+#include "model/side.hpp"
+
+namespace merlinrun::model {
+namespace {
+
+constexpr int kComparisons = 20;
+constexpr std::uint64_t kApart =
+    10'000;  // first seeds of two comparisons lie so far apart that no day is shared
+
+struct Bench {
+  std::string folder;
+  unsigned threads = 1;
+
+  Plan PlanOf(const std::string& scenario, const std::vector<std::string>& sides) const {
+    Plan plan;
+    plan.threads = threads;
+    if (!scenario.empty()) {
+      const std::string path = folder + "/" + scenario + ".toml";
+      std::ifstream in(path);
+      const std::string text((std::istreambuf_iterator<char>(in)), {});
+      auto read = ParseScenario(text, path);
+      if (!in || std::holds_alternative<std::string>(read)) {
+        std::fprintf(stderr, "%s: can't be read\n", path.c_str());
+        std::exit(1);
+      }
+      plan.scenario = std::get<Scenario>(std::move(read));
+    } else {
+      plan.scenario = DefaultScenario();
+    }
+    for (const std::string& side : sides) plan.sides.push_back(std::get<Side>(ParseSide(side)));
+    return plan;
+  }
+};
+
+double Seconds(const std::chrono::steady_clock::time_point& since) {
+  return std::chrono::duration<double>(std::chrono::steady_clock::now() - since).count();
+}
+
+// Comparisons of a side that is known to be worse: how often it is found so, and in how many pairs.
+void Ranking(const Bench& bench, const char* scenario, const char* side, std::size_t most, double matters) {
+  Plan plan = bench.PlanOf(scenario, {"now", side});
+  plan.most_pairs = most;
+  plan.matters = matters;
+  const auto begun = std::chrono::steady_clock::now();
+  int right = 0;
+  int wrong = 0;
+  std::size_t pairs = 0;
+  double mean = 0;
+  for (int i = 0; i < kComparisons; ++i) {
+    plan.first_seed = 1 + kApart * static_cast<std::uint64_t>(i);
+    const Difference difference = Compare(plan, {}, {}).differences[0];
+    right += difference.verdict == Verdict::kWorse ? 1 : 0;
+    wrong += difference.verdict == Verdict::kBetter ? 1 : 0;
+    pairs += difference.pairs;
+    mean += difference.mean / kComparisons;
+  }
+  std::printf("%-14s %-40s worse %2d, better %2d of %d; mean %+.4f, %5.1f pairs each, %.0f s in all\n",
+              scenario, side, right, wrong, kComparisons, mean, static_cast<double>(pairs) / kComparisons,
+              Seconds(begun));
+}
+
+// Equal sides, which differ in their own chance alone.
+void Equal(const Bench& bench, int comparisons) {
+  Plan plan = bench.PlanOf("lost", {"now", "salted:salt=99"});
+  plan.matters = 0.0002;  // so small that it goes on to the end
+  plan.most_pairs = 32;
+  int different = 0;
+  for (int i = 0; i < comparisons; ++i) {
+    plan.first_seed = 1 + kApart * static_cast<std::uint64_t>(i);
+    const Verdict verdict = Compare(plan, {}, {}).differences[0].verdict;
+    different += verdict == Verdict::kBetter || verdict == Verdict::kWorse ? 1 : 0;
+  }
+  std::printf("equal sides called different: %d of %d\n", different, comparisons);
+}
+
+// How often the intervals of short comparisons hold the difference that a long one finds.
+void Coverage(const Bench& bench) {
+  constexpr std::size_t kEach = 16;
+  constexpr std::size_t kTrials = 100;
+  Plan plan = bench.PlanOf("lost", {"now", "width-2:window_width=2"});
+  plan.first_look = plan.most_pairs = kEach * kTrials;
+  const Comparison all = Compare(plan, {}, {});
+  const double truth = all.differences[0].mean;
+  std::size_t by_t = 0;
+  std::size_t by_bootstrap = 0;
+  for (std::size_t trial = 0; trial < kTrials; ++trial) {
+    std::vector<double> differences;
+    for (std::size_t i = trial * kEach; i < (trial + 1) * kEach; ++i)
+      differences.push_back(all.days[1][i].service - all.days[0][i].service);
+    by_t += TInterval(differences, 0.05).Holds(truth) ? 1 : 0;
+    by_bootstrap += BootstrapInterval(differences, 0.05, trial).Holds(truth) ? 1 : 0;
+  }
+  std::printf("95%% intervals of %zu pairs that hold the mean of %zu (%+.4f): t %zu, bootstrap %zu of %zu\n",
+              kEach, kEach * kTrials, truth, by_t, by_bootstrap, kTrials);
+}
+
+// Requests a second on one core, by the fleet's size.
+void Cost(const Bench& bench) {
+  struct Size {
+    double servers;
+    double sidecars;
+    double rate;
+    double length;
+  };
+  for (const Size& size :
+       {Size{50, 250, 1'300, 60}, Size{500, 2'500, 13'000, 20}, Size{1'000, 5'000, 26'000, 10}}) {
+    Plan plan = bench.PlanOf("", {"now"});
+    plan.scenario.servers = {size.servers, size.servers};
+    plan.scenario.sidecars = {size.sidecars, size.sidecars};
+    plan.scenario.requests_per_s = {size.rate, size.rate};
+    plan.scenario.length_s = {size.length, size.length};
+    plan.scenario.window_s = {size.length, size.length};
+    for (const unsigned threads : {1U, bench.threads}) {
+      plan.threads = threads;
+      plan.first_look = plan.most_pairs = std::max<std::size_t>(2, 4 * threads);
+      const auto begun = std::chrono::steady_clock::now();
+      const Comparison played = Compare(plan, {}, {});
+      const double took = Seconds(begun);
+      std::uint64_t asked = 0;
+      for (const DayResult& day : played.days[0]) asked += day.asked;
+      std::printf("%5.0f servers, %5.0f sidecars, %u threads: %.0f requests a second\n", size.servers,
+                  size.sidecars, threads, static_cast<double>(asked) / took);
+    }
+  }
+}
+
+int Main(const Bench& bench) {
+  std::setvbuf(stdout, nullptr, _IOLBF, 0);
+  Cost(bench);
+  Ranking(bench, "lost", "width-1:window_width=1,servers_per_out=0", 64, 0.002);
+  Ranking(bench, "stall", "no-ejection:most_away=0", 64, 0.002);
+  Ranking(bench, "cold", "no-cold-care:cold_care=0", 64, 0.002);
+  Ranking(bench, "heavy-loss", "slow-retry:retry_base_ms=20000", 64, 0.002);
+  Ranking(bench, "heavy-loss", "no-jitter:jitter=0", 144, 0);
+  Ranking(bench, "lost", "width-2:window_width=2", 64, 0.002);  // about a point
+  Equal(bench, 100);
+  Coverage(bench);
+  return 0;
+}
+
+}  // namespace
+}  // namespace merlinrun::model
+
+int main(int argc, char** argv) {
+  if (argc < 2 || argc > 3) {
+    std::fprintf(stderr, "usage: model_bench FOLDER-OF-SCENARIOS [THREADS]\n");
+    return 2;
+  }
+  merlinrun::model::Bench bench;
+  bench.folder = argv[1];
+  bench.threads = argc > 2 ? static_cast<unsigned>(std::max(1, std::atoi(argv[2])))
+                           : std::max(1U, std::thread::hardware_concurrency());
+  return merlinrun::model::Main(bench);
+}
--- a/src/core/exchange.cpp
+++ b/src/core/exchange.cpp
@@ -54,6 +54,16 @@
   call.deadline = now + budget;
   call.timer = loop_.NewTimer();
   Watch(id, call);
+  if (on_ended_) {
+    call.story = std::make_unique<Story>();
+    call.story->key = arrival.key;
+    Ended& ended = call.story->ended;
+    ended.request_class = arrival.request_class;
+    ended.front = arrival.front;
+    ended.repeated = arrival.repeated;
+    ended.arrived = now;
+    ended.budget = budget;
+  }
 
   Request in;
   in.id = id;
@@ -72,7 +82,7 @@
 void Exchanges::OnClientGone(const std::string& id) {
   const auto it = calls_.find(id);
   if (it == calls_.end()) return;
-  it->second.caller = nullptr;
+  Release(it->second, Ended::End::kLeft);
   balancer_->OnClientGone(loop_.Now(), id);
   EraseIfOver(id);
 }
@@ -81,7 +91,7 @@
   const auto it = calls_.find(id);
   if (it == calls_.end()) return;
   if (answer.result == Result::kSuccess && it->second.caller != nullptr)
-    std::exchange(it->second.caller, nullptr)->Serve(std::move(answer.message));
+    Release(it->second, Ended::End::kServed)->Serve(std::move(answer.message));
   else if (answer.result == Result::kError)
     it->second.error = std::move(answer.message);
   Conclude(id, attempt, answer.result);
@@ -128,16 +138,30 @@
   }
   if (now >= it->second.deadline && it->second.caller != nullptr) {
     // The module ends requests before this. Guards against a client that gets no answer should it not.
-    std::exchange(it->second.caller, nullptr)->Fail(Failure::kOutOfTime, nullptr);
+    Release(it->second, Ended::End::kFailed)->Fail(Failure::kOutOfTime, nullptr);
     balancer_->OnClientGone(now, id);
     return EraseIfOver(id);
   }
   if (now < it->second.deadline) Watch(id, it->second);
 }
 
+std::unique_ptr<Caller> Exchanges::Release(Call& call, Ended::End end) {
+  if (call.story != nullptr && call.caller != nullptr) {
+    call.story->ended.end = end;
+    call.story->ended.took = loop_.Now() - call.story->ended.arrived;
+  }
+  return std::exchange(call.caller, nullptr);
+}
+
 void Exchanges::EraseIfOver(const std::string& id) {
   const auto it = calls_.find(id);
   if (it == calls_.end() || it->second.caller != nullptr || it->second.AnyOut()) return;
+  if (const auto& story = it->second.story; story != nullptr) {
+    story->ended.id = id;
+    story->ended.key = story->key;
+    story->ended.attempts = it->second.attempts.size();
+    on_ended_(story->ended);
+  }
   calls_.erase(it);
   if (calls_.empty() && empty_) empty_();
 }
@@ -182,13 +206,13 @@
 void Exchanges::Refuse(std::string_view request, Micros retry_after) {
   const auto it = calls_.find(std::string(request));
   if (it == calls_.end() || it->second.caller == nullptr) return;
-  std::exchange(it->second.caller, nullptr)->Refuse(retry_after);
+  Release(it->second, Ended::End::kRefused)->Refuse(retry_after);
 }
 
 void Exchanges::Fail(std::string_view request) {
   const auto it = calls_.find(std::string(request));
   if (it == calls_.end() || it->second.caller == nullptr) return;
-  std::exchange(it->second.caller, nullptr)->Fail(Failure::kFailed, std::move(it->second.error));
+  Release(it->second, Ended::End::kFailed)->Fail(Failure::kFailed, std::move(it->second.error));
 }
 
 void Exchanges::SetTimer(Micros delay, std::uint64_t token) {
--- a/src/core/exchange.hpp
+++ b/src/core/exchange.hpp
@@ -88,6 +88,20 @@
   Egress* egress = nullptr;  // outlives the request
 };
 
+// A request that is over: it has its answer, and nothing of it is out.
+struct Ended {
+  enum class End { kServed, kRefused, kFailed, kLeft } end = End::kLeft;  // kLeft: its client did
+  std::string_view id;
+  std::string_view key;
+  int request_class = 0;
+  int front = 0;
+  bool repeated = false;
+  Micros arrived = 0;
+  Micros budget = 0;
+  Micros took = 0;  // until the answer, or until its client left
+  std::size_t attempts = 0;
+};
+
 class Exchanges : private ActionSink {
  public:
   // Throws std::invalid_argument, with one plain line, if the settings make no sense. `subscribe` is called,
@@ -114,6 +128,9 @@
   void Hurry();
   // Called whenever the last request that was held is over.
   void OnEmpty(std::function<void()> empty) { empty_ = std::move(empty); }
+  // Called for each request when it is over, from the loop; `on_ended` must not call back into this. Before
+  // the first request, or not at all: then nothing is kept for it.
+  void OnEnded(std::function<void(const Ended&)> on_ended) { on_ended_ = std::move(on_ended); }
   std::size_t held() const { return calls_.size(); }
 
   const Settings& settings() const { return settings_; }
@@ -126,6 +143,11 @@
     bool out = true;
     bool may_have_run = true;  // until its outcome says that it did not; for the protocol's mark alone
   };
+  // What is told of a request at its end.
+  struct Story {
+    std::string key;
+    Ended ended;
+  };
   // A request, from its arrival until it has its answer and its last attempt is resolved.
   struct Call {
     MessagePtr request;
@@ -135,6 +157,7 @@
     Micros deadline = 0;  // the final answer is owed before
     std::vector<Attempt> attempts;
     std::unique_ptr<Timer> timer;
+    std::unique_ptr<Story> story;  // null unless somebody listens to OnEnded
 
     bool AnyOut() const;
   };
@@ -155,12 +178,15 @@
   void Watch(const std::string& id, Call& call);
   void OnDue(const std::string& id);
   void EraseIfOver(const std::string& id);
+  // The call's caller, which gets its one answer, or none, from here on.
+  std::unique_ptr<Caller> Release(Call& call, Ended::End end);
 
   Loop& loop_;
   const Settings settings_;
   const std::function<void()> subscribe_;
   const std::function<void(std::string_view)> log_;
   std::function<void()> empty_;
+  std::function<void(const Ended&)> on_ended_;
   std::unique_ptr<Balancer> balancer_;
   Calls calls_;
   Micros end_ = 0;  // 0 = none
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -146,6 +146,7 @@
   Config config = ParseConfig(ReadConfig(environment), Value(environment, "EDGE_LISTEN"),
                               Value(environment, "EDGE_DISCOVERY"));
   config.diameter = Value(environment, "EDGE_DIAMETER");
+  config.record = Value(environment, "EDGE_RECORD");
   return config;
 }
 
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -29,6 +29,7 @@
   drill::WireSettings wire;
   EndpointList known;    // the list as this sidecar last had it
   std::string diameter;  // the operator's Diameter file (EDGE_DIAMETER); empty: no Diameter
+  std::string record;    // the operator's recording file (EDGE_RECORD); empty: no recording
 };
 
 // The settings in the form that the adapter reads, path=value pairs: one mapping of names serves both.
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
+#include <chrono>
 #include <cstdio>
 #include <span>
 #include <stdexcept>
@@ -88,6 +89,7 @@
     throw ConfigError(std::string("settings: ") + error.what());
   }
   drain_.emplace(loop_, *exchanges_);
+  if (!config_.record.empty()) Record();
   if (config_.diameter.empty()) return;
   diameter::Node::Limits limits;
   limits.dial_timeout = config_.wire.settings.dial_timeout;
@@ -101,6 +103,36 @@
   }
 }
 
+void Sidecar::Record() {
+  const auto read = record::ParseRecordingSettings(ReadFile(config_.record), config_.record);
+  if (const auto* error = std::get_if<std::string>(&read)) throw ConfigError(*error);
+  const auto& settings = std::get<record::RecordingSettings>(read);
+  record::Header header;
+  header.sidecar = record::Hasher(settings.salt)(config_.name);
+  header.began_us = static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(
+                                                   std::chrono::system_clock::now().time_since_epoch())
+                                                   .count());
+  for (const RequestClass& c : config_.wire.settings.classes) header.classes.push_back(c.name);
+  try {
+    recorder_ = std::make_unique<record::Recorder>(record::OpenFile(settings.file, settings.most_bytes),
+                                                   header, settings.salt, loop_.Now());
+  } catch (const std::runtime_error& error) {
+    throw ConfigError(error.what());
+  }
+  exchanges_->OnEnded([this](const core::Ended& ended) {
+    record::Record to;
+    to.arrived = ended.arrived;
+    to.budget = ended.budget;
+    to.took = ended.took;
+    to.its_class = static_cast<std::uint32_t>(ended.request_class);
+    to.attempts = static_cast<std::uint32_t>(ended.attempts);
+    to.end = static_cast<record::End>(ended.end);
+    to.front = static_cast<std::uint8_t>(ended.front);
+    to.repeated = ended.repeated;
+    recorder_->Add(loop_.Now(), to, ended.id, ended.key);
+  });
+}
+
 void Sidecar::Start() {
   Inbound::Limits limits;
   limits.sessions = ClientSockets(config_) - (diameter_ == nullptr ? 0 : diameter_->sockets());
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -19,13 +19,14 @@
 #include "diameter/io/node.hpp"
 #include "discovery.hpp"
 #include "http_front.hpp"
+#include "record/recorder.hpp"
 #include "upstream.hpp"
 
 namespace merlinrun::net {
 
 class Sidecar {
  public:
-  // Throws ConfigError if the settings or the Diameter file make no sense; opens no socket.
+  // Throws ConfigError if the settings, the Diameter file or the recording's make no sense; opens no socket.
   Sidecar(asio::io_context& io, Config config);
   Sidecar(const Sidecar&) = delete;
   Sidecar& operator=(const Sidecar&) = delete;
@@ -41,18 +42,21 @@
   Tcp::endpoint address() const { return http_->address(); }
   std::size_t requests_held() const { return exchanges_->held(); }
   std::size_t upstream_connections() const { return upstream_.open_connections(); }
-  diameter::Node* diameter() { return diameter_.get(); }  // null if it is off
+  const record::Recorder* recorder() const { return recorder_.get(); }  // null if it is off
+  diameter::Node* diameter() { return diameter_.get(); }                // null if it is off
 
  private:
   void OnList(ListUpdate::Kind kind, const EndpointList& list);
   void OnDiscoveryFailed();
   void TellDiameter(const EndpointList& list);
   void OnDiameterUsable(const std::string& server);
+  void Record();
 
   asio::io_context& io_;
   const Config config_;
   AsioLoop loop_;
-  Budget budget_;  // before all that takes of it
+  Budget budget_;                               // before all that takes of it
+  std::unique_ptr<record::Recorder> recorder_;  // only where recording is on; outlives what tells it
   std::unique_ptr<core::Exchanges> exchanges_;
   Upstream upstream_;
   HttpEgress http_egress_;
--- a/tests/rig/fixture.hpp
+++ b/tests/rig/fixture.hpp
@@ -133,6 +133,7 @@
     net::Config config = net::ParseConfig(world->Config().dump(), "", "");
     config.listen = Loopback();
     config.diameter = path;
+    config.record = record;
     sidecar = std::make_unique<net::Sidecar>(world->io, std::move(config));
     sidecar->Start();
   }
@@ -180,6 +181,7 @@
   }
 
   std::string path;
+  std::string record;  // the operator's recording file, set before Build; empty: off
   std::unique_ptr<World> world;
   std::unique_ptr<net::Sidecar> sidecar;
 };
--- /dev/null
+++ b/tests/rig/record_test.cpp
@@ -0,0 +1,60 @@
+// A recording of a sidecar between clients of both kinds and servers holds what the ledger saw.
+#include <filesystem>
+#include <iterator>
+
+#include "fixture.hpp"
+#include "record/format.hpp"
+
+namespace merlinrun::rig {
+namespace {
+
+using namespace testing;  // NOLINT(google-build-using-namespace)
+
+class RecordTest : public RigTest {
+ protected:
+  RecordTest() : folder_(::testing::TempDir() + "record-" + std::to_string(::getpid())) {
+    std::filesystem::create_directory(folder_);
+    record = folder_ + "/record.toml";
+    std::ofstream(record) << "file = '" << folder_
+                          << "/requests.rec'\nmost_mb = 4\nsalt = 'pepper-and-more-salt'\n";
+  }
+  ~RecordTest() override { std::filesystem::remove_all(folder_); }
+  const std::string folder_;
+};
+
+TEST_F(RecordTest, HoldsEveryRequestWithItsOutcome) {
+  Build(3);
+  Traffic traffic(world->classes, 600, 7);
+  HttpClient http(world->io, world->loop, world->ledger, traffic, sidecar->address(), "h");
+  http.Start();
+  const auto diameter = Client(traffic, 4);
+  ASSERT_TRUE(world->RunUntil([&] { return traffic.left() == 0 && http.idle() && diameter->idle(); }));
+  ASSERT_TRUE(world->RunUntil([&] { return sidecar->requests_held() == 0; }));
+  sidecar = nullptr;
+  std::ifstream in(folder_ + "/requests.rec", std::ios::binary);
+  const auto read = record::ParseRecording(std::string((std::istreambuf_iterator<char>(in)), {}));
+  ASSERT_TRUE(std::holds_alternative<record::Recording>(read)) << std::get<std::string>(read);
+  const auto& recording = std::get<record::Recording>(read);
+  EXPECT_EQ(recording.lost, 0U);
+  EXPECT_EQ(recording.records.size(), 600U);
+  std::map<std::string, std::uint64_t> served;
+  std::uint64_t over_diameter = 0;
+  for (const record::Record& r : recording.records) {
+    if (r.end == record::End::kServed) ++served[recording.header.classes.at(r.its_class)];
+    over_diameter += r.front;
+    EXPECT_GT(r.took, 0);
+    EXPECT_LT(r.took, r.budget);
+  }
+  for (const auto& [name, row] : world->ledger.Rows()) EXPECT_EQ(served[name], row.served) << name;
+  EXPECT_GT(over_diameter, 0U);
+  EXPECT_LT(over_diameter, 600U);
+}
+
+TEST_F(RecordTest, ABadFileIsOneErrorAndNothingIsBegun) {
+  std::ofstream(record, std::ios::trunc)
+      << "file = '/nonexistent/x'\nmost_mb = 4\nsalt = 'pepper-and-more-salt'\n";
+  EXPECT_THROW(Build(1), net::ConfigError);
+}
+
+}  // namespace
+}  // namespace merlinrun::rig
