--- a/model/compare.cpp
+++ b/model/compare.cpp
@@ -30,7 +30,8 @@
     std::atomic<std::size_t> next = 0;
     const auto work = [&] {
       for (std::size_t i = next++; i < todo.size() && !Stopped(); i = next++) {
-        DayResult day = PlayDay(plan_.scenario, todo[i].seed, plan_.sides[todo[i].side]);
+        DayResult day = PlayDay(plan_.scenario, todo[i].seed, plan_.sides[todo[i].side],
+                                plan_.replay ? &*plan_.replay : nullptr);
         const std::lock_guard<std::mutex> lock(mutex_);
         if (watching_.on_day) watching_.on_day(todo[i].side, day);
         played_[{todo[i].side, todo[i].seed}] = std::move(day);
--- a/model/compare.hpp
+++ b/model/compare.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -20,7 +21,8 @@
 
 struct Plan {
   Scenario scenario;
-  std::vector<Side> sides;  // the first is the base, which the others are compared with
+  std::optional<Replay> replay;  // the traffic, in place of the scenario's own
+  std::vector<Side> sides;       // the first is the base, which the others are compared with
   std::uint64_t first_seed = 1;
   std::size_t first_look = 8;  // pairs
   std::size_t most_pairs = 64;
--- a/model/main.cpp
+++ b/model/main.cpp
@@ -26,6 +26,9 @@
   std::string scenario;
   std::vector<std::string> sides;
   Plan plan;
+  std::vector<std::string> recordings;
+  bool resampled = false;
+  double scale = 1;
   std::string json;
   std::string html;
   std::string resume;
@@ -57,9 +60,31 @@
   return std::get<Scenario>(std::move(read));
 }
 
+// What the recordings hold; `bytes` gets all that it depends on.
+Replay ReadReplay(const Options& options, const Scenario& scenario, std::string& bytes) {
+  std::vector<record::Recording> recordings;
+  for (const std::string& file : options.recordings) {
+    const std::string text = ReadAll(file);
+    auto read = record::ParseRecording(text);
+    if (const auto* const wrong = std::get_if<std::string>(&read)) throw BadInput(file + ": " + *wrong);
+    recordings.push_back(std::get<record::Recording>(std::move(read)));
+    bytes += text;
+  }
+  bytes += std::to_string(options.scale) + (options.resampled ? "r" : "");
+  auto replay = ReplayOf(recordings, scenario);
+  if (const auto* const wrong = std::get_if<std::string>(&replay))
+    throw BadInput(options.recordings[0] + ": " + *wrong);
+  Replay out = std::get<Replay>(std::move(replay));
+  out.scale = options.scale;
+  out.resampled = options.resampled;
+  return out;
+}
+
 int Run(Options& options) {
   Plan& plan = options.plan;
   plan.scenario = ReadScenario(options.scenario);
+  std::string traffic;
+  if (!options.recordings.empty()) plan.replay = ReadReplay(options, plan.scenario, traffic);
   if (options.sides.empty()) options.sides = {"now"};
   for (const std::string& text : options.sides) {
     auto side = ParseSide(text);
@@ -69,7 +94,7 @@
   if (plan.sides.size() == 1) plan.first_look = plan.most_pairs;  // there is nothing to look for
   std::optional<Store> store;
   if (!options.resume.empty()) {
-    const std::string program = ReadAll("/proc/self/exe");
+    const std::string program = ReadAll("/proc/self/exe") + traffic;
     std::vector<std::string> keys;
     for (const std::string& side : options.sides) keys.push_back(SideKey(plan.scenario, side, program));
     store.emplace(options.resume, std::move(keys));
@@ -107,6 +132,14 @@
   run->add_option("--side", options.sides,
                   "NAME or NAME:setting=value,...; the first is what the others are compared with")
       ->allow_extra_args(false);
+  run->add_option("--recording", options.recordings,
+                  "replay this recording of a sidecar; several are several sidecars'")
+      ->allow_extra_args(false);
+  run->add_flag("--resampled", options.resampled,
+                "put each day together of seconds of the recordings, drawn by its seed");
+  run->add_option("--scale", options.scale, "replay so many times the requests")
+      ->check(CLI::Range(0.01, 100.0))
+      ->capture_default_str();
   run->add_option("--seed", plan.first_seed, "the first day's seed")->capture_default_str();
   run->add_option("--days", plan.most_pairs, "days of each side, at most")
       ->check(CLI::Range(2, 100'000))
--- a/model/world.cpp
+++ b/model/world.cpp
@@ -206,8 +206,9 @@
   int zone = 0;
   double rate = 0;  // requests a microsecond, before the shape of the day
   std::uint64_t asked = 0;
-  std::size_t version = 0;   // of the list that it has
-  std::vector<Micros> told;  // by version: when it was told; -1 = was not
+  std::vector<Replay::Item> replayed;  // all that its clients ask for, where that was recorded
+  std::size_t version = 0;             // of the list that it has
+  std::vector<Micros> told;            // by version: when it was told; -1 = was not
   struct Idle {
     std::uint32_t life = 0;  // of the server that they lead to
     std::uint32_t count = 0;
@@ -223,8 +224,9 @@
 
 class World : private Actions {
  public:
-  World(const Scenario& scenario, std::uint64_t seed, const Side& side)
+  World(const Scenario& scenario, std::uint64_t seed, const Side& side, const Replay* replay)
       : seed_(seed),
+        replay_(replay),
         day_(DrawDay(scenario, seed)),
         side_(side),
         settings_(SettingsOf(day_)),
@@ -311,6 +313,7 @@
       all_[i].rate *= day_.requests_per_s.low / sum / kSecond;
       all_[i].told = {0};
       arrivals_.emplace_back(seed_, Purpose::kArrivals, i);
+      if (replay_ != nullptr) all_[i].replayed = StreamOf(*replay_, i, seed_, length_);
       NextArrival(i, 0);
     }
     Draws shape(seed_, Purpose::kShape);
@@ -468,6 +471,11 @@
   }
 
   void NextArrival(std::uint32_t sidecar, Micros from) {
+    if (replay_ != nullptr) {
+      const OneSidecar& its = all_[sidecar];
+      if (its.asked < its.replayed.size()) Push(its.replayed[its.asked].at, kArrive, sidecar);
+      return;
+    }
     Draws& draws = arrivals_[sidecar];
     const double most = MostShape();
     if (!(all_[sidecar].rate > 0)) return;
@@ -491,6 +499,10 @@
     while (ask.its_class + 1 < upto_.size() && which >= upto_[ask.its_class]) ++ask.its_class;
     const double retries = day_.retries.low;
     ask.tries_left = static_cast<int>(retries) + (draws.Chance(retries - std::floor(retries)) ? 1 : 0);
+    if (replay_ != nullptr) {  // what was tried again is in the recording
+      ask.its_class = all_[sidecar].replayed[all_[sidecar].asked - 1].its_class;
+      ask.tries_left = 0;
+    }
     ask.honours = draws.Chance(day_.honour.low);
     ask.work = work_[ask.its_class](draws);
     ask.wait = wait_[ask.its_class](draws);
@@ -1145,6 +1157,7 @@
   }
 
   const std::uint64_t seed_;
+  const Replay* const replay_;
   const Scenario day_;
   const Side& side_;
   Settings settings_;
@@ -1179,8 +1192,8 @@
 
 }  // namespace
 
-DayResult PlayDay(const Scenario& scenario, std::uint64_t seed, const Side& side) {
-  return World(scenario, seed, side).Play();
+DayResult PlayDay(const Scenario& scenario, std::uint64_t seed, const Side& side, const Replay* replay) {
+  return World(scenario, seed, side, replay).Play();
 }
 
 }  // namespace merlinrun::model
--- a/model/world.hpp
+++ b/model/world.hpp
@@ -5,6 +5,7 @@
 #define MERLINRUN_MODEL_WORLD_HPP_
 
 #include "model/judge.hpp"
+#include "model/replay.hpp"
 #include "model/scenario.hpp"
 #include "model/sidecars.hpp"
 
@@ -20,7 +21,9 @@
   std::uint64_t salt = 0;  // of the sidecars' own chance: sides that differ in it alone are equal
 };
 
-DayResult PlayDay(const Scenario& scenario, std::uint64_t seed, const Side& side);
+// `replay`: the traffic, in place of the scenario's own; null: that.
+DayResult PlayDay(const Scenario& scenario, std::uint64_t seed, const Side& side,
+                  const Replay* replay = nullptr);
 
 }  // namespace merlinrun::model
 
--- a/tests/model/world_test.cpp
+++ b/tests/model/world_test.cpp
@@ -264,6 +264,68 @@
             std::string::npos);
 }
 
+// A recording of one sidecar: a request each 20 ms for 10 s, every other one of another class.
+record::Recording Recorded() {
+  record::Recording out;
+  out.header.classes = {"number-port", "sim-lookup"};
+  for (std::uint32_t i = 0; i < 500; ++i) {
+    record::Record record;
+    record.arrived = 3'000'000 + 20'000 * i;
+    record.its_class = i % 2;
+    out.records.push_back(record);
+  }
+  std::swap(out.records[3], out.records[9]);  // they are in the order in which they ended
+  return out;
+}
+
+TEST(ReplayTest, PlaysWhatWasRecorded) {
+  const Scenario scenario = Small();
+  const auto read = ReplayOf({Recorded()}, scenario);
+  ASSERT_TRUE(std::holds_alternative<Replay>(read));
+  Replay replay = std::get<Replay>(read);
+  const auto first = StreamOf(replay, 0, 1, 20'000'000);
+  ASSERT_EQ(first.size(), 1'000U);  // twice ten seconds
+  EXPECT_EQ(first[7].at, 140'000);
+  EXPECT_EQ(first[7].its_class, 0U);  // sim-lookup, by the scenario's numbers
+  EXPECT_EQ(first[8].its_class, 3U);
+  const auto second = StreamOf(replay, 1, 1, 20'000'000);
+  EXPECT_EQ(second.size(), 1'000U);
+  EXPECT_NE(second[0].at, first[0].at);
+  replay.scale = 2.5;
+  EXPECT_NEAR(static_cast<double>(StreamOf(replay, 0, 1, 20'000'000).size()), 2'450,
+              80);  // copies past the end go
+  replay.scale = 1;
+  replay.resampled = true;
+  const auto one = StreamOf(replay, 0, 1, 20'000'000);
+  const auto other = StreamOf(replay, 0, 2, 20'000'000);
+  EXPECT_NEAR(static_cast<double>(one.size()), 1'000, 40);
+  EXPECT_NE(one[0].at + one[1].at + one[50].at, other[0].at + other[1].at + other[50].at);
+  EXPECT_TRUE(
+      std::is_sorted(one.begin(), one.end(), [](const auto& a, const auto& b) { return a.at < b.at; }));
+}
+
+TEST(ReplayTest, ADayOfRecordedTrafficHasItsRequestsAndNoneOfItsOwn) {
+  Scenario scenario = Small();
+  scenario.sidecars = {4, 4};
+  const Replay replay = std::get<Replay>(ReplayOf({Recorded(), Recorded()}, scenario));
+  const DayResult day = PlayDay(scenario, 1, Side(), &replay);
+  EXPECT_EQ(day.asked, 4'000U);
+  EXPECT_EQ(day.tries, 4'000U);
+  EXPECT_EQ(day.classes[1].asked, 0);
+  EXPECT_GT(day.service, 0.5);
+}
+
+TEST(ReplayTest, WhatDoesNotFitTheScenarioIsRefusedInOneLine) {
+  record::Recording foreign = Recorded();
+  foreign.header.classes[1] = "top-up";
+  const auto error = [](const record::Recording& recording) {
+    const auto read = ReplayOf({recording}, Small());
+    return std::holds_alternative<std::string>(read) ? std::get<std::string>(read) : "";
+  };
+  EXPECT_EQ(error(foreign), "the recording has class 'top-up', and the scenario has not");
+  EXPECT_EQ(error(record::Recording()), "nothing was recorded");
+}
+
 // The same module within the process and as a program over the wire: not one figure may differ.
 class SameOverTheWire : public ::testing::TestWithParam<double> {};
 
