--- a/model/world.cpp
+++ b/model/world.cpp
@@ -1058,7 +1058,10 @@
     settings.zone = sidecar.zone;
     sidecars_->Start(index, settings, Draws(seed_ ^ side_.salt, Purpose::kEngine, index, sidecar.life).Next(),
                      now_);
-    const std::vector<ServerInfo> servers = listing_.Whole(sidecar.version);
+    // At the start of a day thousands begin with one list.
+    if (whole_.empty() || whole_version_ != sidecar.version)
+      whole_ = listing_.Whole(whole_version_ = sidecar.version);
+    const std::vector<ServerInfo>& servers = whole_;
     sidecars_->OnServers(index, now_,
                          {ListUpdate::Kind::kStale, static_cast<std::int64_t>(sidecar.version), servers});
     if (listing_.version() > sidecar.version && now_ >= list_down_until_) PushTell(index, listing_.version());
@@ -1186,6 +1189,8 @@
   Table<TimerOf> timers_;
   std::vector<std::uint64_t> done_;
   Micros list_down_until_ = 0;
+  std::vector<ServerInfo> whole_;  // the list of whole_version_, as it was told last
+  std::size_t whole_version_ = 0;
   std::uint64_t actions_ = 0;
   std::string fault_;
 };
