Model: one copy of units, of what a trouble's time is and of a list's latest entries

Units and MicrosOf stood in four files, the worst share in two, the level of the usual intervals in two, whether a trouble goes on in three places, the latest entries of a list in two: each stands once now.

--- a/model/compare.cpp
+++ b/model/compare.cpp
@@ -8,8 +8,6 @@
 namespace merlinrun::model {
 namespace {
 
-constexpr double kUsualLevel = 0.05;  // of the intervals that are shown beside the one that is kept
-
 struct Job {
   std::size_t side = 0;
   std::uint64_t seed = 0;
--- a/model/judge.cpp
+++ b/model/judge.cpp
@@ -5,19 +5,12 @@
 #include <utility>
 
 namespace merlinrun::model {
-namespace {
-
-constexpr double kSecond = 1e6;
-constexpr double kMillisecond = 1e3;
-
 double Least(const std::vector<Share>& shares) {
   double least = 1;
   for (const Share& share : shares) least = std::min(least, share.of());
   return least;
 }
 
-}  // namespace
-
 Judge::Judge(const Scenario& day) : day_(day), window_(static_cast<Micros>(day.window_s.low * kSecond)) {
   // What is left over after the last whole window belongs to that one: a short one would be worst by chance.
   const auto windows = static_cast<std::size_t>(std::max(1.0, day.length_s.low / day.window_s.low));
--- a/model/judge.hpp
+++ b/model/judge.hpp
@@ -19,6 +19,9 @@
   double of() const { return asked > 0 ? served / asked : 1; }
 };
 
+// The share of the one that was served worst.
+double Least(const std::vector<Share>& shares);
+
 struct DayResult {
   std::uint64_t seed = 0;
   double service = 0;  // 0 if a rule was broken or the decision code failed
--- a/model/listing.cpp
+++ b/model/listing.cpp
@@ -48,22 +48,24 @@
   return version();
 }
 
+std::map<std::size_t, const ServerInfo*> Listing::Latest(std::size_t first, std::size_t last) const {
+  std::map<std::size_t, const ServerInfo*> out;
+  for (std::size_t v = first; v <= last; ++v)
+    for (const Change& change : versions_[v].changes) out[change.server] = &change.info;
+  return out;
+}
+
 std::vector<ServerInfo> Listing::Between(std::size_t from, std::size_t to) const {
-  std::map<std::size_t, const ServerInfo*> last;
-  for (std::size_t v = from + 1; v <= to; ++v)
-    for (const Change& change : versions_[v].changes) last[change.server] = &change.info;
+  const auto latest = Latest(from + 1, to);
   std::vector<ServerInfo> out;
-  out.reserve(last.size());
-  for (const auto& [server, info] : last) out.push_back(*info);
+  out.reserve(latest.size());
+  for (const auto& [server, info] : latest) out.push_back(*info);
   return out;
 }
 
 std::vector<ServerInfo> Listing::Whole(std::size_t version) const {
-  std::map<std::size_t, const ServerInfo*> last;
-  for (std::size_t v = 0; v <= version; ++v)
-    for (const Change& change : versions_[v].changes) last[change.server] = &change.info;
   std::vector<ServerInfo> out;
-  for (const auto& [server, info] : last)
+  for (const auto& [server, info] : Latest(0, version))
     if (info->state != ServerInfo::State::kGone) out.push_back(*info);
   return out;
 }
--- a/model/listing.hpp
+++ b/model/listing.hpp
@@ -52,6 +52,9 @@
     Micros started = 0;
   };
 
+  // Each server that the versions from `first` to `last` tell of, as the last of them has it.
+  std::map<std::size_t, const ServerInfo*> Latest(std::size_t first, std::size_t last) const;
+
   const Micros period_;
   std::vector<Version> versions_;
   std::map<Micros, std::vector<Change>> pending_;  // by when they are to be published
--- a/model/report.cpp
+++ b/model/report.cpp
@@ -9,8 +9,6 @@
 namespace merlinrun::model {
 namespace {
 
-constexpr double kUsualLevel = 0.05;
-
 std::string Format(const char* format, ...) __attribute__((format(printf, 1, 2)));
 std::string Format(const char* format, ...) {
   char text[400];
@@ -248,19 +246,14 @@
                 "class", "tries", "rules", "att/req");
   for (std::size_t side = 0; side < plan.sides.size(); ++side) {
     const auto& days = comparison.days[side];
-    const auto least = [](const std::vector<Share>& shares) {
-      double value = 1;
-      for (const Share& share : shares) value = std::min(value, share.of());
-      return value;
-    };
     const auto per_asked = [](std::uint64_t n, const DayResult& day) {
       return static_cast<double>(n) / static_cast<double>(std::max<std::uint64_t>(day.asked, 1));
     };
     out += Format("%-16s %5zu %8.4f %8.4f %8.4f %8.4f %7.3f %6lu %8.3f\n", plan.sides[side].name.c_str(),
                   days.size(), MeanOf(days, [](const DayResult& d) { return d.service; }),
                   MeanOf(days, [](const DayResult& d) { return d.whole.of(); }),
-                  MeanOf(days, [&](const DayResult& d) { return least(d.windows); }),
-                  MeanOf(days, [&](const DayResult& d) { return least(d.classes); }),
+                  MeanOf(days, [](const DayResult& d) { return Least(d.windows); }),
+                  MeanOf(days, [](const DayResult& d) { return Least(d.classes); }),
                   MeanOf(days, [&](const DayResult& d) { return per_asked(d.tries, d); }), Broken(days),
                   MeanOf(days, [&](const DayResult& d) { return per_asked(d.attempts, d); }));
   }
--- a/model/scenario.cpp
+++ b/model/scenario.cpp
@@ -13,8 +13,6 @@
 namespace merlinrun::model {
 namespace {
 
-constexpr double kMillisecond = 1e3;
-constexpr double kSecond = 1e6;
 constexpr std::size_t kMostList = 64;  // kinds, classes or troubles: far more than a fleet has
 
 // One figure of the schema: its name, where it is kept, what it may be and what it means.
@@ -454,31 +452,30 @@
 }
 
 Settings SettingsOf(const Scenario& day) {
-  const auto micros = [](const Range& range, double unit) { return static_cast<Micros>(range.low * unit); };
   Settings out;
   for (const TrafficClass& c : day.classes) {
     RequestClass to;
     to.name = c.name;
-    to.aim = micros(c.aim_ms, kMillisecond);
-    to.deadline = micros(c.deadline_ms, kMillisecond);
+    to.aim = MicrosOf(c.aim_ms, kMillisecond);
+    to.deadline = MicrosOf(c.deadline_ms, kMillisecond);
     to.worth = c.worth.low;
     to.late_worth = c.late_worth.low;
     to.repeat = c.repeat;
     to.group = c.group;
-    to.dedup_window = micros(c.window_s, kSecond);
+    to.dedup_window = MicrosOf(c.window_s, kSecond);
     out.classes.push_back(std::move(to));
   }
   out.siblings = static_cast<std::uint32_t>(day.sidecars.low);
-  out.tick = micros(day.tick_ms, kMillisecond);
+  out.tick = MicrosOf(day.tick_ms, kMillisecond);
   out.max_attempts = static_cast<int>(day.max_attempts.low);
   out.cancel = true;
-  out.max_retry_after = micros(day.max_retry_after_ms, kMillisecond);
-  out.dial_timeout = micros(day.connect_timeout_ms, kMillisecond);
-  out.drain_grace = micros(day.drain_grace_ms, kMillisecond);
+  out.max_retry_after = MicrosOf(day.max_retry_after_ms, kMillisecond);
+  out.dial_timeout = MicrosOf(day.connect_timeout_ms, kMillisecond);
+  out.drain_grace = MicrosOf(day.drain_grace_ms, kMillisecond);
   out.cold_share = day.cold_from.low;
-  out.warm_after = micros(day.warm_after_s, kSecond);
+  out.warm_after = MicrosOf(day.warm_after_s, kSecond);
   out.overload_factor = day.overload_factor.low;
-  out.fall_window = micros(day.fall_s, kSecond);
+  out.fall_window = MicrosOf(day.fall_s, kSecond);
   // As the deployment states them (prices, in shares of the result).
   out.price_crossing = 0.01;
   out.price_connection = 0.05;
--- a/model/scenario.hpp
+++ b/model/scenario.hpp
@@ -20,6 +20,11 @@
   double high = 0;
 };
 
+// Units of the figures, in microseconds, and a drawn figure as a time.
+constexpr double kMillisecond = 1e3;
+constexpr double kSecond = 1e6;
+inline Micros MicrosOf(const Range& drawn, double unit) { return static_cast<Micros>(drawn.low * unit); }
+
 // Times are in the unit that the member's name ends in; the file's names are the same.
 struct ServerKind {
   std::string name = "std-4";
--- a/model/side.cpp
+++ b/model/side.cpp
@@ -10,8 +10,6 @@
 namespace merlinrun::model {
 namespace {
 
-constexpr double kMillisecond = 1e3;
-
 struct Setting {
   const char* name;
   double least;
--- a/model/statistics.hpp
+++ b/model/statistics.hpp
@@ -9,6 +9,9 @@
 
 namespace merlinrun::model {
 
+// Of the intervals that are shown beside the one that holds through all looks: 95 in 100.
+constexpr double kUsualLevel = 0.05;
+
 struct Interval {
   double low = 0;
   double high = 0;
--- a/model/world.cpp
+++ b/model/world.cpp
@@ -18,8 +18,6 @@
 namespace merlinrun::model {
 namespace {
 
-constexpr double kMillisecond = 1e3;
-constexpr double kSecond = 1e6;
 // A day goes on so long after its last request, at most: guards against a side that never comes to an end.
 constexpr Micros kMostAfter = 60'000'000;
 // How far apart the speed of a server that is cold or choked is brought up to date.
@@ -29,8 +27,6 @@
 constexpr std::uint64_t kMostActions = 400;
 constexpr std::uint64_t kFreeActions = 4'000'000;
 
-Micros MicrosOf(const Range& range, double unit) { return static_cast<Micros>(range.low * unit); }
-
 // Ids that fit a string without an allocation: a place in a table and a number that tells its lives apart.
 class Id {
  public:
@@ -139,7 +135,6 @@
 
 struct Try {  // a request as a sidecar has it
   std::uint32_t ask = 0;
-  std::uint32_t ask_life = 0;
   std::uint32_t sidecar = 0;
   std::uint32_t sidecar_life = 0;
   Micros deadline = 0;
@@ -208,7 +203,7 @@
   std::uint64_t asked = 0;
   std::vector<Replay::Item> replayed;  // all that its clients ask for, where that was recorded
   std::size_t version = 0;             // of the list that it has
-  std::vector<Micros> told;            // by version: when it was told; -1 = was not
+  std::vector<Micros> told;            // by version, up to that one: when it was told
   struct Idle {
     std::uint32_t life = 0;  // of the server that they lead to
     std::uint32_t count = 0;
@@ -275,6 +270,7 @@
 
   void Build() {
     const auto zones = static_cast<int>(day_.data_centres.low);
+    most_shape_ = MostShape();
     work_.reserve(day_.classes.size());
     double shares = 0;
     double work = 0;
@@ -450,9 +446,8 @@
     const double wave = 4 * std::fabs(turn - std::floor(turn) - 0.5) - 1;  // a triangle between -1 and 1
     double shape = 1 + day_.swing.low * wave;
     for (const Trouble& trouble : day_.troubles) {
-      if (trouble.kind != Trouble::Kind::kLaunch) continue;
+      if (!GoesOn(trouble, Trouble::Kind::kLaunch, at)) continue;
       const Micros from = MicrosOf(trouble.at_s, kSecond);
-      if (at < from || at >= from + MicrosOf(trouble.len_s, kSecond)) continue;
       const double grown =
           trouble.ramp_s.low > 0
               ? std::min(1.0, static_cast<double>(at - from) / (trouble.ramp_s.low * kSecond))
@@ -462,6 +457,11 @@
     return shape;
   }
 
+  static bool GoesOn(const Trouble& trouble, Trouble::Kind kind, Micros at) {
+    const Micros from = MicrosOf(trouble.at_s, kSecond);
+    return trouble.kind == kind && at >= from && at < from + MicrosOf(trouble.len_s, kSecond);
+  }
+
   // The most that the shape comes to: arrivals are drawn at that rate and thinned.
   double MostShape() const {
     double most = 1 + day_.swing.low;
@@ -477,7 +477,7 @@
       return;
     }
     Draws& draws = arrivals_[sidecar];
-    const double most = MostShape();
+    const double most = most_shape_;
     if (!(all_[sidecar].rate > 0)) return;
     double at = static_cast<double>(from);
     do {
@@ -508,9 +508,7 @@
     ask.wait = wait_[ask.its_class](draws);
     const double dear = draws.Unit();
     for (const Trouble& trouble : day_.troubles) {
-      const Micros from = MicrosOf(trouble.at_s, kSecond);
-      const bool now = trouble.kind == Trouble::Kind::kClassDear && now_ >= from &&
-                       now_ < from + MicrosOf(trouble.len_s, kSecond);
+      const bool now = GoesOn(trouble, Trouble::Kind::kClassDear, now_);
       const bool this_class =
           trouble.of_class.empty() || trouble.of_class == day_.classes[ask.its_class].name;
       if (now && this_class && dear < trouble.part.low) ask.work *= trouble.size.low;
@@ -535,7 +533,6 @@
     t = {};
     t.attempts = std::move(attempts);
     t.ask = place;
-    t.ask_life = asks_.life(place);
     t.sidecar = ask.sidecar;
     t.sidecar_life = sidecar.life;
     const Micros heard = Heard(now_);
@@ -695,7 +692,7 @@
         judge_.Break(2, c.name + " was sent outside its group or window after it may have run");
     }
     const auto parked = listing_.ParkedIn(index, all_[sidecar].version);
-    if (parked && all_[sidecar].told[*parked] >= 0 && now_ > all_[sidecar].told[*parked] + grace_)
+    if (parked && now_ > all_[sidecar].told[*parked] + grace_)
       judge_.Break(3, "a server was sent something later than the grace after it was told to drain");
   }
 
@@ -1016,12 +1013,8 @@
 
   void Changed(std::uint32_t index, ServerInfo::State state, double notice_s) {
     Micros known = now_ + static_cast<Micros>(notice_s * kSecond);
-    for (const Trouble& trouble : day_.troubles) {
-      const Micros from = MicrosOf(trouble.at_s, kSecond);
-      if (trouble.kind == Trouble::Kind::kListLate && now_ >= from &&
-          now_ < from + MicrosOf(trouble.len_s, kSecond))
-        known += MicrosOf(trouble.size, kSecond);
-    }
+    for (const Trouble& trouble : day_.troubles)
+      if (GoesOn(trouble, Trouble::Kind::kListLate, now_)) known += MicrosOf(trouble.size, kSecond);
     Push(listing_.Add({index, InfoOf(index, state), now_}, known), kPublish);
   }
 
@@ -1182,6 +1175,7 @@
   std::vector<double> upto_;  // classes' shares, added up
   double mean_work_ = 0;
   double phase_ = 0;
+  double most_shape_ = 1;
   bool chokes_ = false;
   Table<Ask> asks_;
   Table<Try> tries_;
