One broken connection is no sign of a bad server

At fault: Judge and Strike in src/policy.cpp leave a server alone for each broken connection, so that half of the window was away at any time and the rest got too much. Ruled out: the time for which idle connections are kept (the sidecar closes them at 0.7 of what the settings tell; those written to were reset on purpose).

Changed: a connection that breaks or does not come up is its own trouble as long as its server has served well since the last one that did. A server that has died costs one attempt more.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -478,6 +478,12 @@
     } else if (outcome.result == Result::kCancelled || outcome.result == Result::kNeverSent) {
       return;
     }
+    // A connection that breaks or does not come up is its own trouble as long as the server has served well
+    // since the last one that did. Guards against leaving healthy servers alone where connections break by
+    // themselves: one attempt in twelve was reset, and half of the window was away at any time. It costs a
+    // server that has died one attempt more.
+    const bool broke = outcome.result == Result::kReset || outcome.result == Result::kUnreachable;
+    if (broke && server.good_at > std::exchange(server.broke_at, now_)) return;
     if (outcome.result == Result::kError) server.failing += (kRefusalMost - server.failing) / kErrorMemory;
     if (outcome.result == Result::kSuccess) server.failing -= server.failing / kServedMemory;
     if (outcome.result == Result::kError) return;
--- a/src/records.hpp
+++ b/src/records.hpp
@@ -24,6 +24,7 @@
   int strikes = 0;               // bad outcomes in a row
   Micros heard_at = 0;           // its last answer, or when it got work after it had none
   Micros good_at = 0;            // when it last served a request within its aim
+  Micros broke_at = 0;           // when a connection to it last broke or did not come up
   Micros away_until = 0;         // left alone until then; after that one trial attempt at a time
   double young_credit = 0;       // sends that a young server may still be given
   std::int64_t served_then = 0;  // what this sidecar had been served when the credit was last reckoned
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -514,6 +514,41 @@
   EXPECT_LT(sent[true], 30);
 }
 
+// Met where one attempt in twelve was reset: each left a healthy server alone, half of the window at any
+// time.
+TEST_F(BalancerTest, AServerIsLeftAloneForBrokenConnectionsInARowAndNotForOne) {
+  for (const Result broken : {Result::kReset, Result::kUnreachable}) {
+    Settings settings = MakeSettings();
+    settings.tuning.window_width = 2;
+    Start(settings, 2);
+    int requests = 0;
+    // Which servers the next requests go to, one at a time; all are served, or all that go to s00 break.
+    const auto used = [&](bool breaks) {
+      std::map<std::string, int> to;
+      for (int i = 0; i < 20; ++i) {
+        now_ += 1 * kMs;
+        const std::string id = "r" + std::to_string(++requests);
+        const std::string server = Arrive(id).at(0).server;
+        ++to[server];
+        Resolve(id, 0, breaks && server == "s00" ? broken : Result::kSuccess, true);
+      }
+      return to;
+    };
+    used(false);
+    std::string id;
+    std::string server;
+    while (server != "s00") {
+      id = "b" + std::to_string(++requests);
+      server = Arrive(id).at(0).server;
+      if (server != "s00") Resolve(id, 0, Result::kSuccess, true);
+    }
+    Resolve(id, 0, broken, true);
+    EXPECT_GT(used(false)["s00"], 0);
+    // It serves no more: two attempts find it out.
+    EXPECT_EQ(used(true)["s00"], 2);
+  }
+}
+
 // Met in incidents with servers that must rest: a lucky answer at the floor opened the sidecar fully.
 TEST_F(BalancerTest, OneGoodAnswerDoesNotEndDeepShedding) {
   Start(MakeSettings(), 10);
