--- a/model/adapter.cpp
+++ b/model/adapter.cpp
@@ -228,7 +228,7 @@
     Line("ARRIVAL", sidecar).Add(request.id).Add("-").Add(std::to_string(request.budget)).Add("-");
     Add(std::to_string(options))
         .Add(classes_.at(static_cast<std::size_t>(request.request_class)))
-        .Add("-")
+        .Add(request.key.empty() ? "-" : request.key)
         .End();
   }
   void OnOutcome(std::uint32_t sidecar, Micros, const Outcome& outcome, std::string_view server) override {
@@ -395,7 +395,8 @@
   number("goal.worst_window", s.goal_worst_window);
   number("goal.worst_class", s.goal_worst_class);
   add("value_by", "request");
-  add("weights", "none");
+  add("weights", s.weights == Settings::Weights::kRough ? "rough" : "none");
+  if (s.warm_keys) flag("domain.warm_keys", true);
   return out;
 }
 
--- a/model/random.hpp
+++ b/model/random.hpp
@@ -27,6 +27,8 @@
   kEngine,
   kBootstrap,
   kRecording,
+  kKey,
+  kPause,
 };
 
 // The finishing steps of SplitMix64.
--- a/model/scenario.cpp
+++ b/model/scenario.cpp
@@ -82,7 +82,8 @@
         {"silent_notice_s", &S::silent_notice_s, 0, 600, "until a death is told"},
         {"add_s", &S::add_s, 0, 600, "until a server that has started is told"},
         {"period_ms", &S::period_ms, 1, 60'000, "changes of such a time are told together"},
-        {"spread_ms", &S::spread_ms, 0, 60'000, "by which sidecars differ in when they hear"}}},
+        {"spread_ms", &S::spread_ms, 0, 60'000, "by which sidecars differ in when they hear"},
+        {"sizes", &S::sizes, 0, 1, "1: the list's weights are the servers' cores; 0: it has none"}}},
       {"rules",
        {{"drain_grace_ms", &S::drain_grace_ms, 0, 60'000,
          "nothing new to a server so long after it was told"},
@@ -101,7 +102,18 @@
       {"goal",
        {{"whole", &S::whole, 0, 1, "weight of the whole run"},
         {"worst_window", &S::worst_window, 0, 1, "weight of the worst window"},
-        {"worst_class", &S::worst_class, 0, 1, "weight of the worst class"}}}};
+        {"worst_class", &S::worst_class, 0, 1, "weight of the worst class"}}},
+      {"price",
+       {{"crossing", &S::crossing, 0, 1,
+         "what sidecars are told: of each request crossing data centres once"},
+        {"connection", &S::connection, 0, 1, "... of a hundred open connections a server"}}},
+      {"keys",
+       {{"distinct", &S::keys, 0, 1'000'000, "what requests are about; 0: they are about nothing"},
+        {"skew", &S::key_skew, 0, 4, "Zipf's exponent of how popular the keys are"},
+        {"warm_gain", &S::warm_gain, 0, 1,
+         "share of the work that a server saves for a key it has lately met"},
+        {"warm_s", &S::warm_s, 0, 86'400, "... within such a time"},
+        {"warm_per_core", &S::warm_per_core, 0, 100'000, "keys that it keeps so, for each core"}}}};
   return groups;
 }
 
@@ -119,7 +131,9 @@
       {"thrash_at", &K::thrash_at, 0, 1e6, "requests held"},
       {"cold_share", &K::cold_share, 0.01, 1, "of its capacity at its start"},
       {"cold_s", &K::cold_s, 0, 86'400, "until it is warm"},
-      {"error_rate", &K::error_rate, 0, 1, "share of its requests that end in an error"}};
+      {"error_rate", &K::error_rate, 0, 1, "share of its requests that end in an error"},
+      {"pause_ms", &K::pause_ms, 0, 60'000, "it stands still for so long"},
+      {"pause_every_s", &K::pause_every_s, 0, 86'400, "... so far apart on average; 0: never"}};
   return figures;
 }
 
@@ -476,9 +490,11 @@
   out.warm_after = MicrosOf(day.warm_after_s, kSecond);
   out.overload_factor = day.overload_factor.low;
   out.fall_window = MicrosOf(day.fall_s, kSecond);
+  out.warm_keys = day.keys.low >= 1 && day.warm_gain.low > 0;
+  if (day.sizes.low >= 1) out.weights = Settings::Weights::kRough;
   // As the deployment states them (prices, in shares of the result).
-  out.price_crossing = 0.01;
-  out.price_connection = 0.05;
+  out.price_crossing = day.crossing.low;
+  out.price_connection = day.connection.low;
   out.price_handshake = 0.05;
   out.price_waste = 0.04;
   out.price_late = 0.05;
--- a/model/scenario.hpp
+++ b/model/scenario.hpp
@@ -39,6 +39,8 @@
   Range cold_share{0.4, 0.4};  // of its capacity at its start
   Range cold_s{6, 6};          // until it is warm, in a straight line
   Range error_rate{0, 0};
+  Range pause_ms{0, 0};       // it stands still for so long ...
+  Range pause_every_s{0, 0};  // ... so often, on average; 0 = never
 };
 
 struct TrafficClass {
@@ -121,6 +123,7 @@
   Range add_s{0.94, 2.1};          // until a new server is
   Range period_ms{250, 1'300};     // changes are told together
   Range spread_ms{14, 110};        // from sidecar to sidecar
+  Range sizes{0, 0};               // 1: the list's weights are the servers' cores
   // [rules]
   Range drain_grace_ms{500, 500};
   Range answer_slack_ms{20, 20};
@@ -136,6 +139,15 @@
   Range whole{0.45, 0.45};
   Range worst_window{0.35, 0.35};
   Range worst_class{0.2, 0.2};
+  // [price], in shares of the result
+  Range crossing{0.01, 0.01};
+  Range connection{0.05, 0.05};
+  // [keys]
+  Range keys{0, 0};       // that requests are about; 0 = they are about none
+  Range key_skew{0, 0};   // Zipf's exponent
+  Range warm_gain{0, 0};  // share of its work that a warm key saves
+  Range warm_s{5, 5};     // a server keeps a key warm for so long
+  Range warm_per_core{10, 10};
 
   std::vector<ServerKind> kinds;
   std::vector<TrafficClass> classes;
--- a/model/server.cpp
+++ b/model/server.cpp
@@ -29,6 +29,7 @@
   const double share = std::min(1.0, figures_.cores / static_cast<double>(on_cores_));
   rate_ = figures_.speed * Warmth(now) * share /
           ((1 + figures_.thrash * over) * (choked_ ? figures_.choke_slower : 1));
+  if (now < paused_until_) rate_ = 0;
 }
 
 void Server::Choke(Micros now) {
@@ -84,6 +85,12 @@
   Reckon(now);
 }
 
+void Server::Pause(Micros now, Micros until) {
+  Advance(now);
+  paused_until_ = std::max(paused_until_, until);
+  Reckon(now);
+}
+
 void Server::Refresh(Micros now) {
   Advance(now);
   Reckon(now);
--- a/model/server.hpp
+++ b/model/server.hpp
@@ -77,6 +77,9 @@
   }
   // When Finished is next worth a call; 0 = never, unless something changes.
   Micros due(Micros now) const;
+  // It stands still until then: nothing on its cores goes on. A longer standstill under way is kept. Refresh
+  // it when it is over.
+  void Pause(Micros now, Micros until);
   // Its speed changes by itself while it is cold or choked: brings it up to date.
   void Refresh(Micros now);
   bool choked() const { return choked_; }
@@ -111,6 +114,7 @@
   Micros calm_since_ = -1;
   Micros choked_at_ = 0;
   bool choked_ = false;
+  Micros paused_until_ = 0;
 };
 
 }  // namespace merlinrun::model
--- a/model/world.cpp
+++ b/model/world.cpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "model/events.hpp"
+#include "model/keys.hpp"
 #include "model/listing.hpp"
 #include "model/random.hpp"
 #include "model/server.hpp"
@@ -114,12 +115,15 @@
   kStopServer,   // a: server that has drained
   kDrainServer,  // a: server
   kSidecarBack,  // a: sidecar
+  kPause,        // a: server, b: its life: it stands still
+  kResume,       // a: server, b: its life: its standstill is over
 };
 
 struct Ask {  // a client's request, over all its tries
   std::uint32_t its_class = 0;
   std::uint32_t sidecar = 0;
-  std::uint64_t key = 0;  // of all chance that concerns it
+  std::uint64_t chance = 0;  // key of all chance that concerns it
+  std::uint32_t object = 0;  // what it is about, from 1; 0 = nothing
   Micros asked = 0;
   int tries = 0;
   int tries_left = 0;
@@ -157,6 +161,7 @@
   std::uint32_t server = 0;
   std::uint32_t server_life = 0;
   std::uint32_t its_class = 0;
+  std::uint32_t object = 0;
   Micros sent = 0;
   Micros deadline = 0;
   Micros back = 0;  // the answer's way
@@ -182,7 +187,9 @@
   ServerFigures figures;
   double error_rate = 0;
   std::uint32_t connections = 0;
-  Micros due = 0;  // of the kCores event that counts; 0 = none
+  WarmKeys warm{0, 0};
+  std::uint64_t pauses = 0;  // that it has had
+  Micros due = 0;            // of the kCores event that counts; 0 = none
   Micros stalled_until = 0;
   // While it is cold: work that has arrived in the window, and how much of it from sidecars that know.
   struct Borne {
@@ -231,9 +238,11 @@
         grace_(MicrosOf(day_.drain_grace_ms, kMillisecond)),
         fall_(MicrosOf(day_.fall_s, kSecond)),
         queue_(BucketShift(day_)),
-        listing_(std::max<Micros>(MicrosOf(day_.period_ms, kMillisecond), 1)) {
+        listing_(std::max<Micros>(MicrosOf(day_.period_ms, kMillisecond), 1)),
+        keys_(static_cast<std::size_t>(day_.keys.low), day_.key_skew.low) {
     settings_.tuning = side.tuning;
     if (!side.cold_care) settings_.cold_share = 1;
+    if (!side.warm_care) settings_.warm_keys = false;
   }
 
   DayResult Play() {
@@ -355,7 +364,9 @@
     machine.error_rate = k.error_rate.low;
     // One that was there before the day has long been warm.
     machine.server = std::make_unique<Server>(f, started > 0 ? started : -f.cold_for);
+    machine.warm = NoKeysYet(machine);
     machines_.push_back(std::move(machine));
+    NextPause(static_cast<std::uint32_t>(index));
   }
 
   ServerInfo InfoOf(std::size_t index, ServerInfo::State state) const {
@@ -365,6 +376,7 @@
     info.zone = machine.zone;
     info.machine = static_cast<int>(machine.kind);
     info.cell = machine.cell;
+    if (day_.sizes.low >= 1) info.weight = machine.figures.cores;
     info.started = std::max<Micros>(machine.server->started(), 0);
     info.state = state;
     return info;
@@ -432,6 +444,12 @@
         return StopServer(a);
       case kSidecarBack:
         return StartSidecar(a);
+      case kPause:
+        if (machines_[a].life == event.b && machines_[a].up) PauseServer(a);
+        return;
+      case kResume:
+        if (machines_[a].life == event.b && machines_[a].up) ResumeServer(a);
+        return;
     }
   }
 
@@ -492,9 +510,11 @@
     Ask& ask = asks_[place];
     ask = {};
     ask.sidecar = sidecar;
-    ask.key = Hash(sidecar, ++all_[sidecar].asked);
+    ask.chance = Hash(sidecar, ++all_[sidecar].asked);
     ask.asked = now_;
-    Draws draws(seed_, Purpose::kRequest, ask.key);
+    Draws draws(seed_, Purpose::kRequest, ask.chance);
+    Draws key(seed_, Purpose::kKey, ask.chance);
+    ask.object = keys_(key);
     const double which = draws.Unit();
     while (ask.its_class + 1 < upto_.size() && which >= upto_[ask.its_class]) ++ask.its_class;
     const double retries = day_.retries.low;
@@ -544,13 +564,15 @@
     request.request_class = static_cast<int>(ask.its_class);
     request.budget = t.deadline - now_;
     request.write = c.repeat != Repeat::kSafe;
+    const Id object(ask.object, 1);
+    if (ask.object > 0) request.key = object.text();
     sidecars_->OnRequest(ask.sidecar, now_, request);
   }
 
   // A try has ended without an answer from a server.
   void ClientLoses(std::uint32_t place, Ask& ask, bool may_retry, Micros retry_after) {
     const TrafficClass& c = day_.classes[ask.its_class];
-    Draws draws(seed_, Purpose::kRetry, ask.key, static_cast<std::uint64_t>(ask.tries));
+    Draws draws(seed_, Purpose::kRetry, ask.chance, static_cast<std::uint64_t>(ask.tries));
     const double backoff =
         day_.backoff_ms.low * kMillisecond * static_cast<double>(1 << std::min(ask.tries - 1, 10));
     Micros wait = static_cast<Micros>(backoff * draws.Between(0.5, 1.5));
@@ -700,7 +722,7 @@
     OneSidecar& sidecar = all_[attempt.sidecar];
     Machine& machine = machines_[attempt.server];
     Draws draws(seed_, Purpose::kAttempt,
-                Hash(ask.key,
+                Hash(ask.chance,
                      64 * static_cast<std::uint64_t>(ask.tries) + static_cast<std::uint64_t>(attempt.number)),
                 attempt.server);
     const double way = (sidecar.zone == machine.zone ? day_.same_ms.low : day_.cross_ms.low) * kMillisecond;
@@ -711,6 +733,7 @@
     const Micros out = delay();
     attempt.back = delay();
     attempt.its_class = ask.its_class;
+    attempt.object = ask.object;
     attempt.wait = ask.wait;
     attempt.work = ask.work * noise_[ask.its_class](draws);
     attempt.fails = draws.Chance(machine.error_rate);
@@ -890,6 +913,8 @@
       t->began_zone = machines_[attempt.server].zone;
       t->began_at = now_;
     }
+    if (attempt.object > 0 && machines_[attempt.server].warm.Meet(attempt.object, now_))
+      attempt.work *= 1 - day_.warm_gain.low;
     Push(now_ + static_cast<Micros>(attempt.wait), kWaited, place, attempts_.life(place));
   }
 
@@ -954,6 +979,35 @@
     if (machine.server->Warmth(now_) < 1) Push(now_ + kRefresh, kRefreshServer, index, machine.life);
   }
 
+  WarmKeys NoKeysYet(const Machine& machine) const {
+    const double most = machine.figures.cores * day_.warm_per_core.low;
+    return {static_cast<std::size_t>(most), MicrosOf(day_.warm_s, kSecond)};
+  }
+
+  // Standstills of one server (a collector of garbage, a disk): of its kind's length, as far apart as chance
+  // has it.
+  void NextPause(std::uint32_t index) {
+    Machine& machine = machines_[index];
+    const ServerKind& kind = day_.kinds[machine.kind];
+    if (kind.pause_every_s.low <= 0 || kind.pause_ms.low <= 0) return;
+    Draws draws(seed_, Purpose::kPause, index, ++machine.pauses);
+    const Micros at = now_ + static_cast<Micros>(draws.Exponential(kind.pause_every_s.low * kSecond)) + 1;
+    if (at < length_) Push(at, kPause, index, machine.life);
+  }
+
+  void PauseServer(std::uint32_t index) {
+    Machine& machine = machines_[index];
+    const Micros until = now_ + MicrosOf(day_.kinds[machine.kind].pause_ms, kMillisecond);
+    machine.server->Pause(now_, until);
+    Push(until, kResume, index, machine.life);
+  }
+
+  void ResumeServer(std::uint32_t index) {
+    machines_[index].server->Refresh(now_);
+    Schedule(index);
+    NextPause(index);
+  }
+
   // The fourth rule: what a cold server is sent, and what it can bear.
   void Bear(const Attempt& attempt) {
     Machine& machine = machines_[attempt.server];
@@ -1007,7 +1061,9 @@
     ++machine.life;
     machine.borne.clear();
     machine.borne_work = machine.borne_known = 0;
+    machine.warm = NoKeysYet(machine);
     Push(now_ + kRefresh, kRefreshServer, index, machine.life);
+    NextPause(index);
     Changed(index, ServerInfo::State::kHealthy, day_.add_s.low);
   }
 
@@ -1164,6 +1220,7 @@
   const Micros fall_;
   EventQueue queue_;
   Listing listing_;
+  const KeyLaw keys_;
   std::unique_ptr<Sidecars> sidecars_;
   Micros now_ = 0;
   std::vector<Machine> machines_;
--- a/model/world.hpp
+++ b/model/world.hpp
@@ -11,13 +11,15 @@
 
 namespace merlinrun::model {
 
-// Plays the day of `seed`. `tuning` goes to the sidecars with their settings, and `cold_care` says whether
-// they are told that servers start cold; both for sides that differ in them.
+// Plays the day of `seed`. `tuning` goes to the sidecars with their settings; `cold_care` says whether they
+// are told that servers start cold, `warm_care` whether that servers keep keys warm; all for sides that
+// differ.
 struct Side {
   std::string name = "now";
   MakeSidecars make = InProcess;
   Tuning tuning;
   bool cold_care = true;
+  bool warm_care = true;
   std::uint64_t salt = 0;  // of the sidecars' own chance: sides that differ in it alone are equal
 };
 
--- a/tests/model/parts_test.cpp
+++ b/tests/model/parts_test.cpp
@@ -6,6 +6,7 @@
 #include <set>
 
 #include "model/events.hpp"
+#include "model/keys.hpp"
 #include "model/listing.hpp"
 #include "model/random.hpp"
 #include "model/server.hpp"
@@ -183,6 +184,50 @@
   EXPECT_FALSE(server.choked());
 }
 
+TEST(ServerTest, NothingGoesOnWhileItStandsStill) {
+  Server server(OneCore(), 0);
+  server.Take(0, 1);
+  server.Work(0, 1, 1'000);
+  EXPECT_EQ(server.due(0), 1'000);
+  server.Pause(400, 2'400);
+  server.Pause(500, 900);  // a shorter one on top ends nothing
+  EXPECT_EQ(server.due(500), 0);
+  server.Refresh(900);
+  EXPECT_EQ(server.due(900), 0);
+  server.Refresh(2'400);
+  EXPECT_EQ(server.due(2'400), 3'000);
+}
+
+TEST(KeysTest, AServerKeepsWarmWhatItMetLastAndForSoLong) {
+  WarmKeys keys(2, 1'000);
+  EXPECT_FALSE(keys.Meet(1, 0));
+  EXPECT_FALSE(keys.Meet(2, 100));
+  EXPECT_TRUE(keys.Meet(1, 200));
+  EXPECT_FALSE(keys.Meet(3, 300));  // no room for three: 2 was met longest ago
+  EXPECT_FALSE(keys.Meet(2, 400));  // ... and 1 goes now
+  EXPECT_TRUE(keys.Meet(3, 1'300));
+  EXPECT_FALSE(keys.Meet(3, 2'301));
+  EXPECT_EQ(keys.size(), 2U);
+  WarmKeys none(0, 1'000);
+  none.Meet(1, 0);
+  EXPECT_FALSE(none.Meet(1, 1));
+  EXPECT_EQ(none.size(), 0U);
+}
+
+TEST(KeysTest, ThePopularOnesComeInProportion) {
+  const KeyLaw law(100, 1);
+  std::vector<int> met(101);
+  Draws draws(9, Purpose::kKey);
+  constexpr int kDrawn = 200'000;
+  for (int i = 0; i < kDrawn; ++i) ++met[law(draws)];
+  EXPECT_EQ(met[0], 0);
+  const double first = met[1];
+  EXPECT_NEAR(met[2] / first, 0.5, 0.02);
+  EXPECT_NEAR(met[10] / first, 0.1, 0.01);
+  EXPECT_NEAR(first / kDrawn, 1 / 5.1874, 0.005);  // the hundredth harmonic number
+  EXPECT_EQ(KeyLaw(0, 1)(draws), 0U);
+}
+
 ServerInfo Named(const char* id, ServerInfo::State state, Micros started = 0) {
   ServerInfo info;
   info.id = id;
--- a/tests/model/scenario_test.cpp
+++ b/tests/model/scenario_test.cpp
@@ -70,11 +70,12 @@
 }
 
 TEST(SideTest, IsReadFromOneWord) {
-  const auto side = ParseSide("wide:window_width=6,jitter=0.5,cold_care=0,salt=3");
+  const auto side = ParseSide("wide:window_width=6,jitter=0.5,cold_care=0,warm_care=0,salt=3");
   ASSERT_TRUE(std::holds_alternative<Side>(side));
   EXPECT_EQ(std::get<Side>(side).tuning.window_width, 6U);
   EXPECT_EQ(std::get<Side>(side).tuning.jitter, 0.5);
   EXPECT_FALSE(std::get<Side>(side).cold_care);
+  EXPECT_FALSE(std::get<Side>(side).warm_care);
   EXPECT_EQ(std::get<Side>(side).salt, 3U);
   for (const char* const bad :
        {"", "a b", "a:width=3", "a:jitter=2", "a:jitter", "a:jitter=x", "a:out_from=3"})
--- a/tests/model/world_test.cpp
+++ b/tests/model/world_test.cpp
@@ -32,6 +32,22 @@
   return scenario;
 }
 
+// The same, whose servers keep keys warm and stand still now and then.
+Scenario Keyed() {
+  Scenario scenario = Small();
+  scenario.keys = {300, 300};
+  scenario.key_skew = {0.7, 0.7};
+  scenario.warm_gain = {0.6, 0.6};
+  scenario.warm_per_core = {20, 20};
+  scenario.connection = {0, 0};
+  scenario.sizes = {1, 1};
+  for (ServerKind& kind : scenario.kinds) {
+    kind.pause_ms = {200, 200};
+    kind.pause_every_s = {3, 3};
+  }
+  return scenario;
+}
+
 Trouble Of(Trouble::Kind kind, double at = 5, double len = 5) {
   Trouble trouble;
   trouble.kind = kind;
@@ -231,6 +247,16 @@
   EXPECT_NE(by_one.differences[1].verdict, Verdict::kBetter);
 }
 
+// What the keys are kept warm for: a side that is not told of it warms each server a little.
+TEST(CompareTest, ASideThatDoesNotUseWarmKeysIsWorse) {
+  Plan plan = PlanOf({"now", "untold:warm_care=0"}, 2);
+  plan.scenario = Keyed();
+  plan.scenario.servers = {5, 6};  // too few for all the work, were no key warm
+  const Comparison played = Compare(plan, {}, {});
+  EXPECT_EQ(played.differences[0].verdict, Verdict::kWorse);
+  EXPECT_LT(played.differences[0].mean, -0.02);
+}
+
 // A run that is stopped keeps what is done; one that goes on from it says what an undisturbed one says.
 TEST(CompareTest, GoesOnFromWhereItWasStopped) {
   const std::string file = ::testing::TempDir() + "model-" + std::to_string(::getpid()) + ".days";
@@ -341,6 +367,16 @@
   EXPECT_EQ(over.fault, "");
   EXPECT_EQ(ToJson(within).dump(), ToJson(over).dump());
 }
+TEST(AdapterTest, KeysAndSizesGoOverTheWireToo) {
+  const auto side = ParseSide(std::string("old:program=") + FENNELHOLLOW_ADAPTER);
+  const DayResult within = PlayDay(Keyed(), 5, Side());
+  const DayResult over = PlayDay(Keyed(), 5, std::get<Side>(side));
+  EXPECT_EQ(ToJson(within).dump(), ToJson(over).dump());
+  Side untold;
+  untold.warm_care = false;
+  EXPECT_NE(ToJson(PlayDay(Keyed(), 5, untold)).dump(), ToJson(within).dump());
+}
+
 INSTANTIATE_TEST_SUITE_P(AtOnceAndAtATick, SameOverTheWire, ::testing::Values(0.0, 5.0));
 
 std::string FaultOf(const std::string& program) {
