Fleet model: no draw for keys where there are none, and one check that a server still is up

Seen on reading the change once more: each arrival drew for a key also where requests are about nothing, on the model's hot path, and three events had the same check written out.

--- a/model/keys.hpp
+++ b/model/keys.hpp
@@ -24,9 +24,10 @@
     for (std::size_t n = 1; n <= distinct; ++n)
       upto_.push_back(sum += Exp(-skew * Log(static_cast<double>(n))));
   }
+  bool any() const { return !upto_.empty(); }
   // The key's rank, from 1; 0 = none.
   std::uint32_t operator()(Draws& draws) const {
-    if (upto_.empty()) return 0;
+    if (!any()) return 0;
     const auto at = std::upper_bound(upto_.begin(), upto_.end(), draws.Unit() * upto_.back());
     return static_cast<std::uint32_t>(std::min<std::ptrdiff_t>(at - upto_.begin() + 1, std::ssize(upto_)));
   }
--- a/model/world.cpp
+++ b/model/world.cpp
@@ -388,6 +388,11 @@
   // When a sidecar hears of what happens at `at`.
   Micros Heard(Micros at) const { return tick_ > 0 ? (at + tick_ - 1) / tick_ * tick_ : at; }
 
+  // The server that the event concerns is up, in the life that it was meant for.
+  bool StillUp(const Event& event) const {
+    return machines_[event.a].life == event.b && machines_[event.a].up;
+  }
+
   void Happen(const Event& event) {
     const std::uint32_t a = event.a;
     switch (static_cast<Kind>(event.kind())) {
@@ -412,7 +417,7 @@
         if (machines_[a].due == now_ && machines_[a].life == event.b) OnCores(a);
         return;
       case kRefreshServer:
-        if (machines_[a].life == event.b && machines_[a].up) RefreshServer(a);
+        if (StillUp(event)) RefreshServer(a);
         return;
       case kLeft:
         if (Attempt* const attempt = attempts_.Find(a, event.b)) LeaveServer(a, *attempt);
@@ -445,10 +450,10 @@
       case kSidecarBack:
         return StartSidecar(a);
       case kPause:
-        if (machines_[a].life == event.b && machines_[a].up) PauseServer(a);
+        if (StillUp(event)) PauseServer(a);
         return;
       case kResume:
-        if (machines_[a].life == event.b && machines_[a].up) ResumeServer(a);
+        if (StillUp(event)) ResumeServer(a);
         return;
     }
   }
@@ -513,8 +518,10 @@
     ask.chance = Hash(sidecar, ++all_[sidecar].asked);
     ask.asked = now_;
     Draws draws(seed_, Purpose::kRequest, ask.chance);
-    Draws key(seed_, Purpose::kKey, ask.chance);
-    ask.object = keys_(key);
+    if (keys_.any()) {
+      Draws key(seed_, Purpose::kKey, ask.chance);
+      ask.object = keys_(key);
+    }
     const double which = draws.Unit();
     while (ask.its_class + 1 < upto_.size() && which >= upto_[ask.its_class]) ++ask.its_class;
     const double retries = day_.retries.low;
