--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -88,9 +88,8 @@
 // lately: with Tuning::out_from what is usual is let in at any time, after a pause too. Of 0.3, 0.75 and 1
 // the last was worse where load is over what servers do; the others differ by chance.
 constexpr double kLeastOfUsual = 0.75;
-// Attempts at this part of the window's servers, if they have gone silent, do not count as a crowd: they are
-// those servers' trouble. At most so many, as all look silent when all choke.
-constexpr double kMostSilent = 0.3;
+// An attempt that is out for so many usual times is no part of the crowd. By chance one of fifty is.
+constexpr double kLost = 4;
 // One good answer recovers no more than it would at this level: servers that choked recover only if they are
 // left alone for seconds, and a lucky answer must not end that. 0.15 and 0.3 were tried.
 constexpr double kRecoverAt = 0.15;
@@ -263,6 +262,7 @@
     attempt.may_have_run = !ProvesNeverRan(outcome.result, set_.refused_may_have_run);
     --attempt.server->out;
     --pools_[attempt.server->pool].out;
+    pools_[attempt.server->pool].ages.Over(attempt.sent, now_);
     if (outcome.result == Result::kSuccess) ++served_;
     LearnTime(pools_[attempt.server->pool], held, outcome);
     if (Answered(outcome.result)) attempt.server->heard_at = now_;
@@ -362,6 +362,7 @@
     Pool& pool = pools_[server->pool];
     pool.out_peak = std::max(static_cast<double>(++pool.out), pool.out_peak * (1 - 1 / kMixMemory));
     held.attempts.push_back({server, server->info.zone, server->info.cell, now_});
+    pool.ages.Sent(now_);
     sink_.Send(it->first, server->info.id, TimeOut(held));
     if (const Micros late = held.arrived + ClassOf(held).aim - now_; late > 0) Alarm(it, late);
   }
@@ -435,18 +436,13 @@
     return std::clamp((full - Crowd(pool) / expected) / (full - from), kAdmitLeast, 1.0);
   }
 
-  // Own attempts out, without those at servers that have gone silent.
+  // Own attempts out that may still be waiting for their turn at a server. One that is out for kLost usual
+  // times got lost on the way or is stuck with its server: in a spell in which one attempt in six got no
+  // answer, those filled the limit for the seconds until they were given up, and six in ten requests were
+  // refused while servers answered as quickly as ever. Where all servers stand, what is let in is bounded by
+  // the limit for each kLost usual times.
   double Crowd(const Pool& pool) const {
-    const std::size_t width = Width(pool, set_);
-    auto silent = static_cast<std::size_t>(kMostSilent * static_cast<double>(width));
-    int out = pool.out;
-    for (std::size_t i = 0; i < width && silent > 0; ++i) {
-      const Server& server = pool.InWindow(i);
-      if (server.out == 0 || Silence(server) <= kSilence) continue;
-      out -= server.out;
-      --silent;
-    }
-    return out;
+    return pool.ages.Younger(static_cast<Micros>(kLost * pool.out_time), now_);
   }
 
   // Requests served within their aim, per microsecond, over about kRateTime.
--- a/src/records.hpp
+++ b/src/records.hpp
@@ -3,6 +3,7 @@
 #define MERLINRUN_SRC_RECORDS_HPP_
 
 #include <algorithm>
+#include <array>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -31,6 +32,39 @@
   std::int64_t served_then = 0;  // what this sidecar had been served when the credit was last reckoned
 };
 
+// How many attempts are out, by when they were sent: counts a span of time each, of the last kSpans.
+class Ages {
+ public:
+  void Sent(Micros now) {
+    Forget(now);
+    ++counts_[Slot(now)];
+  }
+  void Over(Micros sent, Micros now) {
+    Forget(now);
+    if (now / kSpan - sent / kSpan < kSpans) --counts_[Slot(sent)];
+  }
+  // Those out for less than `age`, to the span.
+  int Younger(Micros age, Micros now) const {
+    const Micros oldest = std::max((now - age) / kSpan, now / kSpan - kSpans + 1);
+    int sum = 0;
+    for (Micros span = now / kSpan; span >= oldest && span > seen_ - kSpans; --span)
+      if (span <= seen_) sum += counts_[Slot(span * kSpan)];
+    return sum;
+  }
+
+ private:
+  static constexpr Micros kSpan = 25'000;  // a part of the quickest answers' time
+  static constexpr Micros kSpans = 128;    // 3.2 s: what is out for longer counts nowhere
+  static std::size_t Slot(Micros time) { return static_cast<std::size_t>(time / kSpan % kSpans); }
+  void Forget(Micros now) {
+    for (Micros span = std::max(seen_ + 1, now / kSpan - kSpans + 1); span <= now / kSpan; ++span)
+      counts_[Slot(span * kSpan)] = 0;
+    seen_ = std::max(seen_, now / kSpan);
+  }
+  std::array<int, kSpans> counts_ = {};
+  Micros seen_ = 0;  // the last span that was begun
+};
+
 // Servers that share a ring, and what this sidecar knows of them together. Own zone and elsewhere where
 // crossing is priced, else all in one.
 struct Pool {
@@ -42,6 +76,7 @@
   double out_time = 0;        // time that own attempts are out while nothing pressed, averaged
   double good = 0;            // requests served within their aim lately, fading, as of good_at
   Micros good_at = 0;
+  Ages ages;               // of own attempts in flight
   bool limited = false;    // that is known and enough for a concurrency limit
   double outs = 0;         // answers that say so
   double admit = 1;        // share of the arriving work that is let in
--- a/tests/overload_test.cpp
+++ b/tests/overload_test.cpp
@@ -134,5 +134,17 @@
   EXPECT_LE(refused, 5);  // one in a hundred
 }
 
+// Met on the first deployment, for ten seconds at a time: one attempt in six got no answer from any server,
+// and those filled the limit until they were given up at their aims, although the servers were as quick as
+// ever.
+TEST_F(OverloadTest, AttemptsThatGetLostDoNotFillTheLimit) {
+  Start(MakeSettings(), 8);
+  Play(2500, 4 * kSec, [](const std::string&) { return 40 * kMs; });  // 16 out at once
+  int attempt = 0;
+  const auto sixth_is_lost = [&](const std::string&) { return ++attempt % 6 == 0 ? 3 * kSec : 40 * kMs; };
+  const Counts counts = Play(2500, 8 * kSec, sixth_is_lost);
+  EXPECT_LT(Of(counts.unserved, Cause::kCrowded), counts.asked / 20);
+}
+
 }  // namespace
 }  // namespace merlinrun::testing
