--- a/include/merlinrun/balancer.hpp
+++ b/include/merlinrun/balancer.hpp
@@ -69,8 +69,8 @@
   Micros retry_cap = 30'000'000;
   double jitter = 1;  // the share of the wait that chance decides, 0 to 1
   // From out_from times the attempts that a busy sidecar is expected to have out, by what is served in time,
-  // less is let in, down to the least at out_full. Twice the square root of 24 is chance and no pressure: 1.4;
-  // with fewer out chance is more, and both move up with it.
+  // less is let in, down to the least at out_full. Twice the square root of 24 is chance and no
+  // pressure: 1.4; with fewer out chance is more, and both move up with it.
   double out_from = 1.4;
   double out_full = 2.0;
   // At most this part of the window is left alone at once: a slowdown that all share must not empty it. 0:
