--- a/tests/overload_test.cpp
+++ b/tests/overload_test.cpp
@@ -146,5 +146,48 @@
   EXPECT_LT(Of(counts.unserved, Cause::kCrowded), counts.asked / 20);
 }
 
+// Met on both deployments' stale wide days: half of the servers were left alone at any time for lateness and
+// for connections that broke by themselves, and the others had to do it all.
+class LeftAloneTest : public BalancerTest {
+ protected:
+  // How many of ten servers are left alone after every attempt of many has ended so.
+  std::ptrdiff_t AfterMany(Result result) {
+    Settings settings = MakeSettings();
+    settings.tuning.window_width = 10;
+    settings.classes[0].late_worth = 0.5;
+    settings.cancel = true;
+    Start(settings, 10);
+    for (int i = 0; i < 60; ++i) Deliver("r" + std::to_string(i));
+    now_ += 100 * kMs;
+    for (int i = 0; i < 60; ++i) balancer_->OnOutcome(now_, {"r" + std::to_string(i), 0, result, 100 * kMs});
+    const Beliefs beliefs = balancer_->Believed(now_);
+    return std::count_if(beliefs.servers.begin(), beliefs.servers.end(),
+                         [](const Beliefs::Server& server) { return server.strikes > 0; });
+  }
+};
+
+TEST_F(LeftAloneTest, AFifthAtMostButForServersThatCannotBeReached) {
+  EXPECT_EQ(AfterMany(Result::kTimeout), 2);
+  EXPECT_EQ(AfterMany(Result::kReset), 2);
+  EXPECT_EQ(AfterMany(Result::kUnreachable), 5);
+}
+
+// Lateness of one that answers all the while is load, and what it is given follows its slowness.
+TEST_F(LeftAloneTest, NotOneThatHasAnsweredSince) {
+  Settings settings = MakeSettings();
+  settings.classes[0].late_worth = 0.5;
+  settings.cancel = true;
+  Start(settings, 2);
+  std::vector<std::string> ids;  // at s00
+  for (int i = 0; ids.size() < 2; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    if (Arrive(id).at(0).server == "s00") ids.push_back(id);
+  }
+  now_ += 1500 * kMs;
+  balancer_->OnOutcome(now_, {ids[1], 0, Result::kSuccess, 1500 * kMs, true, {}});
+  balancer_->OnOutcome(now_, {ids[0], 0, Result::kTimeout, 1500 * kMs});
+  EXPECT_EQ(balancer_->Believed(now_).servers.at(0).strikes, 0);
+}
+
 }  // namespace
 }  // namespace merlinrun::testing
