No limit is reckoned while no server is listed: it divided by nothing

Seen on reading: with every server gone the expected number out is 0 and Room is no number; an outcome that came then, or a trace line, met it. Nothing was let in or refused by it, as an empty ring is passed over before.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -427,7 +427,7 @@
   // servers keep up with raises it within kRateTime, and what only fills their queues does not. It could harm
   // where the work itself turns dearer for good; the usual time follows over kOutMemory answers.
   double Room(const Pool& pool) const {
-    if (!pool.limited) return 1;
+    if (!pool.limited || pool.ring.empty()) return 1;
     const double usual = pool.out_each * static_cast<double>(pool.ring.size());
     const double expected = std::max(Rate(pool) * pool.out_time, kLeastOfUsual * usual);
     const Tuning& t = set_.tuning;
