--- a/src/record/recorder.cpp
+++ b/src/record/recorder.cpp
@@ -1,7 +1,6 @@
 #include "record/recorder.hpp"
 
 #include <fcntl.h>
-#include <toml++/toml.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -15,6 +14,8 @@
 #include <thread>
 #include <utility>
 
+#include "config/toml_error.hpp"
+
 namespace merlinrun::record {
 namespace {
 
@@ -64,10 +65,7 @@
   std::uint64_t size_ = 0;
 };
 
-std::string Wrong(const toml::source_region& at, const std::string& file, std::string_view what) {
-  return file + ":" + std::to_string(at.begin.line) + ":" + std::to_string(at.begin.column) + ": " +
-         std::string(what);
-}
+using config::Wrong;
 
 }  // namespace
 
--- a/src/stats/trace.cpp
+++ b/src/stats/trace.cpp
@@ -1,13 +1,12 @@
 #include "stats/trace.hpp"
 
-#include <toml++/toml.h>
-
 #include <cmath>
 #include <cstdio>
 #include <nlohmann/json.hpp>
-#include <set>
 #include <utility>
 
+#include "config/toml_error.hpp"
+
 namespace merlinrun::stats {
 namespace {
 
@@ -81,10 +80,7 @@
   return out;
 }
 
-std::string Wrong(const toml::source_region& where, const std::string& file, std::string_view what) {
-  return file + ":" + std::to_string(where.begin.line) + ":" + std::to_string(where.begin.column) + ": " +
-         std::string(what);
-}
+using config::Wrong;
 
 }  // namespace
 
--- a/src/stats/trace.hpp
+++ b/src/stats/trace.hpp
@@ -4,6 +4,7 @@
 #ifndef MERLINRUN_STATS_TRACE_HPP_
 #define MERLINRUN_STATS_TRACE_HPP_
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
