--- a/src/diameter/io/front.cpp
+++ b/src/diameter/io/front.cpp
@@ -327,17 +327,23 @@
 void Front::PartIfIdle(Client& client) {
   if (client.under_way > 0 || client.peer == nullptr) return;
   if (client.peer->peer().state() == Peer::State::kDraining) return client.peer->Drained();
-  if (parting_) client.peer->Stop(DisconnectCause::kRebooting);
+  if (parting_) client.peer->Stop(stopping_ ? DisconnectCause::kRebooting : DisconnectCause::kBusy);
+}
+
+void Front::SetDraining(bool draining) {
+  if (!draining) parting_ = false;
 }
 
 void Front::StopAccepting() {
+  stopping_ = true;
   ErrorCode ignored;
   for (const auto& port : ports_) port->acceptor.close(ignored);
 }
 
-void Front::CloseIdle() {
+void Front::CloseIdle(Micros) {
   parting_ = true;
-  for (const auto& [id, stranger] : std::exchange(strangers_, {})) stranger->connection->Close();
+  if (stopping_)
+    for (const auto& [id, stranger] : std::exchange(strangers_, {})) stranger->connection->Close();
   for (const auto& [host, client] : clients_) PartIfIdle(*client);
 }
 
--- a/src/diameter/io/front.hpp
+++ b/src/diameter/io/front.hpp
@@ -15,8 +15,8 @@
 #include <unordered_map>
 #include <vector>
 
-#include "core/drain.hpp"
 #include "core/exchange.hpp"
+#include "core/front.hpp"
 #include "diameter/application.hpp"
 #include "diameter/io/peer_host.hpp"
 #include "diameter/io/upstream.hpp"
@@ -49,9 +49,10 @@
   Front(const Front&) = delete;
   Front& operator=(const Front&) = delete;
 
-  void Drain() override {}
+  // While it drains, clients that have nothing under way are told that it is busy (RFC 6733, 5.4.3).
+  void SetDraining(bool draining) override;
   void StopAccepting() override;
-  void CloseIdle() override;
+  void CloseIdle(Micros rested) override;
   std::size_t sessions() const override;
 
   Tcp::endpoint address(std::size_t listener = 0) const;
@@ -92,6 +93,7 @@
   std::unordered_map<std::string, std::unique_ptr<Client>> clients_;  // by Origin-Host in lower case
   std::unordered_map<std::uint64_t, Client*> by_connection_;          // those that are open
   bool parting_ = false;
+  bool stopping_ = false;
 };
 
 }  // namespace merlinrun::diameter
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -56,7 +56,7 @@
   reloader.Serve(sidecar);
   boost::asio::signal_set signals(io, SIGTERM, SIGINT);
   signals.async_wait([&](const boost::system::error_code& error, int) {
-    if (!error) sidecar.Drain([&io] { io.stop(); });
+    if (!error) sidecar.Stop([&io] { io.stop(); });
   });
   try {
     sidecar.Start();
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -88,11 +88,14 @@
   config.memory = static_cast<std::size_t>(megabytes * (1 << 20));
 }
 
-Config FromJson(const Json& json, const std::string& listen, const std::string& discovery) {
+Config FromJson(const Json& json, const std::string& listen, const std::string& discovery,
+                const std::string& ops) {
   Config config;
   config.name = json.value("name", std::string());
   config.listen = Address(json, "listen", listen);
   config.discovery = Address(json, "discovery", discovery);
+  if (!ops.empty() || (json.contains("ops") && !json.at("ops").is_null()))
+    config.ops = Address(json, "ops", ops);
   config.seed = Seed(json);
   TakeLimits(json, config);
   config.wire = drill::ParseSettings(Flatten(json.at("settings")));
@@ -132,9 +135,10 @@
   return out;
 }
 
-Config ParseConfig(const std::string& text, const std::string& listen, const std::string& discovery) {
+Config ParseConfig(const std::string& text, const std::string& listen, const std::string& discovery,
+                   const std::string& ops) {
   try {
-    return FromJson(Json::parse(text), listen, discovery);
+    return FromJson(Json::parse(text), listen, discovery, ops);
   } catch (const Json::exception& error) {
     throw ConfigError(OneLine(error.what()));
   } catch (const drill::WireError& error) {
@@ -144,7 +148,7 @@
 
 Config LoadConfig(const Environment& environment) {
   Config config = ParseConfig(ReadConfig(environment), Value(environment, "EDGE_LISTEN"),
-                              Value(environment, "EDGE_DISCOVERY"));
+                              Value(environment, "EDGE_DISCOVERY"), Value(environment, "EDGE_OPS"));
   config.diameter = Value(environment, "EDGE_DIAMETER");
   config.record = Value(environment, "EDGE_RECORD");
   config.trace = Value(environment, "EDGE_TRACE");
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <stdexcept>
 #include <string>
 
@@ -23,6 +24,7 @@
   std::string name;
   Tcp::endpoint listen;
   Tcp::endpoint discovery;
+  std::optional<Tcp::endpoint> ops;  // the second address; none: it is off
   std::uint64_t seed = 0;
   std::size_t sockets = 1024;                  // descriptors that the process may hold
   std::size_t memory = std::size_t{64} << 20;  // bytes that it may use
@@ -39,7 +41,9 @@
 // All of a file. Throws ConfigError, with one plain line, if it cannot be had.
 std::string ReadFile(const std::string& path);
 
-Config ParseConfig(const std::string& text, const std::string& listen, const std::string& discovery);
+// What is not empty comes before the file's own.
+Config ParseConfig(const std::string& text, const std::string& listen, const std::string& discovery,
+                   const std::string& ops = "");
 
 using Environment = std::function<const char*(const char*)>;
 
--- a/src/net/http_front.cpp
+++ b/src/net/http_front.cpp
@@ -100,13 +100,16 @@
 }
 
 HttpFront::HttpFront(asio::io_context& io, const Tcp::endpoint& address, Inbound::Limits limits,
-                     Budget& budget, core::Exchanges& exchanges, core::Egress& egress,
-                     std::function<bool()> ready)
+                     Budget& budget, stats::Counters& counters, core::Exchanges& exchanges,
+                     core::Egress& egress, std::function<bool()> ready)
     : exchanges_(exchanges),
       egress_(egress),
-      inbound_(io, address, limits, budget,
-               {[this](const Inbound::SessionPtr& session, HttpRequest request) {
-                  OnRequest(session, std::move(request));
+      inbound_(io, address, limits, budget, counters,
+               {[this](const Inbound::SessionPtr& session, HttpRequest request, int request_class) {
+                  OnRequest(session, std::move(request), request_class);
+                },
+                [this](const RequestHeader& header) {
+                  return core::ClassIndex(exchanges_.settings(), View(header[kClassHeader]));
                 },
                 [this](const std::string& id) { exchanges_.OnClientGone(id); }, std::move(ready)}) {}
 
@@ -118,10 +121,10 @@
                            exchanges_.settings().classes[static_cast<std::size_t>(request_class)].repeat);
 }
 
-void HttpFront::OnRequest(const Inbound::SessionPtr& session, HttpRequest request) {
+void HttpFront::OnRequest(const Inbound::SessionPtr& session, HttpRequest request, int request_class) {
   const Settings& settings = exchanges_.settings();
   core::Arrival arrival;
-  arrival.request_class = core::ClassIndex(settings, View(request[kClassHeader]));
+  arrival.request_class = request_class;
   if (const auto fault = Check(request, arrival.request_class)) return Inbound::Reject(session, *fault);
   arrival.id = std::string(View(request[kIdHeader]));
   arrival.tenant = core::TenantIndex(settings, View(request[kTenantHeader]));
--- a/src/net/http_front.hpp
+++ b/src/net/http_front.hpp
@@ -9,8 +9,8 @@
 #include <string>
 
 #include "budget.hpp"
-#include "core/drain.hpp"
 #include "core/exchange.hpp"
+#include "core/front.hpp"
 #include "inbound.hpp"
 #include "upstream.hpp"
 
@@ -32,16 +32,17 @@
   // Throws boost::system::system_error if the address cannot be listened on. All that it is given must
   // outlive it.
   HttpFront(asio::io_context& io, const Tcp::endpoint& address, Inbound::Limits limits, Budget& budget,
-            core::Exchanges& exchanges, core::Egress& egress, std::function<bool()> ready);
+            stats::Counters& counters, core::Exchanges& exchanges, core::Egress& egress,
+            std::function<bool()> ready);
 
-  void Drain() override { inbound_.Drain(); }
+  void SetDraining(bool draining) override { inbound_.SetDraining(draining); }
   void StopAccepting() override { inbound_.StopAccepting(); }
-  void CloseIdle() override { inbound_.CloseIdle(); }
+  void CloseIdle(Micros rested) override { inbound_.CloseIdle(rested); }
   std::size_t sessions() const override { return inbound_.sessions(); }
   Tcp::endpoint address() const { return inbound_.address(); }
 
  private:
-  void OnRequest(const Inbound::SessionPtr& session, HttpRequest request);
+  void OnRequest(const Inbound::SessionPtr& session, HttpRequest request, int request_class);
   std::optional<Fault> Check(const HttpRequest& request, int request_class) const;
 
   core::Exchanges& exchanges_;
--- a/src/net/inbound.cpp
+++ b/src/net/inbound.cpp
@@ -75,6 +75,8 @@
 
   void Reject(const Fault& fault) {
     if (state_ != State::kBusy && state_ != State::kReading) return;
+    // Turned away before it was taken, and yet its client sees a request of this class end.
+    if (state_ == State::kReading && request_class_ >= 0) taken_ = {owner_.counters_, request_class_};
     state_ = State::kBusy;
     keep_alive_ = false;
     HttpResponse response = Plain(fault.status, fault.text);
@@ -119,6 +121,7 @@
     state_ = State::kClosed;
     charge_ = {};
     answer_charge_ = {};
+    taken_.Drop();
     ErrorCode ignored;
     socket_.close(ignored);
   }
@@ -198,6 +201,7 @@
   // What is wrong shows in the header: guards against reading, keeping or passing on what follows it.
   bool TakeHeader() {
     auto& parser = parser_->parser;
+    if (parser.get().target() != kReadyPath) request_class_ = owner_.events_.class_of(parser.get());
     if (const auto fault = CheckRequest(parser.get())) return Reject(*fault), false;
     // Twice: the request is copied when it is sent on.
     const std::size_t size =
@@ -213,14 +217,15 @@
     keep_alive_ = request.keep_alive();
     if (request.target() == kReadyPath) {
       request_.clear();
-      const bool ready = !owner_.draining_ && owner_.events_.ready();
+      const bool ready = owner_.events_.ready();
       return Respond(Plain(ready ? http::status::ok : http::status::service_unavailable,
                            ready ? "ready\n" : "not yet\n"),
                      {});
     }
     request_ = std::string(View(request[kIdHeader]));
+    taken_ = {owner_.counters_, request_class_};
     try {
-      owner_.events_.on_request(shared_from_this(), std::move(request));
+      owner_.events_.on_request(shared_from_this(), std::move(request), request_class_);
     } catch (const std::exception&) {
       Reject({http::status::internal_server_error, "failed\n"});  // an answer is owed whatever went wrong
       throw;
@@ -230,6 +235,8 @@
   void OnWritten(ErrorCode error) {
     if (state_ == State::kClosed) return;
     if (error) return Close();
+    taken_.End(stats::EndingOf(response_.result_int()));
+    request_class_ = -1;
     const bool close = !response_.keep_alive();
     response_ = {};
     answer_charge_ = {};
@@ -258,8 +265,10 @@
   beast::flat_buffer buffer_{kMostUnparsed};
   std::optional<Incoming> parser_;
   HttpResponse response_;
-  std::string request_;  // the id of the one that is held
-  Charge charge_;        // of the request
+  std::string request_;     // the id of the one that is held
+  int request_class_ = -1;  // of the one that is read or held; -1 = none
+  stats::Taken taken_;      // the one that is held
+  Charge charge_;           // of the request
   Charge answer_charge_;
   State state_ = State::kReading;
   Clock::time_point since_;  // the beginning of what the state's time limit counts from
@@ -270,10 +279,11 @@
 };
 
 Inbound::Inbound(asio::io_context& io, const Tcp::endpoint& address, Limits limits, Budget& budget,
-                 Events events)
+                 stats::Counters& counters, Events events)
     : io_(io),
       limits_(limits),
       budget_(budget),
+      counters_(counters),
       events_(std::move(events)),
       acceptor_(io, address, /*reuse_addr=*/true),
       address_(acceptor_.local_endpoint()),
@@ -369,8 +379,6 @@
   if (!sessions_.empty()) SweepLater();
 }
 
-void Inbound::Drain() { draining_ = true; }
-
 void Inbound::StopAccepting() {
   // What has connected may have sent its request: closing the listener on it would reset it unanswered.
   ErrorCode error;
@@ -384,9 +392,10 @@
   acceptor_.close(error);
 }
 
-void Inbound::CloseIdle() {
+void Inbound::CloseIdle(Micros rested) {
+  const auto now = Clock::now();
   for (const SessionPtr& session : std::vector<SessionPtr>(sessions_.begin(), sessions_.end()))
-    if (session->Idle()) session->Close();
+    if (session->For(now, rested) && session->Idle()) session->Close();
 }
 
 }  // namespace merlinrun::net
--- a/src/net/inbound.hpp
+++ b/src/net/inbound.hpp
@@ -12,6 +12,7 @@
 #include "budget.hpp"
 #include "merlinrun/balancer.hpp"
 #include "protocol.hpp"
+#include "stats/counters.hpp"
 #include "validate.hpp"
 
 namespace merlinrun::net {
@@ -34,14 +35,19 @@
     Micros sweep = 200'000;         // how often the times are looked at
   };
   struct Events {
-    // The request is answered by one call of Respond or Reject, from in here or later.
-    std::function<void(const SessionPtr&, HttpRequest)> on_request;
+    // The request is answered by one call of Respond or Reject, from in here or later. The number is its
+    // class's, as class_of gave it.
+    std::function<void(const SessionPtr&, HttpRequest, int)> on_request;
+    // The class of a request by its header; -1 if there is no such class.
+    std::function<int(const RequestHeader&)> class_of;
     std::function<void(const std::string& request)> on_gone;  // the client left during its request
     std::function<bool()> ready;
   };
 
   // Throws boost::system::system_error if the address cannot be listened on.
-  Inbound(asio::io_context& io, const Tcp::endpoint& address, Limits limits, Budget& budget, Events events);
+  // Requests and their ends are counted in `counters`. Both references must outlive it.
+  Inbound(asio::io_context& io, const Tcp::endpoint& address, Limits limits, Budget& budget,
+          stats::Counters& counters, Events events);
   ~Inbound();
   Inbound(const Inbound&) = delete;
   Inbound& operator=(const Inbound&) = delete;
@@ -52,12 +58,12 @@
   // The same for a request that is wrong: its connection is closed, as what is behind it cannot be trusted.
   static void Reject(const SessionPtr& session, const Fault& fault);
 
-  // From now on each answer closes its connection.
-  void Drain();
+  // While it drains each answer closes its connection.
+  void SetDraining(bool draining) { draining_ = draining; }
   // Accepts what has connected already, then no more.
   void StopAccepting();
-  // Closes the connections that are between requests.
-  void CloseIdle();
+  // Closes the connections that have been between requests for so long.
+  void CloseIdle(Micros rested);
 
   std::size_t sessions() const { return sessions_.size(); }
   Tcp::endpoint address() const { return address_; }
@@ -74,6 +80,7 @@
   asio::io_context& io_;
   const Limits limits_;
   Budget& budget_;
+  stats::Counters& counters_;
   const Events events_;
   Tcp::acceptor acceptor_;
   Tcp::endpoint address_;
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -27,13 +27,18 @@
 // What is kept of one line that the module has to say.
 constexpr std::size_t kMostLogged = 400;
 
+// The second address takes none of the requests': it answers whatever the load.
+std::size_t OtherSockets(const Config& config) {
+  return kOtherSockets + (config.ops ? ops::Listener::Sockets({}) : 0);
+}
+
 std::size_t ClientSockets(const Config& config) {
-  return static_cast<std::size_t>(kClientShare * static_cast<double>(config.sockets - kOtherSockets));
+  return static_cast<std::size_t>(kClientShare * static_cast<double>(config.sockets - OtherSockets(config)));
 }
 
 // Connections to servers, over all protocols.
 std::size_t ServerSockets(const Config& config) {
-  return config.sockets - kOtherSockets - ClientSockets(config);
+  return config.sockets - OtherSockets(config) - ClientSockets(config);
 }
 
 // What Diameter may have of them; HTTP has the rest. It holds one to a server.
@@ -88,7 +93,7 @@
       config_(std::move(config)),
       loop_(io),
       budget_(config_.memory / kBudgetShare),
-      upstream_(io, UpstreamLimits(config_), budget_),
+      upstream_(io, UpstreamLimits(config_), budget_, counters_),
       http_egress_(upstream_),
       discovery_(io, config_.discovery, config_.wire, DiscoveryTiming(config_), config_.seed,
                  {[this](const EndpointList& list) {
@@ -101,7 +106,8 @@
   } catch (const std::invalid_argument& error) {
     throw ConfigError(std::string("settings: ") + error.what());
   }
-  drain_.emplace(loop_, *exchanges_);
+  counters_.classes.resize(config_.wire.settings.classes.size());
+  phase_.emplace(loop_, *exchanges_);
   if (!config_.record.empty()) Record();
   if (!config_.trace.empty()) StartTrace();
   if (recorder_ != nullptr || trace_ != nullptr)
@@ -152,12 +158,16 @@
 void Sidecar::Start() {
   Inbound::Limits limits;
   limits.sessions = ClientSockets(config_) - (diameter_ == nullptr ? 0 : diameter_->sockets());
-  http_ = std::make_unique<HttpFront>(io_, config_.listen, limits, budget_, *exchanges_, http_egress_,
-                                      [this] { return upstream_.any_server(); });
-  drain_->Add(*http_);
+  http_ = std::make_unique<HttpFront>(io_, config_.listen, limits, budget_, counters_, *exchanges_,
+                                      http_egress_, [this] { return phase_->TakesClients(); });
+  phase_->Add(*http_);
+  if (config_.ops) {
+    api_.emplace(*phase_, *exchanges_, counters_);
+    ops_.emplace(io_, *config_.ops, ops::Listener::Limits(), *api_);
+  }
   if (diameter_ != nullptr) {
     diameter_->Listen(budget_, *exchanges_);
-    drain_->Add(diameter_->front());
+    phase_->Add(diameter_->front());
   }
   OnList(ListUpdate::Kind::kStale, config_.known);
   if (config_.known.endpoints.empty()) generation_ = Discovery::kUnknown;
@@ -166,7 +176,11 @@
 
 void Sidecar::Reload(const Config& config) { discovery_.Switch(config.discovery); }
 
-void Sidecar::Drain(std::function<void()> finished) { drain_->Start(std::move(finished)); }
+void Sidecar::Stop(std::function<void()> finished) { phase_->Stop(std::move(finished)); }
+
+std::optional<Tcp::endpoint> Sidecar::ops_address() const {
+  return ops_ ? std::optional(ops_->address()) : std::nullopt;
+}
 
 void Sidecar::OnList(ListUpdate::Kind kind, const EndpointList& list) {
   generation_ = list.generation;
@@ -181,6 +195,7 @@
     if (diameter_ != nullptr) servers.back().fronts |= diameter_->Fronts(endpoint.info.id);
   }
   exchanges_->OnServers({kind, list.generation, servers});
+  if (upstream_.any_server()) phase_->Started();
 }
 
 void Sidecar::TellDiameter(const EndpointList& list) {
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -14,12 +14,15 @@
 #include "asio_loop.hpp"
 #include "budget.hpp"
 #include "config.hpp"
-#include "core/drain.hpp"
 #include "core/exchange.hpp"
 #include "diameter/io/node.hpp"
 #include "discovery.hpp"
 #include "http_front.hpp"
+#include "ops/api.hpp"
+#include "ops/listener.hpp"
+#include "ops/phase.hpp"
 #include "record/recorder.hpp"
+#include "stats/counters.hpp"
 #include "stats/trace.hpp"
 #include "upstream.hpp"
 
@@ -39,11 +42,14 @@
   // until the new address has told its own.
   void Reload(const Config& config);
   // Takes what still comes for a short while, finishes all that it holds, then calls `finished`.
-  void Drain(std::function<void()> finished);
+  void Stop(std::function<void()> finished);
 
   Tcp::endpoint address() const { return http_->address(); }
   std::size_t requests_held() const { return exchanges_->held(); }
   std::size_t upstream_connections() const { return upstream_.open_connections(); }
+  // Where the operators call; none where no such address is configured.
+  std::optional<Tcp::endpoint> ops_address() const;
+  const stats::Counters& counters() const { return counters_; }
   const record::Recorder* recorder() const { return recorder_.get(); }  // null if it is off
   diameter::Node* diameter() { return diameter_.get(); }                // null if it is off
 
@@ -59,6 +65,7 @@
   const Config config_;
   AsioLoop loop_;
   Budget budget_;                               // before all that takes of it
+  stats::Counters counters_;                    // and before all that counts
   std::unique_ptr<record::Recorder> recorder_;  // only where recording is on; outlives what tells it
   std::unique_ptr<core::Exchanges> exchanges_;
   std::unique_ptr<stats::Trace> trace_;  // only where it is on
@@ -68,7 +75,9 @@
   std::unique_ptr<HttpFront> http_;
   std::unique_ptr<diameter::Node> diameter_;
   std::unordered_map<std::string, ServerInfo> listed_;  // only where Diameter is on
-  std::optional<core::Drain> drain_;
+  std::optional<ops::Phase> phase_;
+  std::optional<ops::Api> api_;
+  std::optional<ops::Listener> ops_;  // only where its address is configured
   std::int64_t generation_ = 0;
 };
 
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -148,6 +148,7 @@
   void OnWritten(ErrorCode error) {
     writing_ = false;
     request_ = {};
+    if (!error) ++pool_.counters_.tries;  // given up or not: the server has it whole
     if (closed_) return;
     whole_ = !error;
     // An unfinished request is one that no server begins.
@@ -263,8 +264,8 @@
   bool closed_ = false;
 };
 
-Upstream::Upstream(asio::io_context& io, Limits limits, Budget& budget)
-    : io_(io), limits_(limits), budget_(budget), sweep_(io) {}
+Upstream::Upstream(asio::io_context& io, Limits limits, Budget& budget, stats::Counters& counters)
+    : io_(io), limits_(limits), budget_(budget), counters_(counters), sweep_(io) {}
 
 Upstream::~Upstream() {
   for (const auto& [id, connection] : attempts_)
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -14,6 +14,7 @@
 #include "discovery.hpp"
 #include "merlinrun/balancer.hpp"
 #include "protocol.hpp"
+#include "stats/counters.hpp"
 
 namespace merlinrun::net {
 
@@ -36,7 +37,8 @@
     std::size_t connections = 512;
   };
 
-  Upstream(asio::io_context& io, Limits limits, Budget& budget);
+  // Attempts that are written whole are counted. The references must outlive it.
+  Upstream(asio::io_context& io, Limits limits, Budget& budget, stats::Counters& counters);
   ~Upstream();
   Upstream(const Upstream&) = delete;
   Upstream& operator=(const Upstream&) = delete;
@@ -70,6 +72,7 @@
   asio::io_context& io_;
   const Limits limits_;
   Budget& budget_;
+  stats::Counters& counters_;
   asio::steady_timer sweep_;
   bool sweeping_ = false;
   std::size_t open_ = 0;
--- /dev/null
+++ b/src/ops/phase.hpp
@@ -0,0 +1,70 @@
+// The phase of the whole sidecar: starting, serving, evacuated, stopping. What each says on both addresses,
+// and what it asks of the fronts. Free of I/O; one thread, that of its Loop.
+#ifndef MERLINRUN_OPS_PHASE_HPP_
+#define MERLINRUN_OPS_PHASE_HPP_
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "core/exchange.hpp"
+#include "core/front.hpp"
+#include "core/loop.hpp"
+
+namespace merlinrun::ops {
+
+class Phase {
+ public:
+  enum class State { kStarting, kServing, kEvacuated, kStopping };
+
+  // Both must outlive it.
+  Phase(core::Loop& loop, core::Exchanges& exchanges);
+  Phase(const Phase&) = delete;
+  Phase& operator=(const Phase&) = delete;
+
+  // Before all else. The front must outlive this.
+  void Add(core::Front& front) { fronts_.push_back(&front); }
+
+  // From now on it can serve: it listens and knows servers. Does nothing a second time, nor once it stops.
+  void Started();
+  // Clients are to go elsewhere; what they have sent is finished, and their connections end within
+  // kEvacuated. False if it stops, which outranks this. A second call does nothing.
+  bool Evacuate();
+  // Back to work at once, also amid a drain. False if it stops. Does nothing if it was not evacuated.
+  bool Rejoin();
+  // The planned end: takes what still comes for a short while, finishes what is held, answers what would
+  // outlast the kill, then calls `finished` once, from the loop. Final; a second call does nothing.
+  void Stop(std::function<void()> finished);
+
+  State state() const { return state_; }
+  // What GET /ready says to clients.
+  bool TakesClients() const { return state_ == State::kServing; }
+  // Whether this process can serve, as the operators ask at the second address.
+  bool CanServe() const { return state_ == State::kServing || state_ == State::kEvacuated; }
+
+  // After Evacuate, until no connection is held idle any more, in microseconds.
+  static constexpr Micros kEvacuated = 1'500'000;
+
+ private:
+  void EndIdle();
+  void StopAccepting();
+  void CloseIdle();
+  void CheckFinished();
+  std::size_t sessions() const;
+  void SetDraining(bool draining);
+
+  core::Loop& loop_;
+  core::Exchanges& exchanges_;
+  std::vector<core::Front*> fronts_;
+  std::unique_ptr<core::Timer> timer_;
+  std::function<void()> finished_;
+  State state_ = State::kStarting;
+  bool started_ = false;  // it could serve at some time
+  Micros evacuated_ = 0;  // when
+  Micros end_ = 0;        // of stopping
+  bool closing_ = false;
+};
+
+}  // namespace merlinrun::ops
+
+#endif  // MERLINRUN_OPS_PHASE_HPP_
--- a/tests/net/inbound_test.cpp
+++ b/tests/net/inbound_test.cpp
@@ -19,13 +19,14 @@
   }
   void Start() {
     Inbound::Events events;
-    events.on_request = [this](const Inbound::SessionPtr& session, HttpRequest request) {
+    events.on_request = [this](const Inbound::SessionPtr& session, HttpRequest request, int) {
       requests.push_back(std::move(request));
       if (answers) Inbound::Respond(session, Plain(http::status::ok, body));
     };
     events.on_gone = [this](const std::string& id) { gone.push_back(id); };
+    events.class_of = [](const RequestHeader&) { return 0; };
     events.ready = [] { return true; };
-    inbound = std::make_unique<Inbound>(io, Loopback(), limits, budget, std::move(events));
+    inbound = std::make_unique<Inbound>(io, Loopback(), limits, budget, counters, std::move(events));
   }
   std::shared_ptr<Peer> Client(const std::string& text = "") {
     auto client = Connect(io, inbound->address());
@@ -44,6 +45,7 @@
   asio::io_context io;
   Inbound::Limits limits;
   Budget budget{std::size_t{1} << 20};
+  stats::Counters counters{{{}}};
   std::unique_ptr<Inbound> inbound;
   std::vector<HttpRequest> requests;
   std::vector<std::string> gone;
--- a/tests/net/sidecar_test.cpp
+++ b/tests/net/sidecar_test.cpp
@@ -396,7 +396,7 @@
   auto held = Client(Get("r1"));
   ASSERT_TRUE(RunUntil(io, [&] { return server.requests() == 1; }));
   bool finished = false;
-  sidecar->Drain([&] { finished = true; });
+  sidecar->Stop([&] { finished = true; });
   RunFor(io, 200ms);
   auto late = Client(Get("r2"));
   ASSERT_TRUE(RunUntil(io, [&] { return server.requests() == 2; }));
@@ -420,7 +420,7 @@
   ASSERT_TRUE(RunUntil(io, [&] { return server.requests() == 1; }));
   bool finished = false;
   const auto begin = std::chrono::steady_clock::now();
-  sidecar->Drain([&] { finished = true; });
+  sidecar->Stop([&] { finished = true; });
   EXPECT_EQ(Status(*client), "502");
   EXPECT_TRUE(RunUntil(io, [&] { return finished; }));
   EXPECT_LT(std::chrono::steady_clock::now() - begin, 3700ms);  // the kill comes no sooner
--- a/tests/net/upstream_test.cpp
+++ b/tests/net/upstream_test.cpp
@@ -16,7 +16,7 @@
   }
 
   Upstream& upstream() {
-    if (upstream_ == nullptr) upstream_ = std::make_unique<Upstream>(io, limits, budget);
+    if (upstream_ == nullptr) upstream_ = std::make_unique<Upstream>(io, limits, budget, counters);
     return *upstream_;
   }
   void Tell(const Tcp::endpoint& address, const std::string& lifecycle = "up", std::int64_t started_ms = 0,
@@ -56,6 +56,7 @@
   asio::io_context io;
   Upstream::Limits limits;
   Budget budget{std::size_t{1} << 20};
+  stats::Counters counters;
   std::vector<UpstreamAnswer> answers;
 
  private:
--- /dev/null
+++ b/tests/ops/api_test.cpp
@@ -0,0 +1,107 @@
+// What calls to the second address mean, and what the figures say.
+#include "ops/api.hpp"
+
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+
+#include "../core/virtual_loop.hpp"
+#include "../harness.hpp"
+
+namespace merlinrun::ops {
+namespace {
+
+using namespace core::testing;       // NOLINT(google-build-using-namespace)
+using namespace merlinrun::testing;  // NOLINT(google-build-using-namespace)
+
+Settings Named() {
+  Settings settings = MakeSettings();
+  for (std::size_t i = 0; i < settings.classes.size(); ++i)
+    settings.classes[i].name = "class-" + std::to_string(i);
+  return settings;
+}
+
+class ApiTest : public ::testing::Test {
+ protected:
+  ApiTest()
+      : exchanges(
+            loop, Named(), 7, [] {}, [](std::string_view) {}),
+        phase(loop, exchanges),
+        api(phase, exchanges, counters) {
+    counters.classes.resize(exchanges.settings().classes.size());
+  }
+  nlohmann::json Figures() { return nlohmann::json::parse(api.Answer("GET", "/api/telemetry").body); }
+
+  VirtualLoop loop;
+  core::Exchanges exchanges;
+  Phase phase;
+  stats::Counters counters;
+  Api api;
+};
+
+TEST_F(ApiTest, ReadyOnceItCanServeAndWhileEvacuatedToo) {
+  EXPECT_EQ(api.Answer("GET", "/api/ready").status, 503U);
+  phase.Started();
+  EXPECT_EQ(api.Answer("GET", "/api/ready").status, 200U);
+  EXPECT_EQ(api.Answer("PUT", "/api/evacuate").status, 200U);
+  EXPECT_FALSE(phase.TakesClients());
+  EXPECT_EQ(api.Answer("GET", "/api/ready").status, 200U);
+  EXPECT_EQ(api.Answer("PUT", "/api/rejoin").status, 200U);
+  EXPECT_TRUE(phase.TakesClients());
+  phase.Stop([] {});
+  EXPECT_EQ(api.Answer("PUT", "/api/rejoin").status, 409U);
+  EXPECT_EQ(api.Answer("PUT", "/api/evacuate").status, 409U);
+  EXPECT_EQ(api.Answer("GET", "/api/ready").status, 503U);
+}
+
+TEST_F(ApiTest, UnknownPathsAndWrongMethodsChangeNothing) {
+  phase.Started();
+  EXPECT_EQ(api.Answer("GET", "/api/evacuate").status, 405U);
+  EXPECT_EQ(api.Answer("GET", "/api/evacuate").allow, "PUT");
+  EXPECT_EQ(api.Answer("PUT", "/api/ready").status, 405U);
+  EXPECT_EQ(api.Answer("PUT", "/api/evacuate/").status, 404U);
+  EXPECT_EQ(api.Answer("GET", "").status, 404U);
+  EXPECT_EQ(api.Answer("GET", "/api/ready?verbose").status, 200U);
+  EXPECT_TRUE(phase.TakesClients());
+}
+
+TEST_F(ApiTest, EveryClassIsThereFromTheStart) {
+  const auto figures = Figures();
+  for (const RequestClass& c : exchanges.settings().classes)
+    EXPECT_EQ(figures.at("responses").at(c.name), nlohmann::json({{"ok", 0}, {"shed", 0}, {"errors", 0}}));
+  EXPECT_EQ(figures.at("active"), 0);
+  EXPECT_EQ(figures.at("tries"), 0);
+  EXPECT_EQ(figures.at("pool_size"), 0);
+  EXPECT_EQ(figures.at("pool_ejected"), 0);
+}
+
+TEST_F(ApiTest, CountsEndsByTheStatusThatTheClientSaw) {
+  EXPECT_EQ(stats::EndingOf(200), stats::Ending::kOk);
+  EXPECT_EQ(stats::EndingOf(429), stats::Ending::kShed);
+  EXPECT_EQ(stats::EndingOf(503), stats::Ending::kShed);
+  EXPECT_EQ(stats::EndingOf(502), stats::Ending::kError);
+  EXPECT_EQ(stats::EndingOf(400), stats::Ending::kError);
+  stats::Taken first(counters, 0);
+  stats::Taken second(counters, 1);
+  EXPECT_EQ(Figures().at("active"), 2);
+  first.End(stats::Ending::kShed);
+  first.End(stats::Ending::kOk);  // one end a request
+  second.Drop();
+  const auto figures = Figures();
+  EXPECT_EQ(figures.at("active"), 0);
+  EXPECT_EQ(figures.at("responses").at(exchanges.settings().classes[0].name),
+            nlohmann::json({{"ok", 0}, {"shed", 1}, {"errors", 0}}));
+}
+
+TEST_F(ApiTest, ShowsTheListAndWhatTheModuleAvoids) {
+  exchanges.OnServers({ListUpdate::Kind::kFull, 1, MakeServers(5)});
+  EXPECT_EQ(Figures().at("pool_size"), 5);
+  Beliefs beliefs;
+  beliefs.servers.resize(3);
+  beliefs.servers[1].left_alone = 1;
+  EXPECT_EQ(nlohmann::json::parse(FiguresText(counters, exchanges.settings(), beliefs)).at("pool_ejected"),
+            1);
+}
+
+}  // namespace
+}  // namespace merlinrun::ops
--- a/tests/rig/client_fault_test.cpp
+++ b/tests/rig/client_fault_test.cpp
@@ -182,7 +182,7 @@
   peer->Send(peer->Request("number-port", 1));
   ASSERT_TRUE(world->RunUntil([&] { return Ran("number-port") == 1; }));
   bool finished = false;
-  sidecar->Drain([&] { finished = true; });
+  sidecar->Stop([&] { finished = true; });
   ASSERT_TRUE(idle->Next());
   EXPECT_EQ(idle->Last().header.command, diameter::kDisconnectPeer);
   idle->Send(diameter::MakeAnswer(idle->identity, idle->Last(), ResultCode::kSuccess));
