--- a/bench/fronts_bench.cpp
+++ b/bench/fronts_bench.cpp
@@ -69,7 +69,7 @@
   options.connections =
       1'000;  // HTTP rests a connection after each answer, so that at this rate it holds many
   World world(LightClasses(), 1, options, file);
-  const Process sidecar(program, world, file, http);
+  const Process sidecar(program, world, {http, file, "", ""});
   if (!WaitFor(world, At(http)) || !WaitFor(world, At(diameter))) return;
   const auto over_http = [&](const Tcp::endpoint& to) {
     return [&world, to](Traffic& traffic) {
@@ -115,11 +115,11 @@
   World world(LightClasses(), 1, {}, file);
   long off = 0;
   {
-    const Process sidecar(program, world, "", http);
+    const Process sidecar(program, world, {http, "", "", ""});
     WaitFor(world, At(http));
     off = sidecar.memory();
   }
-  const Process sidecar(program, world, file, http);
+  const Process sidecar(program, world, {http, file, "", ""});
   if (!WaitFor(world, At(diameter))) return;
   const long before = sidecar.memory();
   Traffic none(world.classes, 0, 1);
--- a/bench/start_bench.cpp
+++ b/bench/start_bench.cpp
@@ -26,7 +26,7 @@
 std::optional<Start> StartOnce(World& world, const std::string& program) {
   const std::string listen = FreeAddress();
   const auto begun = std::chrono::steady_clock::now();
-  const Process sidecar(program, world, "", listen);
+  const Process sidecar(program, world, {listen, "", "", ""});
   while (std::chrono::steady_clock::now() - begun < kMost) {
     Tcp::socket socket(world.io);
     boost::system::error_code error;
--- a/rig/clients.hpp
+++ b/rig/clients.hpp
@@ -27,12 +27,14 @@
  public:
   Traffic(const std::vector<WorkClass>& classes, std::uint64_t count, std::uint64_t seed);
   const WorkClass* Next();  // null when all have been asked for
+  // Nothing more is asked for.
+  void Finish() { count_ = asked_; }
   std::uint64_t asked() const { return asked_; }
   std::uint64_t left() const { return count_ - asked_; }
 
  private:
   const std::vector<WorkClass>& classes_;
-  const std::uint64_t count_;
+  std::uint64_t count_;
   std::uint64_t asked_ = 0;
   int shares_ = 0;
   std::mt19937_64 random_;
--- a/rig/demo.cpp
+++ b/rig/demo.cpp
@@ -30,7 +30,7 @@
   const std::string diameter = FreeAddress();
   const std::string file = ExampleDiameterFile(diameter);
   World world(ShortClasses(), kServers, {}, file);
-  const Process sidecar(program, world, file, http);
+  const Process sidecar(program, world, {http, file, "", ""});
   if (!WaitFor(world, At(http)) || !WaitFor(world, At(diameter)) || !sidecar.runs()) {
     std::fprintf(stderr, "demo: the sidecar does not come up\n");
     return 1;
--- a/rig/process.cpp
+++ b/rig/process.cpp
@@ -5,13 +5,15 @@
 #include <unistd.h>
 
 #include <atomic>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
 #include <csignal>
 #include <fstream>
+#include <iterator>
 #include <sstream>
 #include <vector>
 
 namespace merlinrun::rig {
-namespace {
 
 std::filesystem::path NewFolder() {
   static std::atomic<int> count = 0;
@@ -21,21 +23,21 @@
   return folder;
 }
 
-}  // namespace
-
 Tcp::endpoint At(const std::string& address) {
   const auto port = std::stoi(address.substr(address.find(':') + 1));
   return {boost::asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(port)};
 }
 
-Process::Process(const std::string& program, const World& world, const std::string& diameter_file,
-                 std::string listen)
+Process::Process(const std::string& program, const World& world, const Options& options)
     : folder_(NewFolder()) {
   std::ofstream(folder_ / "config.json") << world.Config();
-  std::ofstream(folder_ / "diameter.toml") << diameter_file;
+  std::ofstream(folder_ / "diameter.toml") << options.diameter_file;
   std::vector<std::string> environment = {"EDGE_CONFIG=" + (folder_ / "config.json").string(),
-                                          "EDGE_LISTEN=" + std::move(listen)};
-  if (!diameter_file.empty()) environment.push_back("EDGE_DIAMETER=" + (folder_ / "diameter.toml").string());
+                                          "EDGE_LISTEN=" + options.listen};
+  if (!options.ops.empty()) environment.push_back("EDGE_OPS=" + options.ops);
+  if (!options.temporary.empty()) environment.push_back("TMPDIR=" + options.temporary);
+  if (!options.diameter_file.empty())
+    environment.push_back("EDGE_DIAMETER=" + (folder_ / "diameter.toml").string());
   std::vector<char*> pointers;
   for (std::string& variable : environment) pointers.push_back(variable.data());
   pointers.push_back(nullptr);
@@ -54,6 +56,22 @@
 
 bool Process::runs() const { return pid_ > 0 && ::waitpid(pid_, nullptr, WNOHANG) == 0; }
 
+void Process::Signal(int signal) const { ::kill(pid_, signal); }
+
+int Process::Wait(World& world) {
+  int status = 0;
+  const auto ended = [&] { return ::waitpid(pid_, &status, WNOHANG) == pid_; };
+  if (!world.RunUntil(ended, std::chrono::seconds(20))) return -1;
+  pid_ = -1;
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+std::size_t Process::descriptors() const {
+  std::error_code gone;
+  const std::filesystem::directory_iterator all("/proc/" + std::to_string(pid_) + "/fd", gone);
+  return static_cast<std::size_t>(std::distance(begin(all), end(all)));
+}
+
 double Process::cpu() const {
   std::ifstream file("/proc/" + std::to_string(pid_) + "/stat");
   std::string text((std::istreambuf_iterator<char>(file)), {});
@@ -73,6 +91,26 @@
   return 0;
 }
 
+OpsReply Call(const std::string& address, const std::string& method, const std::string& path) {
+  namespace http = boost::beast::http;
+  boost::asio::io_context io;
+  Tcp::socket socket(io);
+  boost::system::error_code error;
+  socket.connect(At(address), error);
+  if (error) return {};
+  http::request<http::empty_body> request(http::string_to_verb(method), path, 11);
+  http::write(socket, request, error);
+  boost::beast::flat_buffer buffer;
+  http::response<http::string_body> response;
+  if (!error) http::read(socket, buffer, response, error);
+  return error ? OpsReply{} : OpsReply{response.result_int(), response.body()};
+}
+
+bool WaitForReady(World& world, const std::string& ops) {
+  return world.RunUntil([&] { return Call(ops, "GET", "/api/ready").status == 200; },
+                        std::chrono::seconds(10));
+}
+
 bool WaitFor(World& world, const Tcp::endpoint& address) {
   return world.RunUntil(
       [&] {
--- a/rig/process.hpp
+++ b/rig/process.hpp
@@ -16,14 +16,23 @@
 
 class Process {
  public:
-  // `diameter_file`: its text; empty: Diameter is off.
-  Process(const std::string& program, const World& world, const std::string& diameter_file,
-          std::string listen);
+  struct Options {
+    std::string listen;
+    std::string diameter_file;  // its text; empty: Diameter is off
+    std::string ops;            // the second address; empty: none
+    std::string temporary;      // TMPDIR, shared with other processes of the same sidecar; empty: none
+  };
+  Process(const std::string& program, const World& world, const Options& options);
   ~Process();
   Process(const Process&) = delete;
   Process& operator=(const Process&) = delete;
 
   bool runs() const;
+  void Signal(int signal) const;
+  // Its exit status once it has ended by itself, which is waited for; -1 if a signal ended it or it does not.
+  int Wait(World& world);
+  // Descriptors that it holds.
+  std::size_t descriptors() const;
   // CPU that it has used so far, in microseconds.
   double cpu() const;
   // Memory that it holds, in KiB (VmRSS).
@@ -34,6 +43,19 @@
   pid_t pid_ = -1;
 };
 
+// A folder of its own below the system's temporary one; the caller removes it.
+std::filesystem::path NewFolder();
+
+// An answer of the second address; status 0: there was none.
+struct OpsReply {
+  unsigned status = 0;
+  std::string body;
+};
+OpsReply Call(const std::string& address, const std::string& method, const std::string& path);
+
+// Waits until the process behind this second address says that it can serve.
+bool WaitForReady(World& world, const std::string& ops);
+
 // Waits until the address takes a connection; false if it does not.
 bool WaitFor(World& world, const Tcp::endpoint& address);
 
--- a/src/core/front.hpp
+++ b/src/core/front.hpp
@@ -16,6 +16,9 @@
   virtual void SetDraining(bool draining) = 0;
   // Accepts what has connected already, then no more.
   virtual void StopAccepting() = 0;
+  // Another process accepts from the same queue: leaves what has connected to it, and keeps the listener.
+  virtual void PauseAccepting() = 0;
+  virtual void ResumeAccepting() = 0;
   // Closes the connections that have had nothing under way for so many microseconds.
   virtual void CloseIdle(Micros rested) = 0;
   // Connections that are open, those included whose last answer is still being read.
--- a/src/diameter/io/front.hpp
+++ b/src/diameter/io/front.hpp
@@ -52,6 +52,9 @@
   // While it drains, clients that have nothing under way are told that it is busy (RFC 6733, 5.4.3).
   void SetDraining(bool draining) override;
   void StopAccepting() override;
+  // Its listeners are not handed on: it goes on accepting until it stops.
+  void PauseAccepting() override {}
+  void ResumeAccepting() override {}
   void CloseIdle(Micros rested) override;
   std::size_t sessions() const override;
 
--- /dev/null
+++ b/src/handover/terms.cpp
@@ -0,0 +1,61 @@
+#include "handover/terms.hpp"
+
+#include <sys/un.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace merlinrun::handover {
+namespace {
+
+using Json = nlohmann::json;
+constexpr const char* kProgram = "fennelhollow";
+
+// A count that makes sense: guards against negative or huge ones, which would leave no limit at all.
+std::optional<std::size_t> Count(const Json& json, const char* name) {
+  const auto it = json.find(name);
+  constexpr std::uint64_t kMost = std::uint64_t{1} << 40;
+  if (it == json.end() || !it->is_number_unsigned() || it->get<std::uint64_t>() > kMost) return std::nullopt;
+  return it->get<std::size_t>();
+}
+
+}  // namespace
+
+std::string Write(const Holding& holding) {
+  return Json{{"program", kProgram},
+              {"version", kVersion},
+              {"evacuated", holding.evacuated},
+              {"sockets", holding.sockets},
+              {"memory", holding.memory}}
+      .dump();
+}
+
+std::optional<Holding> ReadHolding(std::string_view message, std::string& error) {
+  const Json json = Json::parse(message, nullptr, /*allow_exceptions=*/false);
+  if (!json.is_object() || json.value("program", Json()) != kProgram) {
+    error = "not a message of this program";
+    return std::nullopt;
+  }
+  if (json.value("version", Json()) != kVersion) {
+    error = "a message of another version";
+    return std::nullopt;
+  }
+  const auto sockets = Count(json, "sockets");
+  const auto memory = Count(json, "memory");
+  const auto evacuated = json.find("evacuated");
+  if (!sockets || !memory || evacuated == json.end() || !evacuated->is_boolean()) {
+    error = "a message that makes no sense";
+    return std::nullopt;
+  }
+  return Holding{evacuated->get<bool>(), *sockets, *memory};
+}
+
+std::string PathFor(const std::string& folder, const std::string& address) {
+  if (folder.empty()) return "";
+  std::string name = address;
+  std::replace(name.begin(), name.end(), ':', '-');
+  std::string path = folder + "/fennelhollow-" + name + ".sock";
+  return path.size() < sizeof(sockaddr_un::sun_path) ? path : "";
+}
+
+}  // namespace merlinrun::handover
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -58,6 +58,7 @@
   signals.async_wait([&](const boost::system::error_code& error, int) {
     if (!error) sidecar.Stop([&io] { io.stop(); });
   });
+  sidecar.OnOutlived([&] { sidecar.Stop([&io] { io.stop(); }); });
   try {
     sidecar.Start();
   } catch (const boost::system::system_error& error) {
--- a/src/net/address.hpp
+++ b/src/net/address.hpp
@@ -25,6 +25,11 @@
   return boost::asio::ip::tcp::endpoint(host, port);
 }
 
+// The form that ParseAddress reads.
+inline std::string Text(const boost::asio::ip::tcp::endpoint& address) {
+  return address.address().to_string() + ":" + std::to_string(address.port());
+}
+
 }  // namespace merlinrun::net
 
 #endif  // MERLINRUN_NET_ADDRESS_HPP_
--- a/src/net/budget.hpp
+++ b/src/net/budget.hpp
@@ -14,10 +14,12 @@
   Budget(const Budget&) = delete;
   Budget& operator=(const Budget&) = delete;
   std::size_t held() const { return held_; }
+  // From now on; what is held already stays.
+  void SetMost(std::size_t most) { most_ = most; }
 
  private:
   friend class Charge;
-  const std::size_t most_;
+  std::size_t most_;
   std::size_t held_ = 0;
 };
 
@@ -40,7 +42,7 @@
   // False if the total does not have so much left; nothing is taken then.
   bool Take(Budget& budget, std::size_t size) {
     *this = Charge();
-    if (size > budget.most_ - budget.held_) return false;
+    if (budget.held_ > budget.most_ || size > budget.most_ - budget.held_) return false;
     budget_ = &budget;
     budget_->held_ += size_ = size;
     return true;
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -82,7 +82,7 @@
   const Json& limits = json.at("limits");
   config.sockets = limits.value("sockets", static_cast<std::uint64_t>(config.sockets));
   const double megabytes = limits.value("memory_mb", 64.0);
-  if (config.sockets < 64) throw ConfigError("limits.sockets: under 64, too few to work with");
+  if (config.sockets < kLeastSockets) throw ConfigError("limits.sockets: under 64, too few to work with");
   if (!(megabytes >= 16 && megabytes <= 1e9))
     throw ConfigError("limits.memory_mb: under 16, too few to work with");
   config.memory = static_cast<std::size_t>(megabytes * (1 << 20));
@@ -149,6 +149,7 @@
 Config LoadConfig(const Environment& environment) {
   Config config = ParseConfig(ReadConfig(environment), Value(environment, "EDGE_LISTEN"),
                               Value(environment, "EDGE_DISCOVERY"), Value(environment, "EDGE_OPS"));
+  config.temporary = Value(environment, "TMPDIR");
   config.diameter = Value(environment, "EDGE_DIAMETER");
   config.record = Value(environment, "EDGE_RECORD");
   config.trace = Value(environment, "EDGE_TRACE");
--- a/src/net/config.hpp
+++ b/src/net/config.hpp
@@ -20,6 +20,9 @@
   using std::runtime_error::runtime_error;
 };
 
+// Fewer descriptors than this are too few to work with.
+inline constexpr std::size_t kLeastSockets = 64;
+
 struct Config {
   std::string name;
   Tcp::endpoint listen;
@@ -29,10 +32,11 @@
   std::size_t sockets = 1024;                  // descriptors that the process may hold
   std::size_t memory = std::size_t{64} << 20;  // bytes that it may use
   drill::WireSettings wire;
-  EndpointList known;    // the list as this sidecar last had it
-  std::string diameter;  // the operator's Diameter file (EDGE_DIAMETER); empty: no Diameter
-  std::string record;    // the operator's recording file (EDGE_RECORD); empty: no recording
-  std::string trace;     // the operator's trace file (EDGE_TRACE); empty: no trace
+  EndpointList known;     // the list as this sidecar last had it
+  std::string temporary;  // the folder for what other processes of this sidecar find (TMPDIR); empty: none
+  std::string diameter;   // the operator's Diameter file (EDGE_DIAMETER); empty: no Diameter
+  std::string record;     // the operator's recording file (EDGE_RECORD); empty: no recording
+  std::string trace;      // the operator's trace file (EDGE_TRACE); empty: no trace
 };
 
 // The settings in the form that the adapter reads, path=value pairs: one mapping of names serves both.
--- a/src/net/http_front.cpp
+++ b/src/net/http_front.cpp
@@ -99,12 +99,12 @@
       });
 }
 
-HttpFront::HttpFront(asio::io_context& io, const Tcp::endpoint& address, Inbound::Limits limits,
+HttpFront::HttpFront(asio::io_context& io, const Inbound::Listening& listening, Inbound::Limits limits,
                      Budget& budget, stats::Counters& counters, core::Exchanges& exchanges,
                      core::Egress& egress, std::function<bool()> ready)
     : exchanges_(exchanges),
       egress_(egress),
-      inbound_(io, address, limits, budget, counters,
+      inbound_(io, listening, limits, budget, counters,
                {[this](const Inbound::SessionPtr& session, HttpRequest request, int request_class) {
                   OnRequest(session, std::move(request), request_class);
                 },
--- a/src/net/http_front.hpp
+++ b/src/net/http_front.hpp
@@ -31,12 +31,17 @@
  public:
   // Throws boost::system::system_error if the address cannot be listened on. All that it is given must
   // outlive it.
-  HttpFront(asio::io_context& io, const Tcp::endpoint& address, Inbound::Limits limits, Budget& budget,
+  HttpFront(asio::io_context& io, const Inbound::Listening& listening, Inbound::Limits limits, Budget& budget,
             stats::Counters& counters, core::Exchanges& exchanges, core::Egress& egress,
             std::function<bool()> ready);
 
   void SetDraining(bool draining) override { inbound_.SetDraining(draining); }
   void StopAccepting() override { inbound_.StopAccepting(); }
+  void PauseAccepting() override { inbound_.PauseAccepting(); }
+  void ResumeAccepting() override { inbound_.ResumeAccepting(); }
+  // Client connections from now on; some idle ones are closed if there are more.
+  void SetMost(std::size_t sessions) { inbound_.SetMost(sessions); }
+  int listener() { return inbound_.listener(); }
   void CloseIdle(Micros rested) override { inbound_.CloseIdle(rested); }
   std::size_t sessions() const override { return inbound_.sessions(); }
   Tcp::endpoint address() const { return inbound_.address(); }
--- a/src/net/inbound.cpp
+++ b/src/net/inbound.cpp
@@ -278,17 +278,37 @@
   bool keep_alive_ = true;
 };
 
-Inbound::Inbound(asio::io_context& io, const Tcp::endpoint& address, Limits limits, Budget& budget,
+namespace {
+
+Tcp::acceptor Listen(asio::io_context& io, const Inbound::Listening& listening) {
+  Tcp::acceptor acceptor(io);
+  if (listening.inherited >= 0) {
+    acceptor.assign(Tcp::v4(), listening.inherited);
+    return acceptor;
+  }
+  acceptor.open(listening.address.protocol());
+  acceptor.set_option(Tcp::acceptor::reuse_address(true));
+  if (listening.shared)
+    acceptor.set_option(asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>(true));
+  acceptor.bind(listening.address);
+  acceptor.listen();
+  return acceptor;
+}
+
+}  // namespace
+
+Inbound::Inbound(asio::io_context& io, const Listening& listening, Limits limits, Budget& budget,
                  stats::Counters& counters, Events events)
     : io_(io),
       limits_(limits),
       budget_(budget),
       counters_(counters),
       events_(std::move(events)),
-      acceptor_(io, address, /*reuse_addr=*/true),
+      acceptor_(Listen(io, listening)),
       address_(acceptor_.local_endpoint()),
       pause_(io),
-      sweep_(io) {
+      sweep_(io),
+      paused_(listening.inherited >= 0) {
   Accept();
 }
 
@@ -303,7 +323,7 @@
 void Inbound::Reject(const SessionPtr& session, const Fault& fault) { session->Reject(fault); }
 
 void Inbound::Accept() {
-  if (!acceptor_.is_open()) return;
+  if (!acceptor_.is_open() || paused_) return;
   acceptor_.async_accept(
       [this](ErrorCode error, Tcp::socket socket) { OnAccepted(error, std::move(socket)); });
 }
@@ -392,6 +412,23 @@
   acceptor_.close(error);
 }
 
+void Inbound::PauseAccepting() {
+  paused_ = true;
+  ErrorCode ignored;
+  acceptor_.cancel(ignored);
+  pause_.cancel();
+}
+
+void Inbound::ResumeAccepting() {
+  if (std::exchange(paused_, false)) Accept();
+}
+
+void Inbound::SetMost(std::size_t sessions) {
+  limits_.sessions = sessions;
+  while (sessions_.size() > sessions && MakeRoom()) {
+  }
+}
+
 void Inbound::CloseIdle(Micros rested) {
   const auto now = Clock::now();
   for (const SessionPtr& session : std::vector<SessionPtr>(sessions_.begin(), sessions_.end()))
--- a/src/net/inbound.hpp
+++ b/src/net/inbound.hpp
@@ -44,9 +44,17 @@
     std::function<bool()> ready;
   };
 
+  struct Listening {
+    Tcp::endpoint address;
+    bool shared = false;  // with another process of the same user that shares it too (SO_REUSEPORT)
+    // A descriptor that listens already, which passes to the Inbound; it does not accept before
+    // ResumeAccepting. -1 = none: the address is bound, and accepted on at once.
+    int inherited = -1;
+  };
+
   // Throws boost::system::system_error if the address cannot be listened on.
   // Requests and their ends are counted in `counters`. Both references must outlive it.
-  Inbound(asio::io_context& io, const Tcp::endpoint& address, Limits limits, Budget& budget,
+  Inbound(asio::io_context& io, const Listening& listening, Limits limits, Budget& budget,
           stats::Counters& counters, Events events);
   ~Inbound();
   Inbound(const Inbound&) = delete;
@@ -62,6 +70,12 @@
   void SetDraining(bool draining) { draining_ = draining; }
   // Accepts what has connected already, then no more.
   void StopAccepting();
+  // Leaves what has connected and what will to whoever else accepts on the descriptor, and back.
+  void PauseAccepting();
+  void ResumeAccepting();
+  int listener() { return acceptor_.native_handle(); }
+  // Connections from now on; as many idle ones as there are too many are closed.
+  void SetMost(std::size_t sessions);
   // Closes the connections that have been between requests for so long.
   void CloseIdle(Micros rested);
 
@@ -78,7 +92,7 @@
   void Sweep();
 
   asio::io_context& io_;
-  const Limits limits_;
+  Limits limits_;
   Budget& budget_;
   stats::Counters& counters_;
   const Events events_;
@@ -88,6 +102,7 @@
   asio::steady_timer sweep_;
   bool sweeping_ = false;
   bool draining_ = false;
+  bool paused_ = false;
   std::array<char, kReadSize> input_{};  // one for all: it holds nothing from one handler to the next
   std::list<SessionPtr> sessions_;       // the one whose last answer is oldest first
 };
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -24,6 +24,13 @@
 // Idle connections are closed this far into the time after which servers may close them. Guards against a
 // request that crosses the server's close: it would be reset and may have run.
 constexpr double kIdleShare = 0.7;
+// A process that takes over waits so long for discovery's word before it serves by the list that it knows.
+constexpr Micros kPatience = 2'000'000;
+// How often one that is taken over from tells what it still holds, and how long it waits to be told to stop.
+constexpr Micros kTellEvery = 50'000;
+constexpr Micros kOutlived = 10'000'000;
+// Connections to servers beyond those that are open that it may still need, for attempts after the first.
+constexpr std::size_t kLastAttempts = 8;
 // What is kept of one line that the module has to say.
 constexpr std::size_t kMostLogged = 400;
 
@@ -155,11 +162,23 @@
   });
 }
 
+std::size_t Sidecar::HttpSessions(const Config& config) const {
+  return ClientSockets(config) - (diameter_ == nullptr ? 0 : diameter_->sockets());
+}
+
 void Sidecar::Start() {
   Inbound::Limits limits;
-  limits.sessions = ClientSockets(config_) - (diameter_ == nullptr ? 0 : diameter_->sockets());
-  http_ = std::make_unique<HttpFront>(io_, config_.listen, limits, budget_, counters_, *exchanges_,
-                                      http_egress_, [this] { return phase_->TakesClients(); });
+  limits.sessions = HttpSessions(config_);
+  std::optional<handover::Claim> claim;
+  Inbound::Listening listening{config_.listen, config_.ops.has_value()};
+  if (config_.ops) {
+    handover_timer_ = loop_.NewTimer();
+    handover_path_ = handover::PathFor(config_.temporary, Text(config_.listen));
+    claim = handover::Ask(handover_path_);
+    if (claim) listening.inherited = claim->listener.Release();
+  }
+  http_ = std::make_unique<HttpFront>(io_, listening, limits, budget_, counters_, *exchanges_, http_egress_,
+                                      [this] { return phase_->TakesClients(); });
   phase_->Add(*http_);
   if (config_.ops) {
     api_.emplace(*phase_, *exchanges_, counters_);
@@ -169,9 +188,89 @@
     diameter_->Listen(budget_, *exchanges_);
     phase_->Add(diameter_->front());
   }
+  if (claim) Follow(std::move(*claim));
   OnList(ListUpdate::Kind::kStale, config_.known);
   if (config_.known.endpoints.empty()) generation_ = Discovery::kUnknown;
   if (!config_.wire.settings.must_subscribe) discovery_.Watch(generation_);
+  if (!taking_over_) OpenDoor();
+}
+
+// ---- Hot restart: docs/design/hot-restart.md ----
+
+void Sidecar::Follow(handover::Claim claim) {
+  taking_over_ = true;
+  if (claim.holding.evacuated) phase_->Evacuate();
+  ShareWith(claim.holding);
+  predecessor_ = std::make_unique<handover::Channel>(
+      io_, std::move(claim.channel),
+      handover::Channel::Events{[this](std::string_view message) {
+                                  std::string error;
+                                  if (const auto held = handover::ReadHolding(message, error))
+                                    ShareWith(*held);
+                                },
+                                [this] {
+                                  ShareWith({});
+                                  TakeOver();
+                                }});
+  handover_timer_->Start(kPatience, [this] { TakeOver(); });
+}
+
+// Guards against a yes of a process that does not know any server: it would refuse what the old one can
+// serve.
+void Sidecar::TakeOver() {
+  if (!taking_over_ || !upstream_.any_server()) return;
+  taking_over_ = false;
+  predecessor_->Send(handover::kServing);
+  http_->ResumeAccepting();
+  phase_->Started();
+  OpenDoor();
+}
+
+void Sidecar::ShareWith(const handover::Holding& other) {
+  Config left = config_;
+  left.sockets = handover::Left(config_.sockets, other.sockets, kLeastSockets);
+  http_->SetMost(HttpSessions(left));
+  upstream_.SetMost(UpstreamLimits(left).connections);
+  const std::size_t memory = config_.memory / kBudgetShare;
+  budget_.SetMost(other.sockets > 0 ? memory / 2 : memory);
+}
+
+void Sidecar::OpenDoor() {
+  if (!config_.ops) return;
+  // A newcomer needs room for itself before it serves.
+  const auto on_newcomer = [this] { ShareWith({false, handover::kNewcomer, 0}); };
+  door_.emplace(io_, handover_path_, http_->listener(),
+                handover::Door::Events{[this] { return Holding(); }, on_newcomer, [this] { GiveWay(); },
+                                       [this] { GoOnAlone(); }});
+}
+
+handover::Holding Sidecar::Holding() const {
+  const std::size_t servers = yielded_ > 0 ? upstream_most_ : upstream_.open_connections();
+  return {phase_->evacuated(), http_->sessions() + servers + OtherSockets(config_), budget_.held()};
+}
+
+void Sidecar::GiveWay() {
+  yielded_ = loop_.Now();
+  phase_->Yield();
+  upstream_.CloseIdle();
+  upstream_most_ = upstream_.open_connections() + kLastAttempts;
+  budget_.SetMost(config_.memory / kBudgetShare / 2);
+  TellHolding();
+}
+
+void Sidecar::TellHolding() {
+  upstream_most_ = std::min(upstream_most_, upstream_.open_connections() + kLastAttempts);
+  upstream_.SetMost(upstream_most_);
+  door_->Tell();
+  if (loop_.Now() - yielded_ >= kOutlived && outlived_) return std::exchange(outlived_, nullptr)();
+  handover_timer_->Start(kTellEvery, [this] { TellHolding(); });
+}
+
+void Sidecar::GoOnAlone() {
+  yielded_ = 0;
+  handover_timer_ = loop_.NewTimer();
+  ShareWith({});
+  phase_->Resume();
 }
 
 void Sidecar::Reload(const Config& config) { discovery_.Switch(config.discovery); }
@@ -195,7 +294,10 @@
     if (diameter_ != nullptr) servers.back().fronts |= diameter_->Fronts(endpoint.info.id);
   }
   exchanges_->OnServers({kind, list.generation, servers});
-  if (upstream_.any_server()) phase_->Started();
+  if (!upstream_.any_server()) return;
+  if (!taking_over_) return phase_->Started();
+  // Discovery's own word, or nobody else is there to serve until it comes.
+  if (kind != ListUpdate::Kind::kStale) TakeOver();
 }
 
 void Sidecar::TellDiameter(const EndpointList& list) {
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -17,6 +17,7 @@
 #include "core/exchange.hpp"
 #include "diameter/io/node.hpp"
 #include "discovery.hpp"
+#include "handover/channel.hpp"
 #include "http_front.hpp"
 #include "ops/api.hpp"
 #include "ops/listener.hpp"
@@ -36,8 +37,11 @@
   Sidecar(const Sidecar&) = delete;
   Sidecar& operator=(const Sidecar&) = delete;
 
-  // Listens and follows discovery. Throws boost::system::system_error if the address cannot be had.
+  // Listens and follows discovery; takes over from a running process of the same sidecar where there is one.
+  // Throws boost::system::system_error if an address cannot be had.
   void Start();
+  // Called if another process has taken over and nobody has told this one to stop.
+  void OnOutlived(std::function<void()> outlived) { outlived_ = std::move(outlived); }
   // Follows the discovery of a new configuration; all else stays as it was at the start. The list is kept
   // until the new address has told its own.
   void Reload(const Config& config);
@@ -58,8 +62,19 @@
   void OnDiscoveryFailed();
   void TellDiameter(const EndpointList& list);
   void OnDiameterUsable(const std::string& server);
+  std::size_t HttpSessions(const Config& config) const;
   void Record();
   void StartTrace();
+  // Of a process that takes over.
+  void Follow(handover::Claim claim);
+  void TakeOver();
+  void ShareWith(const handover::Holding& other);
+  // Of one that is taken over from.
+  void OpenDoor();
+  handover::Holding Holding() const;
+  void GiveWay();
+  void TellHolding();
+  void GoOnAlone();
 
   asio::io_context& io_;
   const Config config_;
@@ -77,7 +92,15 @@
   std::unordered_map<std::string, ServerInfo> listed_;  // only where Diameter is on
   std::optional<ops::Phase> phase_;
   std::optional<ops::Api> api_;
-  std::optional<ops::Listener> ops_;  // only where its address is configured
+  std::optional<ops::Listener> ops_;                // only where its address is configured
+  std::string handover_path_;                       // empty: nobody is told, and nobody asked
+  std::unique_ptr<handover::Channel> predecessor_;  // the process that this one takes over from, if any
+  std::optional<handover::Door> door_;
+  std::unique_ptr<core::Timer> handover_timer_;
+  std::function<void()> outlived_;
+  std::size_t upstream_most_ = 0;
+  Micros yielded_ = 0;        // when; 0 = it has not
+  bool taking_over_ = false;  // the other process still serves
   std::int64_t generation_ = 0;
 };
 
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -370,6 +370,17 @@
   return true;
 }
 
+void Upstream::SetMost(std::size_t connections) {
+  limits_.connections = connections;
+  while (open_ > connections && MakeRoom()) {
+  }
+}
+
+void Upstream::CloseIdle() {
+  while (MakeRoom()) {
+  }
+}
+
 void Upstream::Release(const ConnectionPtr& connection) {
   if (!connection->Current()) return connection->Close();
   connection->idle_since = Clock::now();
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -52,6 +52,11 @@
   // Ends an attempt by closing its connection; its `done` is not called any more.
   void GiveUp(AttemptId attempt);
 
+  // Connections from now on; as many idle ones as there are too many are closed.
+  void SetMost(std::size_t connections);
+  // Closes those that are idle.
+  void CloseIdle();
+
   bool any_server() const { return !servers_.empty(); }
   std::size_t open_connections() const { return open_; }
 
@@ -70,7 +75,7 @@
   void Sweep();
 
   asio::io_context& io_;
-  const Limits limits_;
+  Limits limits_;
   Budget& budget_;
   stats::Counters& counters_;
   asio::steady_timer sweep_;
--- a/src/ops/phase.cpp
+++ b/src/ops/phase.cpp
@@ -36,28 +36,53 @@
 
 bool Phase::Evacuate() {
   if (state_ == State::kStopping) return false;
-  if (state_ == State::kEvacuated) return true;
+  if (std::exchange(away_, true) || yielded_) return true;
   state_ = State::kEvacuated;
-  evacuated_ = loop_.Now();
-  SetDraining(true);
-  EndIdle();
+  BeginEnding();
   return true;
 }
 
 bool Phase::Rejoin() {
   if (state_ == State::kStopping) return false;
-  if (state_ != State::kEvacuated) return true;
+  if (!std::exchange(away_, false) || yielded_) return true;
+  LeaveDrain();
+  return true;
+}
+
+void Phase::LeaveDrain() {
   state_ = started_ ? State::kServing : State::kStarting;
   timer_ = loop_.NewTimer();  // nothing more is closed
   SetDraining(false);
-  return true;
+}
+
+void Phase::Yield() {
+  if (state_ == State::kStopping || std::exchange(yielded_, true)) return;
+  state_ = State::kYielding;
+  for (core::Front* front : fronts_) front->PauseAccepting();
+  BeginEnding();
+}
+
+void Phase::Resume() {
+  if (state_ != State::kYielding) return;
+  yielded_ = false;
+  for (core::Front* front : fronts_) front->ResumeAccepting();
+  if (!away_) return LeaveDrain();
+  state_ = State::kEvacuated;
+}
+
+void Phase::BeginEnding() {
+  ending_ = loop_.Now();
+  SetDraining(true);
+  EndIdle();
 }
 
 // Those that have rested longest go first: guards against closes that cross a request, as clients use the
 // connection that they used last.
 void Phase::EndIdle() {
-  const Micros left = std::max<Micros>(evacuated_ + kEvacuated - loop_.Now(), 0);
+  const Micros left = std::max<Micros>(ending_ + kEvacuated - loop_.Now(), 0);
   for (core::Front* front : fronts_) front->CloseIdle(std::max(left, kLeastRest));
+  if (state_ == State::kStopping && (left == 0 || (sessions() == 0 && exchanges_.held() == 0)))
+    return CloseIdle();
   timer_->Start(kIdlePoll, [this] { EndIdle(); });
 }
 
@@ -67,6 +92,8 @@
   finished_ = std::move(finished);
   end_ = loop_.Now() + kMostStop;
   exchanges_.EndBy(end_);
+  // The queue is the other process's, and nothing new comes.
+  if (yielded_) return EndIdle();
   SetDraining(true);
   timer_->Start(kAcceptAfterStop, [this] { StopAccepting(); });
 }
--- a/src/ops/phase.hpp
+++ b/src/ops/phase.hpp
@@ -1,5 +1,5 @@
-// The phase of the whole sidecar: starting, serving, evacuated, stopping. What each says on both addresses,
-// and what it asks of the fronts. Free of I/O; one thread, that of its Loop.
+// The phase of the whole sidecar: starting, serving, evacuated, yielding, stopping. What each says on both
+// addresses, and what it asks of the fronts. Free of I/O; one thread, that of its Loop.
 #ifndef MERLINRUN_OPS_PHASE_HPP_
 #define MERLINRUN_OPS_PHASE_HPP_
 
@@ -15,7 +15,8 @@
 
 class Phase {
  public:
-  enum class State { kStarting, kServing, kEvacuated, kStopping };
+  // kYielding: another process of this sidecar serves, and this one finishes what it has.
+  enum class State { kStarting, kServing, kEvacuated, kYielding, kStopping };
 
   // Both must outlive it.
   Phase(core::Loop& loop, core::Exchanges& exchanges);
@@ -32,21 +33,30 @@
   bool Evacuate();
   // Back to work at once, also amid a drain. False if it stops. Does nothing if it was not evacuated.
   bool Rejoin();
+  // Another process has the listener now. It accepts no more, finishes what it has and lets its clients'
+  // connections end as after Evacuate. Does nothing if it stops.
+  void Yield();
+  // The other process has gone: back to what it was before. Does nothing if it does not yield.
+  void Resume();
   // The planned end: takes what still comes for a short while, finishes what is held, answers what would
   // outlast the kill, then calls `finished` once, from the loop. Final; a second call does nothing.
   void Stop(std::function<void()> finished);
 
   State state() const { return state_; }
-  // What GET /ready says to clients.
-  bool TakesClients() const { return state_ == State::kServing; }
+  // What GET /ready says to clients. On connections kept from before it yielded it speaks for the sidecar,
+  // which the other process serves.
+  bool TakesClients() const { return !away_ && (state_ == State::kServing || yielded_); }
   // Whether this process can serve, as the operators ask at the second address.
-  bool CanServe() const { return state_ == State::kServing || state_ == State::kEvacuated; }
+  bool CanServe() const { return state_ != State::kStarting && state_ != State::kStopping; }
+  bool evacuated() const { return away_; }
 
   // After Evacuate, until no connection is held idle any more, in microseconds.
   static constexpr Micros kEvacuated = 1'500'000;
 
  private:
+  void BeginEnding();
   void EndIdle();
+  void LeaveDrain();
   void StopAccepting();
   void CloseIdle();
   void CheckFinished();
@@ -60,7 +70,9 @@
   std::function<void()> finished_;
   State state_ = State::kStarting;
   bool started_ = false;  // it could serve at some time
-  Micros evacuated_ = 0;  // when
+  bool away_ = false;     // clients were told to go elsewhere
+  bool yielded_ = false;  // another process has the listener
+  Micros ending_ = 0;     // when connections began to be ended
   Micros end_ = 0;        // of stopping
   bool closing_ = false;
 };
--- a/tests/net/inbound_test.cpp
+++ b/tests/net/inbound_test.cpp
@@ -26,7 +26,8 @@
     events.on_gone = [this](const std::string& id) { gone.push_back(id); };
     events.class_of = [](const RequestHeader&) { return 0; };
     events.ready = [] { return true; };
-    inbound = std::make_unique<Inbound>(io, Loopback(), limits, budget, counters, std::move(events));
+    inbound = std::make_unique<Inbound>(io, Inbound::Listening{Loopback()}, limits, budget, counters,
+                                        std::move(events));
   }
   std::shared_ptr<Peer> Client(const std::string& text = "") {
     auto client = Connect(io, inbound->address());
--- a/tests/net/loopback.hpp
+++ b/tests/net/loopback.hpp
@@ -43,10 +43,6 @@
 
 inline Tcp::endpoint Loopback() { return {asio::ip::make_address("127.0.0.1"), 0}; }
 
-inline std::string Text(const Tcp::endpoint& address) {
-  return address.address().to_string() + ":" + std::to_string(address.port());
-}
-
 // A peer's side of a connection: keeps what it has read, writes what it is told.
 class Peer : public std::enable_shared_from_this<Peer> {
  public:
--- a/tests/net/program_test.cpp
+++ b/tests/net/program_test.cpp
@@ -43,12 +43,12 @@
   void Configure(const std::string& text) { std::ofstream(path, std::ios::trunc) << text; }
   std::string Text(const Tcp::endpoint& discovery, const std::vector<nlohmann::json>& instances) const {
     nlohmann::json json = ConfigJson(discovery, instances);
-    json["listen"] = testing::Text(listen);
+    json["listen"] = net::Text(listen);
     return json.dump();
   }
   void Start() {
     const std::string config = "EDGE_CONFIG=" + path;
-    const std::string named = "EDGE_DISCOVERY=" + testing::Text(discovery_.address);
+    const std::string named = "EDGE_DISCOVERY=" + net::Text(discovery_.address);
     const std::vector<const char*> environment = {config.c_str(), named.c_str(), nullptr};
     const std::vector<const char*> arguments = {FENNELHOLLOW_PROGRAM, nullptr};
     ASSERT_EQ(::posix_spawn(&pid, FENNELHOLLOW_PROGRAM, nullptr, nullptr,
--- a/tests/ops/phase_test.cpp
+++ b/tests/ops/phase_test.cpp
@@ -24,6 +24,14 @@
     steps += "stop ";
     accepting = false;
   }
+  void PauseAccepting() override {
+    steps += "pause ";
+    accepting = false;
+  }
+  void ResumeAccepting() override {
+    steps += "resume ";
+    accepting = true;
+  }
   void CloseIdle(Micros rested) override {
     if (rested == 0) steps += "idle ";
     rests.push_back(rested);
