--- a/include/merlinrun/balancer.hpp
+++ b/include/merlinrun/balancer.hpp
@@ -165,6 +165,7 @@
   int tenant = -1;
   std::optional<Micros> cost;  // expected work
   Micros budget = 0;           // the client gives up after this time
+  Micros upload = 0;           // its last byte may take so long; the budget counts from there. 0: it is whole
   bool repeated = false;       // the client says that it is a repeat
   bool write = false;
   std::string_view key;  // what it concerns; empty = none
@@ -198,6 +199,7 @@
   Result result = Result::kSuccess;
   Micros elapsed = 0;
   bool settled = false;  // the request has its final answer
+  bool spent = false;    // its bytes are gone: no other attempt can be made of it
   LoadReport load = {};
 };
 
@@ -282,6 +284,8 @@
 
   void OnServers(Micros now, const ListUpdate& update);
   void OnRequest(Micros now, const Request& request);
+  // The last byte has come of a request that had an upload before it: its times count from now.
+  void OnRequestWhole(Micros now, std::string_view request, Micros budget);
   void OnResponseStarted(Micros now, std::string_view request, int attempt);
   void OnOutcome(Micros now, const Outcome& outcome);
   void OnClientGone(Micros now, std::string_view request);
--- a/src/core/exchange.cpp
+++ b/src/core/exchange.cpp
@@ -52,7 +52,8 @@
   call.caller = std::move(arrival.caller);
   call.egress = arrival.egress;
   call.request_class = arrival.request_class;
-  call.deadline = now + budget;
+  call.deadline = now + arrival.upload + budget;
+  call.budget = budget;
   call.timer = loop_.NewTimer();
   Watch(id, call);
   if (on_ended_) {
@@ -71,6 +72,7 @@
   in.request_class = arrival.request_class;
   in.tenant = arrival.tenant;
   in.budget = budget;
+  in.upload = arrival.upload;
   in.repeated = arrival.repeated;
   in.write = arrival.write;
   in.cost = arrival.cost;
@@ -80,6 +82,22 @@
   EraseIfOver(id);
 }
 
+void Exchanges::OnWhole(const std::string& id) {
+  const auto it = calls_.find(id);
+  if (it == calls_.end() || it->second.caller == nullptr) return;
+  Call& call = it->second;
+  const Micros now = loop_.Now();
+  if (end_ > 0) call.budget = std::clamp<Micros>(end_ - now, 0, call.budget);
+  call.deadline = now + call.budget;
+  for (Attempt& attempt : call.attempts) {
+    if (!attempt.out) continue;
+    attempt.sent = now;
+    attempt.expires = call.deadline;
+  }
+  Watch(id, call);
+  balancer_->OnRequestWhole(now, id, call.budget);
+}
+
 void Exchanges::OnClientGone(const std::string& id) {
   const auto it = calls_.find(id);
   if (it == calls_.end()) return;
@@ -95,11 +113,11 @@
     Release(it->second, Ended::End::kServed)->Serve(std::move(answer.message));
   else if (answer.result == Result::kError)
     it->second.error = std::move(answer.message);
-  Conclude(id, attempt, answer.result);
+  Conclude(id, attempt, answer.result, answer.spent);
 }
 
 // Tells the module, once, what became of an attempt.
-void Exchanges::Conclude(const std::string& id, int attempt, Result result) {
+void Exchanges::Conclude(const std::string& id, int attempt, Result result, bool spent) {
   const auto it = calls_.find(id);
   if (it == calls_.end()) return;
   Attempt& ended = it->second.attempts[static_cast<std::size_t>(attempt)];
@@ -113,6 +131,7 @@
   outcome.result = result;
   outcome.elapsed = std::max<Micros>(now - ended.sent, 0);
   outcome.settled = it->second.caller == nullptr;
+  outcome.spent = spent;
   if (on_attempt_) on_attempt_({ended.server, result, outcome.elapsed, it->second.request_class});
   balancer_->OnOutcome(now, outcome);
   EraseIfOver(id);
@@ -188,7 +207,7 @@
     return;
   }
   Egress::Order order;
-  order.left = attempt.expires - now;
+  order.left = std::min(attempt.expires - now, call.budget);
   order.may_have_run = std::any_of(call.attempts.begin(), call.attempts.end(),
                                    [](const Attempt& earlier) { return earlier.may_have_run; });
   attempt.upstream = call.egress->Send(server, *call.request, order, [this, id, number](Answer answer) {
--- a/src/core/exchange.hpp
+++ b/src/core/exchange.hpp
@@ -52,6 +52,7 @@
 struct Answer {
   Result result = Result::kUnreachable;
   MessagePtr message;  // with kSuccess the server's answer; with kError too, where the protocol passes it on
+  bool spent = false;  // the request's bytes are gone: it cannot be sent again
 };
 
 // Carries attempts to servers. Carries out each exactly once and never sends one again by itself.
@@ -79,6 +80,7 @@
   int tenant = -1;
   std::optional<Micros> cost;
   std::optional<Micros> deadline;  // how long the client waits, as it says itself
+  Micros upload = 0;               // its last byte may take so long, and OnWhole follows; 0: it is whole
   bool repeated = false;
   bool write = false;
   std::string key;  // what it concerns; empty = none
@@ -128,6 +130,8 @@
   bool Holds(const std::string& id) const { return calls_.count(id) > 0; }
   // Takes a request of a known class: from here on exactly one answer is owed. It may be given from in here.
   void Take(Arrival arrival);
+  // The last byte has come of a request that had an upload before it: its time counts from now.
+  void OnWhole(const std::string& id);
   // The client has left; nothing is owed any more.
   void OnClientGone(const std::string& id);
 
@@ -170,6 +174,7 @@
     Egress* egress = nullptr;
     MessagePtr error;     // what the last server that answered with an error said
     Micros deadline = 0;  // the final answer is owed before
+    Micros budget = 0;    // from the request's last byte to there
     int request_class = 0;
     std::vector<Attempt> attempts;
     std::unique_ptr<Timer> timer;
@@ -190,7 +195,7 @@
 
   Micros BudgetOf(const Arrival& arrival) const;
   void OnAnswer(const std::string& id, int attempt, Answer answer);
-  void Conclude(const std::string& id, int attempt, Result result);
+  void Conclude(const std::string& id, int attempt, Result result, bool spent = false);
   void Watch(const std::string& id, Call& call);
   void OnDue(const std::string& id);
   void EraseIfOver(const std::string& id);
--- a/src/net/http_front.cpp
+++ b/src/net/http_front.cpp
@@ -13,14 +13,13 @@
 constexpr double kMicrosASecond = 1e6;
 
 struct RequestMessage : core::Message {
-  explicit RequestMessage(HttpRequest request) : http(std::move(request)) {}
-  HttpRequest http;
+  explicit RequestMessage(Inbound::Request taken) : request(std::move(taken)) {}
+  Inbound::Request request;
 };
 
 struct AnswerMessage : core::Message {
-  AnswerMessage(HttpResponse response, Charge held) : http(std::move(response)), charge(std::move(held)) {}
-  HttpResponse http;
-  Charge charge;
+  explicit AnswerMessage(UpstreamAnswer from) : answer(std::move(from)) {}
+  UpstreamAnswer answer;
 };
 
 std::string Seconds(Micros time) {
@@ -59,11 +58,14 @@
   explicit HttpCaller(Inbound::SessionPtr session) : session_(std::move(session)) {}
 
   void Serve(core::MessagePtr answer) override {
-    auto& from = static_cast<AnswerMessage&>(*answer);
+    UpstreamAnswer& from = static_cast<AnswerMessage&>(*answer).answer;
     HttpResponse response(http::status::ok, 11);
-    if (const auto type = from.http[http::field::content_type]; !type.empty())
+    if (const auto type = from.response[http::field::content_type]; !type.empty())
       response.set(http::field::content_type, type);
-    response.body() = std::move(from.http.body());
+    if (from.rest != nullptr)
+      return Inbound::Stream(session_, std::move(response), std::move(from.rest), from.length,
+                             std::move(from.charge));
+    response.body() = std::move(from.response.body());
     Inbound::Respond(session_, std::move(response), std::move(from.charge));
   }
 
@@ -88,15 +90,16 @@
 
 core::Egress::AttemptId HttpEgress::Send(const std::string& server, const core::Message& request,
                                          const Order& order, Done done) {
-  const auto& message = static_cast<const RequestMessage&>(request);
-  return upstream_.Send(
-      server, Forwarded(message.http, order.left), [done = std::move(done)](UpstreamAnswer answer) {
-        core::Answer out;
-        out.result = answer.result;
-        if (answer.result == Result::kSuccess)
-          out.message = std::make_unique<AnswerMessage>(std::move(answer.response), std::move(answer.charge));
-        done(std::move(out));
-      });
+  const Inbound::Request& from = static_cast<const RequestMessage&>(request).request;
+  return upstream_.Send(server, {Forwarded(from.head, order.left), from.rest, from.length},
+                        [done = std::move(done)](UpstreamAnswer answer) {
+                          core::Answer out;
+                          out.result = answer.result;
+                          out.spent = answer.spent;
+                          if (answer.result == Result::kSuccess)
+                            out.message = std::make_unique<AnswerMessage>(std::move(answer));
+                          done(std::move(out));
+                        });
 }
 
 HttpFront::HttpFront(asio::io_context& io, const Inbound::Listening& listening, Inbound::Limits limits,
@@ -105,9 +108,10 @@
     : exchanges_(exchanges),
       egress_(egress),
       inbound_(io, listening, limits, budget, counters,
-               {[this](const Inbound::SessionPtr& session, HttpRequest request, int request_class) {
+               {[this](const Inbound::SessionPtr& session, Inbound::Request request, int request_class) {
                   OnRequest(session, std::move(request), request_class);
                 },
+                [this](const std::string& id) { exchanges_.OnWhole(id); },
                 [this](const RequestHeader& header) {
                   return core::ClassIndex(exchanges_.settings(), View(header[kClassHeader]));
                 },
@@ -121,7 +125,8 @@
                            exchanges_.settings().classes[static_cast<std::size_t>(request_class)].repeat);
 }
 
-void HttpFront::OnRequest(const Inbound::SessionPtr& session, HttpRequest request, int request_class) {
+void HttpFront::OnRequest(const Inbound::SessionPtr& session, Inbound::Request from, int request_class) {
+  HttpRequest& request = from.head;
   const Settings& settings = exchanges_.settings();
   core::Arrival arrival;
   arrival.request_class = request_class;
@@ -135,7 +140,8 @@
   if (const auto cost = ParseDecimal(View(request[kCostHeader])); cost && *cost < 1e12)
     arrival.cost = static_cast<Micros>(*cost);
   arrival.key = std::string(KeyOf(View(request.target())));
-  arrival.request = std::make_unique<RequestMessage>(std::move(request));
+  if (from.rest != nullptr) arrival.upload = from.upload;
+  arrival.request = std::make_unique<RequestMessage>(std::move(from));
   arrival.caller = std::make_unique<HttpCaller>(session);
   arrival.egress = &egress_;
   exchanges_.Take(std::move(arrival));
--- a/src/net/http_front.hpp
+++ b/src/net/http_front.hpp
@@ -47,7 +47,7 @@
   Tcp::endpoint address() const { return inbound_.address(); }
 
  private:
-  void OnRequest(const Inbound::SessionPtr& session, HttpRequest request, int request_class);
+  void OnRequest(const Inbound::SessionPtr& session, Inbound::Request from, int request_class);
   std::optional<Fault> Check(const HttpRequest& request, int request_class) const;
 
   core::Exchanges& exchanges_;
--- a/src/net/inbound.cpp
+++ b/src/net/inbound.cpp
@@ -13,12 +13,16 @@
 namespace {
 
 using Clock = std::chrono::steady_clock;
+constexpr double kMicrosASecond = 1e6;
 
 // How long accepting rests when descriptors have run out: guards against a loop that spins on EMFILE.
 constexpr auto kAcceptPause = std::chrono::milliseconds(50);
 // What is still read of a client whose connection is being closed: closing it with input unread would reset
 // it, and the answer might be lost with that. One that sends more has had its time.
 constexpr std::size_t kMostLingering = std::size_t{256} * 1024;
+// What a client sends of a large body whose answer it has already is read so far, so that it gets to see
+// that.
+constexpr std::size_t kMostUploadLingering = kMostStreamed + kMostLingering;
 // Connections over the limit that are held at once to be told so.
 constexpr std::size_t kMostTurnedAway = 8;
 
@@ -26,11 +30,14 @@
   Incoming() {
     parser.eager(false);  // the header alone: it is checked before the body begins
     parser.header_limit(kMostHeader);
-    parser.body_limit(kMostBody);
+    parser.body_limit(kMostStreamed);
   }
 
-  http::request_parser<http::string_body> parser;
+  http::request_parser<GatheredBody> parser;
   bool begun = false;
+  std::size_t come = 0;        // bytes of its body
+  Clock::time_point head_at;   // when its head was whole
+  Clock::time_point piece_at;  // when something of it came last
 };
 
 }  // namespace
@@ -65,7 +72,8 @@
   void Respond(HttpResponse response, Charge charge) {
     if (state_ != State::kBusy) return;
     Become(State::kWriting);
-    response.keep_alive(keep_alive_ && !owner_.draining_);
+    EndUpload();
+    response.keep_alive(keep_alive_ && !owner_.draining_ && !cut_);
     response.prepare_payload();
     response_ = std::move(response);
     answer_charge_ = std::move(charge);
@@ -73,6 +81,33 @@
                       [self = shared_from_this()](ErrorCode error, std::size_t) { self->OnWritten(error); });
   }
 
+  void Stream(HttpResponse head, std::shared_ptr<Pipe> body, std::optional<std::uint64_t> length,
+              Charge charge) {
+    if (state_ != State::kBusy) return body->Leave();
+    Become(State::kWriting);
+    EndUpload();
+    chunked_ = !length && version_ >= 11;
+    // HTTP/1.0 knows no chunks: the end of the connection is the end of the body.
+    head.keep_alive(keep_alive_ && !owner_.draining_ && !cut_ && (length || chunked_));
+    if (length)
+      head.content_length(*length);
+    else if (chunked_)
+      head.chunked(true);
+    response_ = std::move(head);
+    answer_charge_ = std::move(charge);
+    answer_ = std::move(body);
+    answer_->SetReader([weak = weak_from_this()] {
+      if (const auto self = weak.lock()) self->WritePiece();
+    });
+    ErrorCode ignored;
+    socket_.set_option(Tcp::socket::send_buffer_size(kStreamSendBuffer), ignored);
+    serializer_.emplace(response_);
+    piece_out_ = true;
+    http::async_write_header(
+        socket_, *serializer_,
+        [self = shared_from_this()](ErrorCode error, std::size_t) { self->OnPieceWritten(error, 0); });
+  }
+
   void Reject(const Fault& fault) {
     if (state_ != State::kBusy && state_ != State::kReading) return;
     // Turned away before it was taken, and yet its client sees a request of this class end.
@@ -92,19 +127,23 @@
     switch (state_) {
       case State::kReading:
         if (parser_->begun) {
-          if (For(now, limits.request))
-            Reject({http::status::request_timeout, "the request took too long\n"});
-        } else if (For(now, fresh_ ? limits.request : limits.idle) && Idle()) {
+          if (TooSlow(now)) Reject({http::status::request_timeout, "the request took too long\n"});
+        } else if (For(now, fresh_ ? limits.head : limits.idle) && Idle()) {
           Close();
         }
         return;
       case State::kWriting:
-        if (For(now, limits.answer)) Close();
+        // Of a stream each piece has its time, and while none has come the wait is for the server.
+        if (For(now, answer_ == nullptr ? limits.answer : limits.stall) && (answer_ == nullptr || piece_out_))
+          Close();
         return;
       case State::kLingering:
-        if (For(now, limits.linger)) Close();
+        if (For(now, cut_ ? limits.stall : limits.linger)) Close();
+        return;
+      case State::kBusy:  // it is the sidecar's turn, unless the body comes still
+        if (upload_ != nullptr && !upload_->full() && TooSlow(now))
+          EndCutUpload({http::status::request_timeout, "the request took too long\n"});
         return;
-      case State::kBusy:  // it is the sidecar's turn
       case State::kClosed:
         return;
     }
@@ -122,6 +161,8 @@
     charge_ = {};
     answer_charge_ = {};
     taken_.Drop();
+    EndUpload();
+    if (answer_ != nullptr) std::exchange(answer_, nullptr)->Leave();
     ErrorCode ignored;
     socket_.close(ignored);
   }
@@ -136,10 +177,87 @@
     since_ = Clock::now();
   }
 
+  static Clock::duration Of(Micros time) { return std::chrono::microseconds(time); }
+
+  // Guards against clients that hold a place with what they never finish. Those that are merely slow bring a
+  // body at a stated rate; a bad one is told off within 3 s of connecting.
+  bool TooSlow(Clock::time_point now) const {
+    const Limits& limits = owner_.limits_;
+    if (!parser_->parser.is_header_done()) return For(now, limits.head);
+    const auto due = parser_->head_at + Of(limits.body_grace) + Of(Earned());
+    return now >= due || now - parser_->piece_at >= Of(limits.body_pause);
+  }
+
+  // Whatever still comes of a large body is of no interest: it has its answer, or is whole.
+  void EndUpload() {
+    if (upload_ == nullptr) return;
+    cut_ = upload_->state() == Pipe::State::kOpen;
+    upload_->Break();
+    upload_ = nullptr;
+  }
+
+  // What has come so far is no request, and its servers hear no more of it.
+  void EndCutUpload(const Fault& fault) {
+    EndUpload();
+    if (!request_.empty()) owner_.events_.on_gone(request_);
+    Reject(fault);
+  }
+
+  // ---- A large answer ----
+
+  void WritePiece() {
+    if (piece_out_ || state_ != State::kWriting || answer_ == nullptr) return;
+    const std::string_view data = answer_->data();
+    since_ = Clock::now();
+    if (data.empty()) {
+      if (answer_->state() == Pipe::State::kBroken) return BreakOff();
+      if (answer_->state() == Pipe::State::kEnded) WriteEnd();
+      return;
+    }
+    piece_out_ = true;
+    piece_.assign(data);  // the pipe may move its own while this is out
+    const auto written = [self = shared_from_this(), size = data.size()](ErrorCode error, std::size_t) {
+      self->OnPieceWritten(error, size);
+    };
+    if (chunked_)
+      asio::async_write(socket_, http::make_chunk(asio::buffer(piece_)), written);
+    else
+      asio::async_write(socket_, asio::buffer(piece_), written);
+  }
+
+  void OnPieceWritten(ErrorCode error, std::size_t size) {
+    piece_out_ = false;
+    if (state_ == State::kClosed) return;
+    if (error) return Close();
+    const auto answer = answer_;
+    answer->Consume(size);
+    WritePiece();
+  }
+
+  void WriteEnd() {
+    answer_ = nullptr;
+    piece_ = {};
+    serializer_.reset();
+    if (!chunked_) return OnWritten({});
+    asio::async_write(socket_, http::make_chunk_last(),
+                      [self = shared_from_this()](ErrorCode error, std::size_t) { self->OnWritten(error); });
+  }
+
+  // The client can tell: no last chunk, a length not met, or a reset.
+  void BreakOff() {
+    taken_.End(stats::Ending::kError);
+    ErrorCode ignored;
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    Close();
+  }
+
   // Waits for input while a request is held too, so that a client that leaves is noticed; not once what it
   // has sent behind that request waits here, as more would only be kept.
   void Read() {
-    if (waiting_ || (state_ != State::kReading && state_ != State::kLingering && buffer_.size() > 0)) return;
+    const bool takes = state_ == State::kReading || state_ == State::kLingering || upload_ != nullptr;
+    if (waiting_ || (!takes && buffer_.size() > 0)) return;
+    // Guards against keeping what a slow server does not take, and what comes of a body that has its answer.
+    if (cut_ ? state_ != State::kLingering : upload_ != nullptr && upload_->full()) return;
     waiting_ = true;
     socket_.async_wait(Tcp::socket::wait_read, [self = shared_from_this()](ErrorCode error) {
       self->waiting_ = false;
@@ -166,29 +284,92 @@
 
   void Take(std::size_t n) {
     if (state_ == State::kLingering) {
-      if ((lingered_ += n) > kMostLingering) Close();
+      if ((lingered_ += n) > (cut_ ? kMostUploadLingering : kMostLingering)) Close();
       return;
     }
     if (buffer_.size() + n > buffer_.max_size())
       return Close();  // cannot be: the parser took less than it may
     buffer_.commit(asio::buffer_copy(buffer_.prepare(n), asio::buffer(owner_.input_, n)));
-    if (state_ == State::kReading) Parse();
+    if (state_ == State::kReading)
+      Parse();
+    else if (upload_ != nullptr)
+      TakeUpload();
   }
 
-  void Parse() {
+  // More of a large body.
+  void TakeUpload() {
+    const auto upload = upload_;
+    const auto fault = Consume();
+    if (fault) return EndCutUpload(*fault);
+    std::string piece = std::exchange(parser_->parser.get().body(), {});
+    const bool whole = parser_->parser.is_done();
+    if (whole) upload_ = nullptr;
+    upload->Write(piece);
+    if (!whole) return;
+    upload->End();
+    if (state_ == State::kBusy) owner_.events_.on_whole(request_);
+  }
+
+  // Parses what has come; what is wrong with it, if anything.
+  std::optional<Fault> Consume() {
     auto& parser = parser_->parser;
+    const auto now = Clock::now();
     while (buffer_.size() > 0 && !parser.is_done()) {
       // On a kept connection the time runs from a request's first byte, on a new one it has begun already.
-      if (!std::exchange(parser_->begun, true) && !fresh_) since_ = Clock::now();
+      if (!std::exchange(parser_->begun, true) && !fresh_) since_ = now;
       const bool had_header = parser.is_header_done();
+      const std::size_t had = parser.get().body().size();
       ErrorCode error;
       buffer_.consume(parser.put(buffer_.data(), error));
-      if (error && error != http::error::need_more) return Reject(FaultOf(error));
-      if (!had_header && parser.is_header_done() && !TakeHeader()) return;
+      if (error && error != http::error::need_more) return FaultOf(error);
+      if (!had_header && parser.is_header_done()) {
+        parser_->head_at = now;
+        if (const auto fault = TakeHeader()) return fault;
+      }
+      parser_->come += parser.get().body().size() - had;
       if (error) break;
     }
+    parser_->piece_at = now;
     if (buffer_.size() == 0) buffer_ = beast::flat_buffer(kMostUnparsed);  // an idle connection holds none
-    if (parser.is_done()) Dispatch(parser.release());
+    return std::nullopt;
+  }
+
+  void Parse() {
+    if (const auto fault = Consume()) return Reject(*fault);
+    auto& parser = parser_->parser;
+    if (parser.is_done()) return Dispatch({TakeMessage(parser), nullptr, {}, 0});
+    if (parser.is_header_done() && parser.get().body().size() >= kMostBody) DispatchLarge();
+  }
+
+  // A body that is more than is held whole goes on while it comes.
+  void DispatchLarge() {
+    auto& parser = parser_->parser;
+    Request request;
+    request.rest = std::make_shared<Pipe>(kPipeSize);
+    if (const auto length = parser.content_length()) request.length = *length;
+    const double most = static_cast<double>(request.length.value_or(kMostStreamed));
+    request.upload = owner_.limits_.body_grace + owner_.limits_.body_pause +
+                     static_cast<Micros>(most / owner_.limits_.body_rate * kMicrosASecond);
+    request.rest->Write(std::exchange(parser.get().body(), {}));
+    request.head = HttpRequest(parser.get().base());  // a copy: the parser has use for its own
+    upload_ = request.rest;
+    upload_->SetWriter(
+        [weak = weak_from_this()] {
+          if (const auto self = weak.lock(); self != nullptr && self->state_ != State::kClosed) {
+            self->parser_->piece_at = Clock::now();  // it was not the client that held it up
+            self->parser_->head_at =
+                std::max(self->parser_->head_at, self->parser_->piece_at - Of(self->Earned()));
+            self->Read();
+          }
+        },
+        nullptr);
+    Dispatch(std::move(request));
+  }
+
+  // How long a body that keeps to the rate takes for what has come.
+  Micros Earned() const {
+    return static_cast<Micros>(static_cast<double>(parser_->come) / owner_.limits_.body_rate *
+                               kMicrosASecond);
   }
 
   static Fault FaultOf(ErrorCode error) {
@@ -199,22 +380,33 @@
   }
 
   // What is wrong shows in the header: guards against reading, keeping or passing on what follows it.
-  bool TakeHeader() {
+  std::optional<Fault> TakeHeader() {
     auto& parser = parser_->parser;
+    UseOriginForm(parser.get());
     if (parser.get().target() != kReadyPath) request_class_ = owner_.events_.class_of(parser.get());
-    if (const auto fault = CheckRequest(parser.get())) return Reject(*fault), false;
+    if (const auto fault = CheckRequest(parser.get())) return fault;
     // Twice: the request is copied when it is sent on.
     const std::size_t size =
-        parser.chunked() ? kMostBody : static_cast<std::size_t>(parser.content_length().value_or(0));
+        std::min<std::size_t>(kMostBody, parser.chunked() ? kMostBody : parser.content_length().value_or(0));
     if (!charge_.Take(owner_.budget_, 2 * size))
-      return Reject({http::status::service_unavailable, "out of memory for requests\n"}), false;
+      return Fault{http::status::service_unavailable, "out of memory for requests\n"};
     parser.eager(true);
-    return true;
+    if (parser.get().count(http::field::expect) > 0 && !parser.is_done()) Continue();
+    return std::nullopt;
+  }
+
+  // RFC 9110, 10.1.1. Nothing else is being written, so a few bytes go out at once; if they do not, the
+  // client sends its body after a while all the same.
+  void Continue() {
+    ErrorCode ignored;
+    socket_.write_some(asio::buffer(std::string_view("HTTP/1.1 100 Continue\r\n\r\n")), ignored);
   }
 
-  void Dispatch(HttpRequest request) {
+  void Dispatch(Request from) {
+    const HttpRequest& request = from.head;
     Become(State::kBusy);
     keep_alive_ = request.keep_alive();
+    version_ = request.version();
     if (request.target() == kReadyPath) {
       request_.clear();
       const bool ready = owner_.events_.ready();
@@ -225,7 +417,7 @@
     request_ = std::string(View(request[kIdHeader]));
     taken_ = {owner_.counters_, request_class_};
     try {
-      owner_.events_.on_request(shared_from_this(), std::move(request), request_class_);
+      owner_.events_.on_request(shared_from_this(), std::move(from), request_class_);
     } catch (const std::exception&) {
       Reject({http::status::internal_server_error, "failed\n"});  // an answer is owed whatever went wrong
       throw;
@@ -265,6 +457,14 @@
   beast::flat_buffer buffer_{kMostUnparsed};
   std::optional<Incoming> parser_;
   HttpResponse response_;
+  std::shared_ptr<Pipe> upload_;  // the body that comes still and goes on already
+  bool cut_ = false;              // it was answered before its body had come
+  std::shared_ptr<Pipe> answer_;  // the body that is passed on while it comes
+  std::optional<http::response_serializer<http::string_body>> serializer_;  // of its head
+  std::string piece_;                                                       // of it, that is being written
+  bool piece_out_ = false;
+  bool chunked_ = false;
+  unsigned version_ = 11;
   std::string request_;     // the id of the one that is held
   int request_class_ = -1;  // of the one that is read or held; -1 = none
   stats::Taken taken_;      // the one that is held
@@ -320,6 +520,11 @@
   session->Respond(std::move(response), std::move(charge));
 }
 
+void Inbound::Stream(const SessionPtr& session, HttpResponse head, std::shared_ptr<Pipe> body,
+                     std::optional<std::uint64_t> length, Charge charge) {
+  session->Stream(std::move(head), std::move(body), length, std::move(charge));
+}
+
 void Inbound::Reject(const SessionPtr& session, const Fault& fault) { session->Reject(fault); }
 
 void Inbound::Accept() {
--- a/src/net/inbound.hpp
+++ b/src/net/inbound.hpp
@@ -7,10 +7,12 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "budget.hpp"
 #include "merlinrun/balancer.hpp"
+#include "pipe.hpp"
 #include "protocol.hpp"
 #include "stats/counters.hpp"
 #include "validate.hpp"
@@ -27,17 +29,30 @@
     std::size_t sessions = 256;  // and a few more for as long as it takes to turn them away
     // Times, in microseconds. Each counts from a beginning that the client cannot move: what trickles in
     // extends none of them.
-    Micros request = 2'000'000;     // from its connection, or on a kept one its first byte, to its last
+    Micros head = 2'500'000;      // from its connection, or on a kept one its first byte, to its head's last
+    Micros body_grace = 800'000;  // from there until its body has to keep up with `body_rate`
+    Micros body_pause = 2'000'000;  // between two pieces of a body
+    double body_rate = 48'000;      // bytes a second that a body comes at, or faster, over all
     Micros answer = 5'000'000;      // for the client to read its answer
+    Micros stall = 8'000'000;       // for it to take anything of a large answer
     Micros idle = 6'000'000;        // for a kept connection between requests
     Micros idle_least = 2'000'000;  // where room is short, one that has been idle for less is closed last
     Micros linger = 1'000'000;      // for the client to read the answer that closes its connection
     Micros sweep = 200'000;         // how often the times are looked at
   };
+  // A request as it has been read.
+  struct Request {
+    HttpRequest head;                     // whole, unless `rest` is there
+    std::shared_ptr<Pipe> rest;           // the body, of which more comes; null: it is in `head`
+    std::optional<std::uint64_t> length;  // of the body in `rest`, if the client says so
+    Micros upload = 0;                    // how long the rest may take to come
+  };
   struct Events {
     // The request is answered by one call of Respond or Reject, from in here or later. The number is its
     // class's, as class_of gave it.
-    std::function<void(const SessionPtr&, HttpRequest, int)> on_request;
+    std::function<void(const SessionPtr&, Request, int)> on_request;
+    // The last byte has come of a request that was told of while more of it came.
+    std::function<void(const std::string& request)> on_whole;
     // The class of a request by its header; -1 if there is no such class.
     std::function<int(const RequestHeader&)> class_of;
     std::function<void(const std::string& request)> on_gone;  // the client left during its request
@@ -63,6 +78,9 @@
   // Answers the session's request; `charge` is held until the answer is written. Does nothing if the client
   // has gone.
   static void Respond(const SessionPtr& session, HttpResponse response, Charge charge = {});
+  // The same with a body that comes still. When that breaks off, so does the client's connection.
+  static void Stream(const SessionPtr& session, HttpResponse head, std::shared_ptr<Pipe> body,
+                     std::optional<std::uint64_t> length, Charge charge);
   // The same for a request that is wrong: its connection is closed, as what is behind it cannot be trusted.
   static void Reject(const SessionPtr& session, const Fault& fault);
 
--- a/src/net/protocol.hpp
+++ b/src/net/protocol.hpp
@@ -2,10 +2,14 @@
 #ifndef MERLINRUN_NET_PROTOCOL_HPP_
 #define MERLINRUN_NET_PROTOCOL_HPP_
 
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <utility>
 
@@ -19,7 +23,15 @@
 using HttpRequest = http::request<http::string_body>;
 using HttpResponse = http::response<http::string_body>;
 
+// What is held whole of a body; more goes through a pipe, up to kMostStreamed.
 inline constexpr std::size_t kMostBody = std::size_t{64} * 1024;
+inline constexpr std::size_t kMostStreamed = std::size_t{32} * 1024 * 1024;
+// What a pipe holds, and what its ends hold besides while they read and write.
+inline constexpr std::size_t kPipeSize = kMostBody;
+inline constexpr std::size_t kPipeCharge = 2 * kPipeSize;
+// The kernel's buffer for a stream's peer. Guards against a slow reader that shows no progress for long: a
+// writer is woken when a third of the buffer is free.
+inline constexpr int kStreamSendBuffer = 128 * 1024;
 inline constexpr std::size_t kMostHeader = std::size_t{8} * 1024;
 inline constexpr std::size_t kReadSize = std::size_t{8} * 1024;
 // What a connection holds unparsed: one header and one read.
@@ -41,6 +53,44 @@
 inline constexpr const char* kKeyParameter = "obj";
 inline constexpr const char* kReadyPath = "/ready";
 
+// A body as it comes, for parsers. The library's string would make room for the whole length that a header
+// claims.
+struct GatheredBody {
+  using value_type = std::string;
+  class reader {
+   public:
+    template <bool kRequest, class Fields>
+    reader(http::header<kRequest, Fields>&, value_type& body) : body_(body) {}
+    void init(const boost::optional<std::uint64_t>& length, ErrorCode& error) {
+      error = {};
+      if (length) body_.reserve(static_cast<std::size_t>(std::min<std::uint64_t>(*length, kMostBody)));
+    }
+    template <class Buffers>
+    std::size_t put(const Buffers& buffers, ErrorCode& error) {
+      error = {};
+      std::size_t sum = 0;
+      for (auto it = asio::buffer_sequence_begin(buffers); it != asio::buffer_sequence_end(buffers); ++it) {
+        const asio::const_buffer part = *it;
+        body_.append(static_cast<const char*>(part.data()), part.size());
+        sum += part.size();
+      }
+      return sum;
+    }
+    static void finish(ErrorCode& error) { error = {}; }
+
+   private:
+    value_type& body_;
+  };
+};
+
+// The message of a parser that is done with it, or as far as it has come.
+template <bool kRequest>
+http::message<kRequest, http::string_body> TakeMessage(http::parser<kRequest, GatheredBody>& parser) {
+  http::message<kRequest, http::string_body> out(std::move(parser.get().base()));
+  out.body() = std::move(parser.get().body());
+  return out;
+}
+
 // An answer of the sidecar's own.
 inline HttpResponse Plain(http::status status, std::string text) {
   HttpResponse response(status, 11);
--- a/src/net/sidecar.hpp
+++ b/src/net/sidecar.hpp
@@ -50,6 +50,8 @@
 
   Tcp::endpoint address() const { return http_->address(); }
   std::size_t requests_held() const { return exchanges_->held(); }
+  // Bytes that bodies hold, or are promised.
+  std::size_t memory_held() const { return budget_.held(); }
   std::size_t upstream_connections() const { return upstream_.open_connections(); }
   // Where the operators call; none where no such address is configured.
   std::optional<Tcp::endpoint> ops_address() const;
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -22,17 +22,21 @@
 // Sweeps in the time that an idle connection is kept: few, as each wakes the process.
 constexpr int kSweeps = 4;
 
+// So much of an answer that is large by its length has to come before it is passed on: a wrong length shows
+// by then, while another attempt can still be made.
+constexpr std::size_t kFirstOfStream = std::size_t{4} * 1024;
+
 // 1xx answers ahead of the one that counts; more are noise.
 constexpr int kMostInterim = 8;
 
-bool Declined(const HttpResponse& response) {
+bool Declined(const ResponseHeader& response) {
   const bool status = response.result() == http::status::service_unavailable ||
                       response.result() == http::status::gateway_timeout;
   return status && response[kDeclinedHeader] == "1";
 }
 
 // A server's 503 without the header proves nothing: it may have run.
-Result ResultOf(const HttpResponse& response) {
+Result ResultOf(const ResponseHeader& response) {
   if (response.result() == http::status::ok) return Result::kSuccess;
   return Declined(response) ? Result::kRefused : Result::kError;
 }
@@ -56,13 +60,9 @@
   };
 
   Connection(Upstream& pool, std::shared_ptr<Server> server)
-      : pool_(pool),
-        server_(std::move(server)),
-        life_(server_->life),
-        socket_(pool.io_),
-        dial_timer_(pool.io_) {}
+      : pool_(pool), server_(std::move(server)), life_(server_->life), socket_(pool.io_), timer_(pool.io_) {}
 
-  void Dial(Job job, HttpRequest request) {
+  void Dial(Job job, UpstreamRequest request) {
     job_.emplace(std::move(job));
     request_ = std::move(request);
     ErrorCode error;
@@ -70,8 +70,8 @@
     if (error) return FailLater();
     socket_.set_option(Tcp::no_delay(true), error);
     if (pool_.limits_.dial_timeout > 0) {
-      dial_timer_.expires_after(std::chrono::microseconds(pool_.limits_.dial_timeout));
-      dial_timer_.async_wait([self = shared_from_this()](ErrorCode stopped) {
+      timer_.expires_after(std::chrono::microseconds(pool_.limits_.dial_timeout));
+      timer_.async_wait([self = shared_from_this()](ErrorCode stopped) {
         // The time may run out in the very turn of the loop in which the attempt is given up.
         if (!stopped && self->dialing_ && !self->closed_)
           self->Finish(Result::kUnreachable, {}, /*reuse=*/false);
@@ -82,7 +82,7 @@
                           [self = shared_from_this()](ErrorCode failed) { self->OnDialed(failed); });
   }
 
-  void Start(Job job, HttpRequest request) {
+  void Start(Job job, UpstreamRequest request) {
     job_.emplace(std::move(job));
     request_ = std::move(request);
     Write();
@@ -92,7 +92,7 @@
   void Close() {
     if (closed_) return;
     Abandon();
-    dial_timer_.cancel();
+    timer_.cancel();
     pool_.Forget(*this);
   }
 
@@ -101,6 +101,8 @@
     closed_ = true;
     job_.reset();
     charge_ = {};
+    if (request_.rest != nullptr) request_.rest->SetReader(nullptr);
+    if (answer_ != nullptr) std::exchange(answer_, nullptr)->Break();
     ErrorCode ignored;
     socket_.close(ignored);
   }
@@ -128,7 +130,7 @@
   void OnDialed(ErrorCode error) {
     if (closed_) return;
     dialing_ = false;
-    dial_timer_.cancel();
+    timer_.cancel();
     // A look at the list after the wait: guards against sending to a server that has meanwhile been told to
     // drain, is gone, or has restarted and is cold. Nothing is written, so it never ran.
     if (error || !Current()) return Finish(Result::kUnreachable, {}, /*reuse=*/false);
@@ -141,13 +143,96 @@
     writing_ = true;
     whole_ = false;
     interim_ = 0;
-    http::async_write(socket_, request_,
+    if (request_.rest != nullptr) return WriteHead();
+    http::async_write(socket_, request_.head,
                       [self = shared_from_this()](ErrorCode error, std::size_t) { self->OnWritten(error); });
   }
 
+  // ---- A large request: its head, then its body as it comes ----
+
+  void WriteHead() {
+    if (request_.length)
+      request_.head.content_length(*request_.length);
+    else
+      request_.head.chunked(true);
+    ErrorCode ignored;
+    socket_.set_option(Tcp::socket::send_buffer_size(kStreamSendBuffer), ignored);
+    request_.rest->SetReader([weak = weak_from_this()] {
+      if (const auto self = weak.lock(); self != nullptr && !self->closed_) self->WritePiece();
+    });
+    head_.emplace(request_.head);
+    ExpectProgress();
+    http::async_write_header(socket_, *head_, [self = shared_from_this()](ErrorCode error, std::size_t) {
+      self->OnPieceWritten(error, 0);
+    });
+    piece_out_ = true;
+  }
+
+  void WritePiece() {
+    if (piece_out_ || closed_) return;
+    const std::string_view data = request_.rest->data();
+    if (data.empty()) {
+      timer_.cancel();  // the wait is for the client
+      if (request_.rest->state() == Pipe::State::kEnded) WriteEnd();
+      return;  // a broken one is told by whoever reads it from the client
+    }
+    piece_out_ = true;
+    ExpectProgress();
+    const std::size_t size = data.size();
+    const auto written = [self = shared_from_this(), size](ErrorCode error, std::size_t) {
+      self->OnPieceWritten(error, size);
+    };
+    piece_.assign(data);  // the pipe may move its own while this is out
+    if (request_.length)
+      asio::async_write(socket_, asio::buffer(piece_), written);
+    else
+      asio::async_write(socket_, http::make_chunk(asio::buffer(piece_)), written);
+  }
+
+  void OnPieceWritten(ErrorCode error, std::size_t size) {
+    piece_out_ = false;
+    if (closed_) return Drop();
+    if (error) return OnWritten(error);
+    request_.rest->Consume(size);
+    if (!closed_) WritePiece();
+  }
+
+  void WriteEnd() {
+    if (request_.length) return OnWritten({});
+    piece_out_ = true;
+    ExpectProgress();
+    asio::async_write(socket_, http::make_chunk_last(),
+                      [self = shared_from_this()](ErrorCode error, std::size_t) { self->OnWritten(error); });
+  }
+
+  // Guards against a server that holds a large body up, and with it memory, descriptors and its client.
+  void ExpectProgress() {
+    timer_.expires_after(std::chrono::microseconds(pool_.limits_.stall));
+    timer_.async_wait([weak = weak_from_this()](ErrorCode stopped) {
+      const auto self = weak.lock();
+      if (stopped || self == nullptr || self->closed_ || self->timer_.expiry() > Clock::now()) return;
+      if (self->job_)
+        self->Finish(Result::kUnreachable, {}, /*reuse=*/false);
+      else
+        self->Close();
+    });
+  }
+
+  void Drop() {
+    head_.reset();
+    request_ = {};
+    piece_ = {};
+  }
+
   void OnWritten(ErrorCode error) {
     writing_ = false;
-    request_ = {};
+    piece_out_ = false;
+    spent_ = request_.rest != nullptr && request_.rest->spent();
+    if (request_.rest != nullptr) {
+      request_.rest->SetReader(nullptr);
+      timer_.cancel();
+    }
+    Drop();
     if (!error) ++pool_.counters_.tries;  // given up or not: the server has it whole
     if (closed_) return;
     whole_ = !error;
@@ -167,21 +252,85 @@
     if (closed_) return;
     if (error) return OnEnd();
     buffer_.commit(n);
-    if (!job_) return Close();  // nobody asked
+    if (!job_ && answer_ == nullptr) return Close();  // nobody asked
     // Nothing that comes before the request has been written whole can be its answer. Closing ends the
     // request half-written, and no server begins such a one.
     if (writing_) return Finish(Result::kUnreachable, {}, /*reuse=*/false);
+    if (answer_ != nullptr) return PassOn();
     // A spoilt answer is like none: the request may have run, and its answer is lost.
     if (!Parse()) return Finish(Result::kReset, {}, /*reuse=*/false);
     if (parser_->is_done()) return Complete();
+    if (Large()) return BeginStream();
     Read();
   }
 
+  // ---- A large answer: passed on as it comes ----
+
+  bool Large() {
+    if (!parser_->is_header_done()) return false;
+    const std::size_t come = parser_->get().body().size();
+    const auto length = parser_->content_length();
+    return come > kMostBody || (length && *length > kMostBody && come >= kFirstOfStream);
+  }
+
+  void BeginStream() {
+    // What is large and no success is no use to anybody; it has run.
+    if (ResultOf(parser_->get()) != Result::kSuccess) return Finish(Result::kError, {}, /*reuse=*/false);
+    const auto self = shared_from_this();
+    UpstreamAnswer answer{Result::kSuccess, {}, std::move(charge_), std::make_shared<Pipe>(kPipeSize), {}};
+    if (const auto length = parser_->content_length()) answer.length = *length;
+    answer_ = answer.rest;
+    answer_->Write(std::exchange(parser_->get().body(), {}));
+    answer.response = TakeMessage(*parser_);
+    answer_->SetWriter(
+        [weak = weak_from_this()] {
+          if (const auto held = weak.lock(); held != nullptr && !held->closed_) held->ReadOn();
+        },
+        [weak = weak_from_this()] {
+          if (const auto held = weak.lock()) held->Close();
+        });
+    Job job = std::move(*job_);
+    job_.reset();
+    pool_.attempts_.erase(job.id);
+    pool_.streams_.insert(self);
+    ReadOn();
+    job.done(std::move(answer));
+  }
+
+  void ReadOn() {
+    if (answer_->full() || reading_) return;
+    reading_ = true;
+    ExpectProgress();
+    Read();
+  }
+
+  void PassOn() {
+    reading_ = false;
+    timer_.cancel();
+    if (!Parse()) return Close();
+    const auto self = shared_from_this();
+    const auto answer = answer_;
+    answer->Write(std::exchange(parser_->get().body(), {}));
+    if (closed_) return;  // its reader has left
+    if (!parser_->is_done()) return ReadOn();
+    const bool reuse = whole_ && parser_->get().keep_alive() && buffer_.size() == 0;
+    answer_ = nullptr;
+    pool_.streams_.erase(self);
+    parser_.reset();
+    if (reuse) {
+      Read();
+      pool_.Release(self);
+    } else {
+      Close();
+    }
+    answer->End();
+  }
+
   void NextAnswer() {
     parser_.emplace();
     parser_->eager(false);  // the header alone: it is checked before the body begins
     parser_->header_limit(kMostHeader);
-    parser_->body_limit(kMostBody);
+    parser_->body_limit(kMostStreamed);
   }
 
   // False if it is no answer that the protocol knows.
@@ -208,12 +357,13 @@
     }
     parser_->eager(true);
     const auto length = parser_->content_length();
-    return charge_.Take(pool_.budget_, length ? static_cast<std::size_t>(*length) : kMostBody);
+    return charge_.Take(pool_.budget_,
+                        length && *length <= kMostBody ? static_cast<std::size_t>(*length) : kPipeCharge);
   }
 
   // The peer closed or reset the connection.
   void OnEnd() {
-    if (!job_) return Close();
+    if (!job_) return Close();  // which breaks off what is passed on
     if (!writing_) return Finish(Result::kReset, {}, /*reuse=*/false);
     // Whether the last byte went out shows when the write ends; closing the socket ends it.
     broken_ = true;
@@ -222,7 +372,7 @@
   }
 
   void Complete() {
-    HttpResponse response = parser_->release();
+    HttpResponse response = TakeMessage(*parser_);
     const bool reuse = whole_ && response.keep_alive() && buffer_.size() == 0;
     const Result result = ResultOf(response);
     Finish(result, std::move(response), reuse);
@@ -232,6 +382,7 @@
     const auto self = shared_from_this();
     Job job = std::move(*job_);
     Charge charge = std::move(charge_);
+    const bool spent = spent_ || (request_.rest != nullptr && request_.rest->spent());
     job_.reset();
     parser_.reset();
     pool_.attempts_.erase(job.id);
@@ -241,27 +392,33 @@
     } else {
       Close();
     }
-    job.done({result, std::move(response), std::move(charge)});
+    job.done({result, std::move(response), std::move(charge), nullptr, {}, spent});
   }
 
   Upstream& pool_;
   const std::shared_ptr<Server> server_;
   const std::uint64_t life_;
   Tcp::socket socket_;
-  asio::steady_timer dial_timer_;
+  asio::steady_timer timer_;  // for the dial, then for progress of a large body
   beast::flat_buffer buffer_{kMostUnparsed};
-  std::optional<http::response_parser<http::string_body>> parser_;
+  std::optional<http::response_parser<GatheredBody>> parser_;
   std::optional<Job> job_;
   // Kept until its write has been told of, whatever became of the attempt: a write that is done when the
   // attempt ends is told of all the same, and Beast then looks at the request once more.
-  HttpRequest request_;
-  Charge charge_;    // for the answer that is being read
-  int interim_ = 0;  // 1xx answers to this request
+  UpstreamRequest request_;
+  std::optional<http::request_serializer<http::string_body>> head_;  // of a large one
+  std::string piece_;                                                // of its body, that is being written
+  std::shared_ptr<Pipe> answer_;  // the answer that is passed on while it comes
+  Charge charge_;                 // for the answer that is being read
+  int interim_ = 0;               // 1xx answers to this request
   bool dialing_ = false;
   bool writing_ = false;
   bool whole_ = false;   // the request's last byte has been written
   bool broken_ = false;  // the peer ended while it was being written
   bool closed_ = false;
+  bool piece_out_ = false;  // a write of a large request is under way
+  bool reading_ = false;    // a read of a large answer is
+  bool spent_ = false;      // bytes of the large request that it wrote are gone
 };
 
 Upstream::Upstream(asio::io_context& io, Limits limits, Budget& budget, stats::Counters& counters)
@@ -270,6 +427,7 @@
 Upstream::~Upstream() {
   for (const auto& [id, connection] : attempts_)
     if (connection != nullptr) connection->Abandon();
+  for (const ConnectionPtr& connection : std::exchange(streams_, {})) connection->Abandon();
   for (const auto& [id, server] : servers_) {
     for (const ConnectionPtr& connection : server->idle) connection->Abandon();
     server->idle.clear();  // the two hold each other
@@ -304,9 +462,10 @@
   }
 }
 
-Upstream::AttemptId Upstream::Send(const std::string& id, HttpRequest request, Done done) {
+Upstream::AttemptId Upstream::Send(const std::string& id, UpstreamRequest request, Done done) {
   const auto found = servers_.find(id);
-  if (found == servers_.end() || !found->second->Up()) return FailLater(std::move(done));
+  const bool spent = request.rest != nullptr && request.rest->spent();
+  if (spent || found == servers_.end() || !found->second->Up()) return FailLater(std::move(done), spent);
   const std::shared_ptr<Server> server = found->second;
   ConnectionPtr connection = TakeIdle(*server);
   const AttemptId attempt = ++last_attempt_;
@@ -315,7 +474,7 @@
     connection->Start({attempt, std::move(done)}, std::move(request));
     return attempt;
   }
-  if (open_ >= limits_.connections && !MakeRoom()) return FailLater(std::move(done));
+  if (open_ >= limits_.connections && !MakeRoom()) return FailLater(std::move(done), false);
   connection = std::make_shared<Connection>(*this, server);
   ++open_;
   attempts_[attempt] = connection;
@@ -324,11 +483,11 @@
 }
 
 // The module must not hear of an outcome while it is still saying what to send.
-Upstream::AttemptId Upstream::FailLater(Done done) {
+Upstream::AttemptId Upstream::FailLater(Done done, bool spent) {
   const AttemptId attempt = ++last_attempt_;
   attempts_[attempt] = nullptr;
-  asio::post(io_, [this, attempt, done = std::move(done)] {
-    if (attempts_.erase(attempt) > 0) done({Result::kUnreachable, {}, {}});
+  asio::post(io_, [this, attempt, spent, done = std::move(done)] {
+    if (attempts_.erase(attempt) > 0) done({Result::kUnreachable, {}, {}, nullptr, {}, spent});
   });
   return attempt;
 }
@@ -390,6 +549,7 @@
 
 void Upstream::Forget(const Connection& connection) {
   --open_;
+  streams_.erase(const_cast<Connection&>(connection).shared_from_this());
   auto& idle = const_cast<Connection&>(connection).server().idle;
   const auto same = [&](const ConnectionPtr& other) { return other.get() == &connection; };
   idle.erase(std::remove_if(idle.begin(), idle.end(), same), idle.end());
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -6,13 +6,16 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "budget.hpp"
 #include "discovery.hpp"
 #include "merlinrun/balancer.hpp"
+#include "pipe.hpp"
 #include "protocol.hpp"
 #include "stats/counters.hpp"
 
@@ -20,8 +23,18 @@
 
 struct UpstreamAnswer {
   Result result = Result::kUnreachable;
-  HttpResponse response;  // whole; of interest after a success
-  Charge charge;          // for its body
+  HttpResponse response;                // whole, unless `rest` is there; of interest after a success
+  Charge charge;                        // for its body
+  std::shared_ptr<Pipe> rest;           // the body, of which more comes; null: it is in `response`
+  std::optional<std::uint64_t> length;  // of the body in `rest`, if its server says so
+  bool spent = false;                   // the request's own bytes are gone
+};
+
+// A request on its way to a server.
+struct UpstreamRequest {
+  HttpRequest head;                          // whole, unless `rest` is there
+  std::shared_ptr<Pipe> rest = nullptr;      // the body, of which more comes; null: it is in `head`
+  std::optional<std::uint64_t> length = {};  // of the body in `rest`; none: it goes in chunks
 };
 
 class Upstream {
@@ -35,6 +48,8 @@
     // then and shows that it is of no further use.
     Micros rest = 25'000;
     std::size_t connections = 512;
+    // A server that neither gives nor takes anything of a large body for so long is given up.
+    Micros stall = 6'000'000;
   };
 
   // Attempts that are written whole are counted. The references must outlive it.
@@ -48,7 +63,7 @@
   void Apply(const EndpointList& list);
 
   // Starts an attempt. `done` is called once, from the loop and never from in here, unless it is given up.
-  AttemptId Send(const std::string& server, HttpRequest request, Done done);
+  AttemptId Send(const std::string& server, UpstreamRequest request, Done done);
   // Ends an attempt by closing its connection; its `done` is not called any more.
   void GiveUp(AttemptId attempt);
 
@@ -68,7 +83,7 @@
   static void Update(Server& server, const Endpoint& endpoint);
   ConnectionPtr TakeIdle(Server& server);
   bool MakeRoom();
-  AttemptId FailLater(Done done);
+  AttemptId FailLater(Done done, bool spent);
   void Release(const ConnectionPtr& connection);
   void Forget(const Connection& connection);
   void SweepLater();
@@ -83,6 +98,7 @@
   std::size_t open_ = 0;
   AttemptId last_attempt_ = 0;
   std::unordered_map<std::string, std::shared_ptr<Server>> servers_;
+  std::unordered_set<ConnectionPtr> streams_;              // whose answers are passed on while they come
   std::unordered_map<AttemptId, ConnectionPtr> attempts_;  // null: it has failed, which is about to be told
 };
 
--- a/src/net/validate.cpp
+++ b/src/net/validate.cpp
@@ -67,16 +67,32 @@
   return value;
 }
 
+void UseOriginForm(RequestHeader& header) {
+  constexpr beast::string_view kScheme = "http://";
+  const std::string target(View(header.target()));
+  if (target.size() <= kScheme.size() || !beast::iequals(target.substr(0, kScheme.size()), kScheme)) return;
+  const std::size_t path = target.find_first_of("/?", kScheme.size());
+  const std::string host = target.substr(kScheme.size(), path - kScheme.size());
+  // Guards against two hosts, or none: the first could be meant for somebody else.
+  if (host.empty() || host.find('@') != std::string::npos) return;
+  std::string rest = path == std::string::npos ? "/" : target.substr(path);
+  if (rest.front() == '?') rest.insert(0, 1, '/');
+  header.set(http::field::host, host);
+  header.target(rest);
+}
+
 std::optional<Fault> CheckRequest(const RequestHeader& header) {
   const auto bad = [](const char* text) { return Fault{http::status::bad_request, text}; };
   if (static_cast<std::size_t>(std::distance(header.begin(), header.end())) > kMostFields)
     return Fault{http::status::request_header_fields_too_large, "too many header fields\n"};
   if (!OneFraming(header, header.version())) return bad("the body's length is in doubt\n");
   const auto length = View(header[http::field::content_length]);
-  if (ParseDecimal(length).value_or(0) > static_cast<double>(kMostBody))
+  if (ParseDecimal(length).value_or(0) > static_cast<double>(kMostStreamed))
     return Fault{http::status::payload_too_large, "too large\n"};
-  if (header.count(http::field::expect) > 0)
-    return Fault{http::status::expectation_failed, "Expect is not supported\n"};
+  if (const auto expects = header.count(http::field::expect);
+      expects > 1 || (expects == 1 && (header.version() < 11 ||
+                                       !beast::iequals(header[http::field::expect], "100-continue"))))
+    return Fault{http::status::expectation_failed, "unknown expectation\n"};
   if (header.target().empty() || header.target().front() != '/' || header.target().size() > kMostTarget)
     return bad("the target is no path\n");
   if (Repeats(header)) return bad("a header field is repeated\n");
@@ -112,7 +128,7 @@
     return false;
   return OneFraming(header, header.version()) &&
          ParseDecimal(View(header[http::field::content_length])).value_or(0) <=
-             static_cast<double>(kMostBody);
+             static_cast<double>(kMostStreamed);
 }
 
 }  // namespace merlinrun::net
--- a/src/net/validate.hpp
+++ b/src/net/validate.hpp
@@ -21,6 +21,9 @@
   const char* text;
 };
 
+// A target in absolute form becomes a path, and its host the request's (RFC 9112, 3.2.2). Any other is left.
+void UseOriginForm(RequestHeader& header);
+
 // A request's framing and the form of its fields, whatever it asks for.
 std::optional<Fault> CheckRequest(const RequestHeader& header);
 
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -240,7 +240,8 @@
     held.front = in.front;
     if (set_.warm_keys && !in.key.empty()) held.warm = HashOf(in.key);
     held.arrived = now_;
-    held.deadline = now_ + in.budget;
+    held.deadline = now_ + in.upload + in.budget;
+    held.uploading = in.upload > 0;
     ClassLoad& load = load_[held.request_class];
     load.longest_budget = std::max(load.longest_budget, in.budget);
     held.late = in.budget < load.longest_budget - set_.tick &&
@@ -274,6 +275,7 @@
     if (outcome.settled) held.ended = true;
     held.obstacle = ObstacleOf(outcome.result);
     if (held.ended || held.AnyOut()) return Release(it);
+    if (outcome.spent) return End(it);
     switch (outcome.result) {
       case Result::kRefused:
       case Result::kUnreachable:
@@ -288,6 +290,14 @@
     }
   }
 
+  void OnRequestWhole(std::string_view request, Micros budget) {
+    auto it = held_.find(std::string(request));
+    if (it == held_.end() || !std::exchange(it->second.uploading, false) || it->second.ended) return;
+    it->second.arrived = now_;
+    it->second.deadline = now_ + budget;
+    if (it->second.AnyOut()) Alarm(it, ClassOf(it->second).aim);
+  }
+
   void OnClientGone(std::string_view request) {
     auto it = held_.find(std::string(request));
     if (it == held_.end()) return;
@@ -364,6 +374,7 @@
     held.attempts.push_back({server, server->info.zone, server->info.cell, now_});
     pool.ages.Sent(now_);
     sink_.Send(it->first, server->info.id, TimeOut(held));
+    if (held.uploading) return;
     if (const Micros late = held.arrived + ClassOf(held).aim - now_; late > 0) Alarm(it, late);
   }
 
@@ -375,7 +386,7 @@
   // comes late, and tells early of those that hang.
   Micros TimeOut(const Held& held) const {
     const RequestClass& c = ClassOf(held);
-    if (!GivenUpAtAim(c)) return 0;
+    if (!GivenUpAtAim(c) || held.uploading) return 0;
     return std::max<Micros>(held.arrived + c.aim - now_, set_.tick);
   }
 
@@ -950,6 +961,10 @@
   state_->Advance(now);
   state_->OnRequest(request);
 }
+void Balancer::OnRequestWhole(Micros now, std::string_view request, Micros budget) {
+  state_->Advance(now);
+  state_->OnRequestWhole(request, budget);
+}
 void Balancer::OnResponseStarted(Micros now, std::string_view, int) {
   state_->Advance(now);  // the attempt is the client's now; its outcome still comes
 }
--- a/src/records.hpp
+++ b/src/records.hpp
@@ -108,6 +108,7 @@
   std::size_t pool = 0;
   Micros arrived = 0;
   Micros deadline = 0;
+  bool uploading = false;  // its last byte has not come: nothing is late yet
   bool ended = false;
   bool cancelled = false;  // what was out at its end is called off
   int refusals = 0;
