--- a/src/net/budget.hpp
+++ b/src/net/budget.hpp
@@ -42,9 +42,17 @@
   // False if the total does not have so much left; nothing is taken then.
   bool Take(Budget& budget, std::size_t size) {
     *this = Charge();
-    if (budget.held_ > budget.most_ || size > budget.most_ - budget.held_) return false;
+    return Grow(budget, size);
+  }
+
+  // Takes so much more that it is `size` altogether; less is left as it is. False as for Take.
+  bool Grow(Budget& budget, std::size_t size) {
+    if (size <= size_) return true;
+    const std::size_t more = size - size_;
+    if (budget.held_ > budget.most_ || more > budget.most_ - budget.held_) return false;
     budget_ = &budget;
-    budget_->held_ += size_ = size;
+    budget_->held_ += more;
+    size_ = size;
     return true;
   }
 
--- a/src/net/inbound.cpp
+++ b/src/net/inbound.cpp
@@ -326,7 +326,10 @@
         parser_->head_at = now;
         if (const auto fault = TakeHeader()) return fault;
       }
-      parser_->come += parser.get().body().size() - had;
+      const std::size_t held = parser.get().body().size();
+      parser_->come += held - had;
+      // One of unknown length, as the others were counted at their heads.
+      if (parser.chunked() && !charge_.Grow(owner_.budget_, 2 * ChargeFor(held))) return NoMemory();
       if (error) break;
     }
     parser_->piece_at = now;
@@ -379,6 +382,8 @@
     return {http::status::bad_request, "malformed request\n"};
   }
 
+  static Fault NoMemory() { return {http::status::service_unavailable, "out of memory for requests\n"}; }
+
   // What is wrong shows in the header: guards against reading, keeping or passing on what follows it.
   std::optional<Fault> TakeHeader() {
     auto& parser = parser_->parser;
@@ -386,10 +391,9 @@
     if (parser.get().target() != kReadyPath) request_class_ = owner_.events_.class_of(parser.get());
     if (const auto fault = CheckRequest(parser.get())) return fault;
     // Twice: the request is copied when it is sent on.
-    const std::size_t size =
-        std::min<std::size_t>(kMostBody, parser.chunked() ? kMostBody : parser.content_length().value_or(0));
-    if (!charge_.Take(owner_.budget_, 2 * size))
-      return Fault{http::status::service_unavailable, "out of memory for requests\n"};
+    const std::size_t size = std::min<std::size_t>(
+        kMostBody, parser.chunked() ? kFirstCharge : parser.content_length().value_or(0));
+    if (!charge_.Take(owner_.budget_, 2 * size)) return NoMemory();
     parser.eager(true);
     if (parser.get().count(http::field::expect) > 0 && !parser.is_done()) Continue();
     return std::nullopt;
--- a/src/net/inbound.hpp
+++ b/src/net/inbound.hpp
@@ -29,8 +29,8 @@
     std::size_t sessions = 256;  // and a few more for as long as it takes to turn them away
     // Times, in microseconds. Each counts from a beginning that the client cannot move: what trickles in
     // extends none of them.
-    Micros head = 2'500'000;      // from its connection, or on a kept one its first byte, to its head's last
-    Micros body_grace = 800'000;  // from there until its body has to keep up with `body_rate`
+    Micros head = 2'500'000;  // from its connection, or on a kept one its first byte, to its head's last
+    Micros body_grace = 2'000'000;  // from there until its body has to keep up with `body_rate`
     Micros body_pause = 2'000'000;  // between two pieces of a body
     double body_rate = 48'000;      // bytes a second that a body comes at, or faster, over all
     Micros answer = 5'000'000;      // for the client to read its answer
--- a/src/net/protocol.hpp
+++ b/src/net/protocol.hpp
@@ -29,6 +29,12 @@
 // What a pipe holds, and what its ends hold besides while they read and write.
 inline constexpr std::size_t kPipeSize = kMostBody;
 inline constexpr std::size_t kPipeCharge = 2 * kPipeSize;
+// What is set aside for a body of unknown length before it has come; it grows with it.
+inline constexpr std::size_t kFirstCharge = std::size_t{8} * 1024;
+// What is to be set aside for a body of which `come` bytes are held: doubled, so that it seldom grows.
+inline constexpr std::size_t ChargeFor(std::size_t come) {
+  return std::min(kMostBody, std::max(kFirstCharge, 2 * come));
+}
 // The kernel's buffer for a stream's peer. Guards against a slow reader that shows no progress for long: a
 // writer is woken when a third of the buffer is free.
 inline constexpr int kStreamSendBuffer = 128 * 1024;
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -20,7 +20,7 @@
 constexpr double kClientShare = 0.55;
 // The part of the memory that bodies and answers may hold; the rest is for the program, what connections hold
 // beside bodies, lists of servers and what the allocator leaves unused.
-constexpr std::size_t kBudgetShare = 5;
+constexpr double kBudgetShare = 0.4;
 // Idle connections are closed this far into the time after which servers may close them. Guards against a
 // request that crosses the server's close: it would be reset and may have run.
 constexpr double kIdleShare = 0.7;
@@ -51,6 +51,10 @@
 // What Diameter may have of them; HTTP has the rest. It holds one to a server.
 std::size_t DiameterServerSockets(const Config& config) { return ServerSockets(config) / 3; }
 
+std::size_t BodyMemory(const Config& config) {
+  return static_cast<std::size_t>(kBudgetShare * static_cast<double>(config.memory));
+}
+
 Upstream::Limits UpstreamLimits(const Config& config) {
   Upstream::Limits limits;
   limits.keep_idle =
@@ -99,7 +103,7 @@
     : io_(io),
       config_(std::move(config)),
       loop_(io),
-      budget_(config_.memory / kBudgetShare),
+      budget_(BodyMemory(config_)),
       upstream_(io, UpstreamLimits(config_), budget_, counters_),
       http_egress_(upstream_),
       discovery_(io, config_.discovery, config_.wire, DiscoveryTiming(config_), config_.seed,
@@ -231,7 +235,7 @@
   left.sockets = handover::Left(config_.sockets, other.sockets, kLeastSockets);
   http_->SetMost(HttpSessions(left));
   upstream_.SetMost(UpstreamLimits(left).connections);
-  const std::size_t memory = config_.memory / kBudgetShare;
+  const std::size_t memory = BodyMemory(config_);
   budget_.SetMost(other.sockets > 0 ? memory / 2 : memory);
 }
 
@@ -254,7 +258,7 @@
   phase_->Yield();
   upstream_.CloseIdle();
   upstream_most_ = upstream_.open_connections() + kLastAttempts;
-  budget_.SetMost(config_.memory / kBudgetShare / 2);
+  budget_.SetMost(BodyMemory(config_) / 2);
   TellHolding();
 }
 
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -250,7 +250,7 @@
 
   void OnRead(ErrorCode error, std::size_t n) {
     if (closed_) return;
-    if (error) return OnEnd();
+    if (error) return OnEnd(error == asio::error::eof);
     buffer_.commit(n);
     if (!job_ && answer_ == nullptr) return Close();  // nobody asked
     // Nothing that comes before the request has been written whole can be its answer. Closing ends the
@@ -313,6 +313,12 @@
     answer->Write(std::exchange(parser_->get().body(), {}));
     if (closed_) return;  // its reader has left
     if (!parser_->is_done()) return ReadOn();
+    PassOnEnd();
+  }
+
+  void PassOnEnd() {
+    const auto self = shared_from_this();
+    const auto answer = answer_;
     const bool reuse = whole_ && parser_->get().keep_alive() && buffer_.size() == 0;
     answer_ = nullptr;
     pool_.streams_.erase(self);
@@ -341,11 +347,20 @@
       buffer_.consume(parser_->put(buffer_.data(), error));
       if (error && error != http::error::need_more) return false;
       if (!had_header && parser_->is_header_done() && !TakeHeader()) return false;
+      if (parser_->is_header_done() && answer_ == nullptr &&
+          !charge_.Grow(pool_.budget_, ChargeAs(parser_->get().body().size())))
+        return false;
       if (error) return true;
     }
     return true;
   }
 
+  // Of an answer that is held whole, or that turns out to be large.
+  std::size_t ChargeAs(std::size_t come) const {
+    if (come > kMostBody) return kPipeCharge;
+    return parser_->content_length() ? 0 : ChargeFor(come);
+  }
+
   // Guards against answers of no end: eager parsing forgets that a length was over the limit (Boost 1.74), so
   // that an answer said to have 3 GB was read until memory ran out.
   bool TakeHeader() {
@@ -357,12 +372,19 @@
     }
     parser_->eager(true);
     const auto length = parser_->content_length();
+    if (!length) return charge_.Take(pool_.budget_, kFirstCharge);
     return charge_.Take(pool_.budget_,
-                        length && *length <= kMostBody ? static_cast<std::size_t>(*length) : kPipeCharge);
+                        *length <= kMostBody ? static_cast<std::size_t>(*length) : kPipeCharge);
   }
 
   // The peer closed or reset the connection.
-  void OnEnd() {
+  void OnEnd(bool clean) {
+    if (parser_ && parser_->is_header_done() && !writing_ && EndsWithItsConnection(parser_->get()) && clean) {
+      // That is how its body ends.
+      ErrorCode wrong;
+      parser_->put_eof(wrong);
+      if (!wrong && parser_->is_done()) return answer_ != nullptr ? PassOnEnd() : Complete();
+    }
     if (!job_) return Close();  // which breaks off what is passed on
     if (!writing_) return Finish(Result::kReset, {}, /*reuse=*/false);
     // Whether the last byte went out shows when the write ends; closing the socket ends it.
--- a/src/net/validate.cpp
+++ b/src/net/validate.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/field.hpp>
+#include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/verb.hpp>
 #include <cctype>
 #include <charconv>
@@ -119,9 +120,17 @@
   return std::nullopt;
 }
 
+bool EndsWithItsConnection(const ResponseHeader& header) {
+  const bool says_so = http::token_list(header[http::field::connection]).exists("close");
+  return says_so && header.result_int() >= 200 && header.count(http::field::content_length) == 0 &&
+         header.count(http::field::transfer_encoding) == 0;
+}
+
 bool AcceptAnswer(const ResponseHeader& header) {
-  // One that ends with its connection could be cut off anywhere and look whole.
-  const bool bodiless = header.result_int() < 200 || header.result() == http::status::no_content ||
+  // Guards against one that was cut off and looks whole: it has to say that it ends with its connection, and
+  // then does so in order; a process that dies resets it.
+  const bool bodiless = EndsWithItsConnection(header) || header.result_int() < 200 ||
+                        header.result() == http::status::no_content ||
                         header.result() == http::status::not_modified;
   if (!bodiless && header.count(http::field::content_length) == 0 &&
       header.count(http::field::transfer_encoding) == 0)
--- a/src/net/validate.hpp
+++ b/src/net/validate.hpp
@@ -33,6 +33,9 @@
 // True if an answer's framing is beyond doubt and its length within what a body may have.
 bool AcceptAnswer(const ResponseHeader& header);
 
+// True if an answer's body ends with its connection, as it says itself (RFC 9112, 6.3).
+bool EndsWithItsConnection(const ResponseHeader& header);
+
 // A plain decimal number such as 0.480: no sign, no exponent, nothing around it.
 std::optional<double> ParseDecimal(std::string_view text);
 
