Diameter's requests are in the figures; the demo shows drain, return and upgrade

The figures said nothing of requests that came over Diameter. Now they count where the client is answered and where an attempt goes out. Diameter's listeners are still not handed on in an upgrade.

--- a/rig/demo.cpp
+++ b/rig/demo.cpp
@@ -1,6 +1,9 @@
-// Shows that it works: stand-in servers, a real sidecar process, some seconds of traffic over HTTP and
-// Diameter, a server killed in the midst of it with a port begun, another drained, a back office restarted;
-// then what became of each class, and what the ledger says. Exit status 0 if no rule was broken.
+// Shows that it works, in two parts. First: stand-in servers, a real sidecar process, some seconds of traffic
+// over HTTP and Diameter, a server killed in the midst of it with a port begun, another drained, a back
+// office restarted; then what became of each class, and what the ledger says. Then a sidecar over HTTP alone
+// is drained, brought back and replaced by a second process under load. Exit status 0 if no rule was broken.
+#include <algorithm>
+#include <csignal>
 #include <cstdio>
 
 #include "rig/process.hpp"
@@ -30,7 +33,8 @@
   const std::string diameter = FreeAddress();
   const std::string file = ExampleDiameterFile(diameter);
   World world(ShortClasses(), kServers, {}, file);
-  const Process sidecar(program, world, {http, file, "", ""});
+  const std::string ops = FreeAddress();
+  const Process sidecar(program, world, {http, file, ops, ""});
   if (!WaitFor(world, At(http)) || !WaitFor(world, At(diameter)) || !sidecar.runs()) {
     std::fprintf(stderr, "demo: the sidecar does not come up\n");
     return 1;
@@ -75,9 +79,49 @@
     return idle;
   });
   Print(world.ledger, world.loop.Now());
+  std::printf("\nfigures: %s", Call(ops, "GET", "/api/telemetry").body.c_str());
   return whole && killed && sidecar.runs() && world.ledger.broken_count() == 0 ? 0 : 1;
 }
 
+// Drain, return and upgrade, as the operators do it; the clients must not notice.
+int Operate(const std::string& program) {
+  const std::string listen = FreeAddress();
+  const std::string ops[] = {FreeAddress(), FreeAddress()};
+  const auto temporary = NewFolder();
+  World world(ShortClasses(), kServers, {}, ExampleDiameterFile(FreeAddress()));
+  Process first(program, world, {listen, "", ops[0], temporary.string()});
+  if (!WaitForReady(world, ops[0])) return 1;
+  Traffic traffic(world.classes, kRequests / 4, 7);
+  std::vector<std::unique_ptr<HttpClient>> tills;
+  for (int i = 0; i < kHttpClients; ++i) {
+    tills.push_back(std::make_unique<HttpClient>(world.io, world.loop, world.ledger, traffic, At(listen),
+                                                 "op" + std::to_string(i)));
+    tills.back()->Start();
+  }
+  const auto reach = [&](std::uint64_t part) {
+    return world.RunUntil([&] { return traffic.asked() >= part * kRequests / 16; });
+  };
+  bool whole = reach(1);
+  Call(ops[0], "PUT", "/api/evacuate");
+  std::printf("\nevacuated: /ready says %u, and what still comes is served\n",
+              Call(listen, "GET", "/ready").status);
+  world.RunFor(std::chrono::milliseconds(300));
+  Call(ops[0], "PUT", "/api/rejoin");
+  std::printf("rejoined: /ready says %u\n", Call(listen, "GET", "/ready").status);
+  whole = whole && reach(2);
+  const Process second(program, world, {listen, "", ops[1], temporary.string()});
+  whole = whole && WaitForReady(world, ops[1]);
+  first.Signal(SIGTERM);
+  const int status = first.Wait(world);
+  std::printf("a second process serves at the same address; the first has ended with status %d\n", status);
+  whole = whole && status == 0 && world.RunUntil([&] {
+    return std::all_of(tills.begin(), tills.end(), [](const auto& till) { return till->idle(); });
+  });
+  Print(world.ledger, world.loop.Now());
+  std::filesystem::remove_all(temporary);
+  return whole && world.ledger.broken_count() == 0 ? 0 : 1;
+}
+
 }  // namespace
 }  // namespace merlinrun::rig
 
@@ -87,5 +131,6 @@
     return 2;
   }
   std::setvbuf(stdout, nullptr, _IOLBF, 0);
-  return merlinrun::rig::Run(argv[1]);
+  const int served = merlinrun::rig::Run(argv[1]);
+  return served != 0 ? served : merlinrun::rig::Operate(argv[1]);
 }
--- a/src/diameter/io/front.cpp
+++ b/src/diameter/io/front.cpp
@@ -42,21 +42,27 @@
 // Brings a request's final answer to whoever waits for it, which need not be who asked first.
 class Front::Caller : public core::Caller {
  public:
-  Caller(Front& front, RequestKey key, const diameter::Message& request, Repeat repeat)
+  Caller(Front& front, RequestKey key, const diameter::Message& request, Repeat repeat, int request_class)
       : front_(front),
         key_(std::move(key)),
         header_(request.header),
         proxy_info_(ProxyInfoOf(request)),
-        keep_(repeat != Repeat::kSafe) {
+        keep_(repeat != Repeat::kSafe),
+        taken_(front.counters_, request_class) {
     if (const auto session = Find(request.avps, avp::kSessionId))
       session_ = AvpWriter().Copy(*session).Take();
   }
 
   void Serve(core::MessagePtr answer) override {
+    taken_.End(stats::Ending::kOk);
+    Pass(std::move(answer));
+  }
+  void Pass(core::MessagePtr answer) {
     front_.Finish(key_, static_cast<AnswerMessage&>(*answer).message, proxy_info_, keep_);
   }
   // Nothing has run, so nothing needs to be remembered: it may be sent again and is new then.
   void Refuse(Micros retry_after) override {
+    taken_.End(stats::Ending::kShed);
     char text[48] = "refused";
     if (retry_after > 0)
       std::snprintf(text, sizeof text, "refused; retry after %.3f s",
@@ -64,7 +70,8 @@
     front_.Finish(key_, Own(ResultCode::kTooBusy, text), proxy_info_, /*keep=*/false);
   }
   void Fail(core::Failure why, core::MessagePtr answer) override {
-    if (answer != nullptr) return Serve(std::move(answer));  // the server's own words say more
+    taken_.End(stats::Ending::kError);
+    if (answer != nullptr) return Pass(std::move(answer));  // the server's own words say more
     const char* const text = why == core::Failure::kOutOfTime ? "out of time" : "failed; it may have run";
     front_.Finish(key_, Own(ResultCode::kUnableToComply, text), proxy_info_, keep_);
   }
@@ -79,16 +86,18 @@
   const std::string proxy_info_;
   std::string session_;
   const bool keep_;
+  stats::Taken taken_;
 };
 
 Front::Front(boost::asio::io_context& io, core::Loop& loop, const std::vector<Listener>& listeners,
              Limits limits, const Application& application, const Identity& self, net::Budget& budget,
-             core::Exchanges& exchanges, Upstream& upstream, std::uint64_t seed)
+             stats::Counters& counters, core::Exchanges& exchanges, Upstream& upstream, std::uint64_t seed)
     : loop_(loop),
       limits_(limits),
       application_(application),
       self_(self),
       budget_(budget),
+      counters_(counters),
       exchanges_(exchanges),
       upstream_(upstream),
       recall_(application.recall),
@@ -289,7 +298,7 @@
   arrival.write = its_class.repeat != Repeat::kSafe;
   arrival.key = reading.object;
   arrival.front = kDiameterFront;
-  arrival.caller = std::make_unique<Caller>(*this, key, request, its_class.repeat);
+  arrival.caller = std::make_unique<Caller>(*this, key, request, its_class.repeat, reading.request_class);
   arrival.egress = &upstream_;
   message->deadline = application_.FindCommand(request.header.command)->deadline;
   message->from = client.host;
--- a/src/diameter/io/front.hpp
+++ b/src/diameter/io/front.hpp
@@ -22,6 +22,7 @@
 #include "diameter/io/upstream.hpp"
 #include "diameter/recall.hpp"
 #include "net/budget.hpp"
+#include "stats/counters.hpp"
 
 namespace merlinrun::diameter {
 
@@ -43,8 +44,8 @@
   // Throws boost::system::system_error if an address cannot be listened on. All that it is given must outlive
   // it.
   Front(boost::asio::io_context& io, core::Loop& loop, const std::vector<Listener>& listeners, Limits limits,
-        const Application& application, const Identity& self, net::Budget& budget, core::Exchanges& exchanges,
-        Upstream& upstream, std::uint64_t seed);
+        const Application& application, const Identity& self, net::Budget& budget, stats::Counters& counters,
+        core::Exchanges& exchanges, Upstream& upstream, std::uint64_t seed);
   ~Front() override;
   Front(const Front&) = delete;
   Front& operator=(const Front&) = delete;
@@ -86,6 +87,7 @@
   const Application& application_;
   const Identity& self_;
   net::Budget& budget_;
+  stats::Counters& counters_;
   core::Exchanges& exchanges_;
   Upstream& upstream_;
   Recall recall_;
--- a/src/diameter/io/node.cpp
+++ b/src/diameter/io/node.cpp
@@ -98,11 +98,12 @@
 
 Node::~Node() = default;
 
-void Node::Listen(net::Budget& budget, core::Exchanges& exchanges) {
+void Node::Listen(net::Budget& budget, stats::Counters& counters, core::Exchanges& exchanges) {
   Front::Limits limits;
   limits.connection = ConnectionLimits(application_);
-  front_ = std::make_unique<Front>(io_, loop_, listeners_, limits, application_, identity_, budget, exchanges,
-                                   *upstream_, seed_);
+  front_ = std::make_unique<Front>(io_, loop_, listeners_, limits, application_, identity_, budget, counters,
+                                   exchanges, *upstream_, seed_);
+  upstream_->CountIn(counters);
 }
 
 void Node::Apply(bool whole, const std::vector<ServerAddress>& servers) { upstream_->Apply(whole, servers); }
--- a/src/diameter/io/upstream.hpp
+++ b/src/diameter/io/upstream.hpp
@@ -15,6 +15,7 @@
 #include "core/exchange.hpp"
 #include "diameter/application.hpp"
 #include "diameter/io/peer_host.hpp"
+#include "stats/counters.hpp"
 
 namespace merlinrun::diameter {
 
@@ -50,6 +51,8 @@
   AttemptId Send(const std::string& server, const core::Message& request, const Order& order,
                  Done done) override;
   void GiveUp(AttemptId attempt) override;
+  // Attempts that are handed to a connection are counted there from now on.
+  void CountIn(stats::Counters& counters) { counters_ = &counters; }
 
   // A server that has connected by itself; none if no server goes by that name.
   std::optional<Peer::Verdict> Adopt(const ConnectionPtr& connection, const Message& cer,
@@ -82,6 +85,7 @@
   const OnUsable on_usable_;
   std::mt19937_64 random_;
   AttemptId last_attempt_ = 0;
+  stats::Counters* counters_ = nullptr;  // null: nobody counts
   std::unordered_map<std::string, std::shared_ptr<Server>> servers_;
   std::unordered_map<AttemptId, Pending> pending_;
 };
--- a/src/net/sidecar.cpp
+++ b/src/net/sidecar.cpp
@@ -189,7 +189,7 @@
     ops_.emplace(io_, *config_.ops, ops::Listener::Limits(), *api_);
   }
   if (diameter_ != nullptr) {
-    diameter_->Listen(budget_, *exchanges_);
+    diameter_->Listen(budget_, counters_, *exchanges_);
     phase_->Add(diameter_->front());
   }
   if (claim) Follow(std::move(*claim));
