--- a/src/handover/channel.cpp
+++ b/src/handover/channel.cpp
@@ -34,6 +34,19 @@
   return Descriptor(::socket(AF_UNIX, SOCK_SEQPACKET | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
 }
 
+// None if nobody listens there.
+Descriptor Connected(const std::string& path) {
+  Descriptor socket = NewSocket();
+  const sockaddr_un address = AddressOf(path);
+  if (socket && ::connect(socket.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0)
+    return socket;
+  return Descriptor();
+}
+
+// Whether a process listens there. Guards against taking the path, and clients, back from a third process
+// that the second has handed on to before it ended.
+bool Reaches(const std::string& path) { return static_cast<bool>(Connected(path)); }
+
 void Complain(const std::string& what) { std::fprintf(stderr, "handover: %.200s\n", what.c_str()); }
 
 // Guards against taking a listener from, or giving it to, a process of somebody else.
@@ -94,11 +107,9 @@
 
 std::optional<Claim> Ask(const std::string& path) {
   if (path.empty()) return std::nullopt;
-  Descriptor socket = NewSocket();
-  const sockaddr_un address = AddressOf(path);
+  Descriptor socket = Connected(path);
   // Nobody there, or a leftover of a process that was killed: no old process, then.
-  if (!socket || ::connect(socket.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0)
-    return std::nullopt;
+  if (!socket) return std::nullopt;
   if (!SameUser(socket.get())) return Complain("the socket's process is somebody else's"), std::nullopt;
   pollfd wait{socket.get(), POLLIN, 0};
   std::optional<Received> answer;
@@ -216,7 +227,7 @@
                         // Not from within the channel that it ends.
                         asio::post(io_, [this, alive = std::weak_ptr<bool>(alive_),
                                          gone = std::shared_ptr<Channel>(std::move(newcomer_))] {
-                          if (alive.expired()) return;
+                          if (alive.expired() || (door_ == nullptr && Reaches(path_))) return;
                           if (door_ == nullptr) Listen();
                           events_.on_lost();
                         });
--- a/src/handover/channel.hpp
+++ b/src/handover/channel.hpp
@@ -69,7 +69,8 @@
     std::function<Holding()> holding;   // of this moment
     std::function<void()> on_newcomer;  // it has been given the listener
     std::function<void()> on_serving;   // it serves; nobody is listened for from here on
-    std::function<void()> on_lost;      // the newcomer has gone; the path is listened at again
+    std::function<void()>
+        on_lost;  // the newcomer has gone and nobody serves for it; the path is listened at again
   };
   // `listener` must stay open for as long as this lives. Says in one line on standard error if the path
   // cannot be had; nobody is told anything then.
--- a/tests/handover/channel_test.cpp
+++ b/tests/handover/channel_test.cpp
@@ -116,6 +116,24 @@
   EXPECT_TRUE(AskIt());
 }
 
+// Two upgrades in a row, the first process not told to stop yet: the second has handed on to a third and
+// ends.
+TEST_F(ChannelTest, ANewcomerThatHasHandedOnItselfIsNotMissed) {
+  Open();
+  auto claim = AskIt();
+  ASSERT_TRUE(claim);
+  auto channel = Join(*claim);
+  channel->Send(kServing);
+  ASSERT_TRUE(RunUntil(io, [&] { return serving == 1; }));
+  int asked = 0;
+  const Door third(io, path, listener.native_handle(),
+                   Door::Events{[this] { return holding; }, [&] { ++asked; }, [] {}, [] {}});
+  channel = nullptr;
+  ASSERT_TRUE(RunUntil(io, [&] { return asked == 1; }));
+  RunFor(io, 50ms);
+  EXPECT_EQ(lost, 0);
+}
+
 TEST_F(ChannelTest, OneNewcomerAtATime) {
   Open();
   auto first = AskIt();
