A small request after a large one on its connection can be sent again

The mark that a large request's bytes are gone stayed on its connection, so that the next request there, if it broke off while it was written, was taken for one that cannot be sent again and refused. Found by reading the change; the test fails without the line (spent, though nothing of it was taken).

--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -142,6 +142,7 @@
     NextAnswer();
     writing_ = true;
     whole_ = false;
+    spent_ = false;
     interim_ = 0;
     if (request_.rest != nullptr) return WriteHead();
     http::async_write(socket_, request_.head,
--- a/tests/net/upstream_test.cpp
+++ b/tests/net/upstream_test.cpp
@@ -94,6 +94,29 @@
   EXPECT_EQ(TryReply(interim), Result::kReset);
 }
 
+// A connection that carried a large request is used again: what broke off of the next one can be sent again.
+TEST_F(UpstreamTest, WhatOneRequestSpentIsNotTheNextOnes) {
+  constexpr std::size_t kSize = 70'000;
+  bool answered = false;
+  ScriptedServer server(io, [&](Peer& peer) {
+    if (answered) return peer.Write("too early");
+    answered = peer.received.size() > kSize;
+    if (answered) peer.Write(Reply("200 OK", "ok"));
+  });
+  Tell(server.address);
+  const auto body = std::make_shared<Pipe>(kSize);
+  body->Write(std::string(kSize, 'x'));
+  body->End();
+  upstream().Send("s1", {HttpRequest(http::verb::post, "/api", 11), body, kSize},
+                  [this](UpstreamAnswer answer) { answers.push_back(std::move(answer)); });
+  ASSERT_TRUE(RunUntil(io, [&] { return !answers.empty(); }));
+  EXPECT_EQ(answers[0].result, Result::kSuccess);
+  EXPECT_TRUE(body->spent());
+  EXPECT_EQ(Try("s1", 64U << 20), Result::kUnreachable);
+  EXPECT_EQ(server.peers.size(), 1U);
+  EXPECT_FALSE(answers.back().spent);
+}
+
 // RFC 9112, 6.3: without a length it ends with its connection, if it says so and the end is in order.
 TEST_F(UpstreamTest, AnAnswerMayEndWithItsConnection) {
   const std::string head = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
