One writer of pieces, one reckoning of an answer's memory; streams leave where they end

Pieces of large bodies were written by two copies of one branch, one towards clients and one towards servers (src/net/piece.hpp now). What an answer is charged with stood at its head and at its growth; a body's time by its length and by what has come. Every closed connection was looked up among the streams; now only a stream is. The comment on the clients' limits said that nothing trickling in extends them. Tests share their beginnings.

--- a/src/net/inbound.cpp
+++ b/src/net/inbound.cpp
@@ -9,6 +9,8 @@
 #include <utility>
 #include <vector>
 
+#include "piece.hpp"
+
 namespace merlinrun::net {
 namespace {
 
@@ -184,7 +186,7 @@
   bool TooSlow(Clock::time_point now) const {
     const Limits& limits = owner_.limits_;
     if (!parser_->parser.is_header_done()) return For(now, limits.head);
-    const auto due = parser_->head_at + Of(limits.body_grace) + Of(Earned());
+    const auto due = parser_->head_at + Of(limits.body_grace) + Of(TimeFor(parser_->come));
     return now >= due || now - parser_->piece_at >= Of(limits.body_pause);
   }
 
@@ -216,13 +218,9 @@
     }
     piece_out_ = true;
     piece_.assign(data);  // the pipe may move its own while this is out
-    const auto written = [self = shared_from_this(), size = data.size()](ErrorCode error, std::size_t) {
-      self->OnPieceWritten(error, size);
-    };
-    if (chunked_)
-      asio::async_write(socket_, http::make_chunk(asio::buffer(piece_)), written);
-    else
-      asio::async_write(socket_, asio::buffer(piece_), written);
+    WritePieceTo(socket_, piece_, chunked_, [self = shared_from_this()](ErrorCode error, std::size_t) {
+      self->OnPieceWritten(error, self->piece_.size());
+    });
   }
 
   void OnPieceWritten(ErrorCode error, std::size_t size) {
@@ -350,9 +348,8 @@
     Request request;
     request.rest = std::make_shared<Pipe>(kPipeSize);
     if (const auto length = parser.content_length()) request.length = *length;
-    const double most = static_cast<double>(request.length.value_or(kMostStreamed));
     request.upload = owner_.limits_.body_grace + owner_.limits_.body_pause +
-                     static_cast<Micros>(most / owner_.limits_.body_rate * kMicrosASecond);
+                     TimeFor(request.length.value_or(kMostStreamed));
     request.rest->Write(std::exchange(parser.get().body(), {}));
     request.head = HttpRequest(parser.get().base());  // a copy: the parser has use for its own
     upload_ = request.rest;
@@ -360,8 +357,8 @@
         [weak = weak_from_this()] {
           if (const auto self = weak.lock(); self != nullptr && self->state_ != State::kClosed) {
             self->parser_->piece_at = Clock::now();  // it was not the client that held it up
-            self->parser_->head_at =
-                std::max(self->parser_->head_at, self->parser_->piece_at - Of(self->Earned()));
+            self->parser_->head_at = std::max(
+                self->parser_->head_at, self->parser_->piece_at - Of(self->TimeFor(self->parser_->come)));
             self->Read();
           }
         },
@@ -369,10 +366,9 @@
     Dispatch(std::move(request));
   }
 
-  // How long a body that keeps to the rate takes for what has come.
-  Micros Earned() const {
-    return static_cast<Micros>(static_cast<double>(parser_->come) / owner_.limits_.body_rate *
-                               kMicrosASecond);
+  // How long a body that keeps to the rate takes for so many bytes.
+  Micros TimeFor(std::uint64_t bytes) const {
+    return static_cast<Micros>(static_cast<double>(bytes) / owner_.limits_.body_rate * kMicrosASecond);
   }
 
   static Fault FaultOf(ErrorCode error) {
--- a/src/net/inbound.hpp
+++ b/src/net/inbound.hpp
@@ -27,8 +27,8 @@
 
   struct Limits {
     std::size_t sessions = 256;  // and a few more for as long as it takes to turn them away
-    // Times, in microseconds. Each counts from a beginning that the client cannot move: what trickles in
-    // extends none of them.
+    // Times, in microseconds. Each counts from a beginning that the client cannot move, and what trickles in
+    // extends none of them but a body's, which earns its time by the byte.
     Micros head = 2'500'000;  // from its connection, or on a kept one its first byte, to its head's last
     Micros body_grace = 2'000'000;  // from there until its body has to keep up with `body_rate`
     Micros body_pause = 2'000'000;  // between two pieces of a body
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -12,6 +12,7 @@
 #include <optional>
 #include <utility>
 
+#include "piece.hpp"
 #include "validate.hpp"
 
 namespace merlinrun::net {
@@ -102,7 +103,10 @@
     job_.reset();
     charge_ = {};
     if (request_.rest != nullptr) request_.rest->SetReader(nullptr);
-    if (answer_ != nullptr) std::exchange(answer_, nullptr)->Break();
+    if (answer_ != nullptr) {
+      pool_.streams_.erase(shared_from_this());
+      std::exchange(answer_, nullptr)->Break();
+    }
     ErrorCode ignored;
     socket_.close(ignored);
   }
@@ -179,15 +183,11 @@
     }
     piece_out_ = true;
     ExpectProgress();
-    const std::size_t size = data.size();
-    const auto written = [self = shared_from_this(), size](ErrorCode error, std::size_t) {
-      self->OnPieceWritten(error, size);
-    };
     piece_.assign(data);  // the pipe may move its own while this is out
-    if (request_.length)
-      asio::async_write(socket_, asio::buffer(piece_), written);
-    else
-      asio::async_write(socket_, http::make_chunk(asio::buffer(piece_)), written);
+    WritePieceTo(socket_, piece_, !request_.length,
+                 [self = shared_from_this()](ErrorCode error, std::size_t) {
+                   self->OnPieceWritten(error, self->piece_.size());
+                 });
   }
 
   void OnPieceWritten(ErrorCode error, std::size_t size) {
@@ -349,17 +349,18 @@
       if (error && error != http::error::need_more) return false;
       if (!had_header && parser_->is_header_done() && !TakeHeader()) return false;
       if (parser_->is_header_done() && answer_ == nullptr &&
-          !charge_.Grow(pool_.budget_, ChargeAs(parser_->get().body().size())))
+          !charge_.Grow(pool_.budget_, Needs(parser_->get().body().size())))
         return false;
       if (error) return true;
     }
     return true;
   }
 
-  // Of an answer that is held whole, or that turns out to be large.
-  std::size_t ChargeAs(std::size_t come) const {
-    if (come > kMostBody) return kPipeCharge;
-    return parser_->content_length() ? 0 : ChargeFor(come);
+  // What an answer is to be charged with, by its length if it says one, else by what has come of it.
+  std::size_t Needs(std::size_t come) const {
+    const auto length = parser_->content_length();
+    if (come > kMostBody || (length && *length > kMostBody)) return kPipeCharge;
+    return length ? static_cast<std::size_t>(*length) : ChargeFor(come);
   }
 
   // Guards against answers of no end: eager parsing forgets that a length was over the limit (Boost 1.74), so
@@ -372,10 +373,7 @@
       return true;
     }
     parser_->eager(true);
-    const auto length = parser_->content_length();
-    if (!length) return charge_.Take(pool_.budget_, kFirstCharge);
-    return charge_.Take(pool_.budget_,
-                        *length <= kMostBody ? static_cast<std::size_t>(*length) : kPipeCharge);
+    return charge_.Take(pool_.budget_, Needs(0));
   }
 
   // The peer closed or reset the connection.
@@ -572,7 +570,6 @@
 
 void Upstream::Forget(const Connection& connection) {
   --open_;
-  streams_.erase(const_cast<Connection&>(connection).shared_from_this());
   auto& idle = const_cast<Connection&>(connection).server().idle;
   const auto same = [&](const ConnectionPtr& other) { return other.get() == &connection; };
   idle.erase(std::remove_if(idle.begin(), idle.end(), same), idle.end());
--- a/src/net/validate.cpp
+++ b/src/net/validate.cpp
@@ -129,10 +129,10 @@
 bool AcceptAnswer(const ResponseHeader& header) {
   // Guards against one that was cut off and looks whole: it has to say that it ends with its connection, and
   // then does so in order; a process that dies resets it.
-  const bool bodiless = EndsWithItsConnection(header) || header.result_int() < 200 ||
-                        header.result() == http::status::no_content ||
-                        header.result() == http::status::not_modified;
-  if (!bodiless && header.count(http::field::content_length) == 0 &&
+  const bool needs_no_length = EndsWithItsConnection(header) || header.result_int() < 200 ||
+                               header.result() == http::status::no_content ||
+                               header.result() == http::status::not_modified;
+  if (!needs_no_length && header.count(http::field::content_length) == 0 &&
       header.count(http::field::transfer_encoding) == 0)
     return false;
   return OneFraming(header, header.version()) &&
--- a/tests/handover/channel_test.cpp
+++ b/tests/handover/channel_test.cpp
@@ -43,6 +43,15 @@
     asker.join();
     return claim;
   }
+  // A newcomer that has been given the listener and says that it serves; null if that does not come about.
+  std::unique_ptr<Channel> Serving() {
+    Open();
+    auto claim = AskIt();
+    if (!claim) return nullptr;
+    auto channel = Join(*claim);
+    channel->Send(kServing);
+    return RunUntil(io, [&] { return serving == 1; }) ? std::move(channel) : nullptr;
+  }
   std::unique_ptr<Channel> Join(Claim& claim) {
     return std::make_unique<Channel>(
         io, std::move(claim.channel),
@@ -105,12 +114,8 @@
 }
 
 TEST_F(ChannelTest, ANewcomerThatIsLostLeavesThePathToTheFirst) {
-  Open();
-  auto claim = AskIt();
-  ASSERT_TRUE(claim);
-  auto channel = Join(*claim);
-  channel->Send(kServing);
-  ASSERT_TRUE(RunUntil(io, [&] { return serving == 1; }));
+  auto channel = Serving();
+  ASSERT_TRUE(channel);
   channel = nullptr;
   ASSERT_TRUE(RunUntil(io, [&] { return lost == 1; }));
   EXPECT_TRUE(AskIt());
@@ -119,12 +124,8 @@
 // Two upgrades in a row, the first process not told to stop yet: the second has handed on to a third and
 // ends.
 TEST_F(ChannelTest, ANewcomerThatHasHandedOnItselfIsNotMissed) {
-  Open();
-  auto claim = AskIt();
-  ASSERT_TRUE(claim);
-  auto channel = Join(*claim);
-  channel->Send(kServing);
-  ASSERT_TRUE(RunUntil(io, [&] { return serving == 1; }));
+  auto channel = Serving();
+  ASSERT_TRUE(channel);
   int asked = 0;
   const Door third(io, path, listener.native_handle(),
                    Door::Events{[this] { return holding; }, [&] { ++asked; }, [] {}, [] {}});
--- a/tests/net/streaming_test.cpp
+++ b/tests/net/streaming_test.cpp
@@ -48,6 +48,7 @@
   std::size_t come = 0;                     // bytes of its body
   bool right = true;                        // they were what they should be
   bool ended = false;                       // the connection has
+  bool last_chunk = false;                  // its body ended, where it comes in chunks
   std::size_t send_most = ~std::size_t{0};  // bytes of body after which nothing more is sent
   std::function<void()> on_head;
   std::function<void()> on_come;
@@ -124,10 +125,6 @@
     }
   }
 
- public:
-  bool last_chunk = false;
-
- private:
   std::array<char, 65536> in_{};
   std::string out_;
   std::string raw_;
@@ -175,12 +172,12 @@
  protected:
   StreamingTest() : server(io, [this](const BulkPtr& peer) { on_peer(peer); }) {}
   void Start() {
-    Config config = ParseConfig(ConfigJson(Loopback1(), {Entry("s1", server.address())}).dump(), "", "");
+    Config config = ParseConfig(ConfigJson(NoDiscovery(), {Entry("s1", server.address())}).dump(), "", "");
     config.listen = Loopback();
     sidecar = std::make_unique<Sidecar>(io, std::move(config));
     sidecar->Start();
   }
-  static Tcp::endpoint Loopback1() { return {asio::ip::make_address("127.0.0.1"), 1}; }
+  static Tcp::endpoint NoDiscovery() { return {asio::ip::make_address("127.0.0.1"), 1}; }
   BulkPtr Client() {
     auto client = std::make_shared<Bulk>(Tcp::socket(io));
     client->socket.connect(sidecar->address());
@@ -341,8 +338,8 @@
   Tcp::acceptor nobody(io, Loopback());
   const Tcp::endpoint dead = nobody.local_endpoint();
   nobody.close();
-  Config config =
-      ParseConfig(ConfigJson(Loopback1(), {Entry("s0", dead), Entry("s1", server.address())}).dump(), "", "");
+  Config config = ParseConfig(
+      ConfigJson(NoDiscovery(), {Entry("s0", dead), Entry("s1", server.address())}).dump(), "", "");
   config.listen = Loopback();
   sidecar = std::make_unique<Sidecar>(io, std::move(config));
   sidecar->Start();
--- a/tests/rig/operation_test.cpp
+++ b/tests/rig/operation_test.cpp
@@ -26,6 +26,11 @@
     return std::make_unique<Process>(FENNELHOLLOW_PROGRAM, world,
                                      Process::Options{listen, "", ops, temporary.string()});
   }
+  // The same once it can serve; null if it does not come to that.
+  std::unique_ptr<Process> StartReady(const std::string& ops) {
+    auto process = Start(ops);
+    return WaitForReady(world, ops) ? std::move(process) : nullptr;
+  }
   void StartClients(int count) {
     for (int i = 0; i < count; ++i) {
       clients.push_back(std::make_unique<HttpClient>(world.io, world.loop, world.ledger, traffic, At(listen),
@@ -61,8 +66,8 @@
 
 TEST_F(OperationTest, TenUpgradesUnderLoadAreNotNoticed) {
   std::string ops = FreeAddress();
-  auto process = Start(ops);
-  ASSERT_TRUE(WaitForReady(world, ops));
+  auto process = StartReady(ops);
+  ASSERT_TRUE(process);
   StartClients(12);
   ASSERT_TRUE(Ask(200));
   const std::size_t limit = world.Config().at("limits").at("sockets");
@@ -81,8 +86,8 @@
 
 TEST_F(OperationTest, DrainedAndBroughtBackTenTimesUnderLoad) {
   const std::string ops = FreeAddress();
-  const auto process = Start(ops);
-  ASSERT_TRUE(WaitForReady(world, ops));
+  const auto process = StartReady(ops);
+  ASSERT_TRUE(process);
   StartClients(8);
   for (int i = 0; i < 10; ++i) {
     const auto idle = std::make_shared<Tcp::socket>(world.io);
@@ -105,27 +110,27 @@
 
 TEST_F(OperationTest, ANewProcessThatDiesBeforeOrAfterItServesLeavesTheOldOneServing) {
   const std::string ops = FreeAddress();
-  const auto process = Start(ops);
-  ASSERT_TRUE(WaitForReady(world, ops));
+  const auto process = StartReady(ops);
+  ASSERT_TRUE(process);
   StartClients(4);
   Start(FreeAddress()).reset();  // killed at once
   ASSERT_TRUE(Ask(50));
   EXPECT_EQ(Verdict(), "");
   // After its yes its clients lose their connections with it; the old one accepts again.
   const std::string next_ops = FreeAddress();
-  auto next = Start(next_ops);
-  ASSERT_TRUE(WaitForReady(world, next_ops));
+  auto next = StartReady(next_ops);
+  ASSERT_TRUE(next);
   next.reset();
   EXPECT_TRUE(world.RunUntil([&] { return ClientsReady() == 200U; }, std::chrono::seconds(10)));
 }
 
 TEST_F(OperationTest, AnOldProcessThatIsKilledHalfwayLeavesTheListenerToTheNew) {
   const std::string ops = FreeAddress();
-  auto process = Start(ops);
-  ASSERT_TRUE(WaitForReady(world, ops));
+  auto process = StartReady(ops);
+  ASSERT_TRUE(process);
   const std::string next_ops = FreeAddress();
-  const auto next = Start(next_ops);
-  ASSERT_TRUE(WaitForReady(world, next_ops));
+  const auto next = StartReady(next_ops);
+  ASSERT_TRUE(next);
   process.reset();
   StartClients(4);
   ASSERT_TRUE(Ask(100));
@@ -134,12 +139,12 @@
 
 TEST_F(OperationTest, EvacuatedItStaysSoThroughAnUpgrade) {
   const std::string ops = FreeAddress();
-  const auto process = Start(ops);
-  ASSERT_TRUE(WaitForReady(world, ops));
+  const auto process = StartReady(ops);
+  ASSERT_TRUE(process);
   ASSERT_EQ(Call(ops, "PUT", "/api/evacuate").status, 200U);
   const std::string next_ops = FreeAddress();
-  const auto next = Start(next_ops);
-  ASSERT_TRUE(WaitForReady(world, next_ops));
+  const auto next = StartReady(next_ops);
+  ASSERT_TRUE(next);
   EXPECT_EQ(ClientsReady(), 503U);
   process->Signal(SIGTERM);
   EXPECT_EQ(process->Wait(world), 0);
@@ -160,8 +165,8 @@
 
 TEST_F(OperationTest, TheFiguresAreWhatTheLedgerSaw) {
   const std::string ops = FreeAddress();
-  const auto process = Start(ops);
-  ASSERT_TRUE(WaitForReady(world, ops));
+  const auto process = StartReady(ops);
+  ASSERT_TRUE(process);
   for (const auto& server : world.servers)
     server->set_script([n = 0](const std::string&, const std::string&) mutable {
       ++n;
