Four faults that the data plane's tests found; partial views between sidecars; tests of all packages

Fence: a record lost for want of room made 'never' of an attempt that had been passed on; the highest forgotten number of each outbound life is kept, what is at or below it may have been. ServerPool: a connection that outlived its pool counted itself out of freed memory. Link: closed between its fall and the telling of it, it still told. Outbound: out of time at a server was answered 502, now 504. Host with a space in it is 400. telegraph_test said a lease of 2 s as a check though it was the Herald's default, 10 s since: the test sets its own lease now, the check that shares end with it is the same.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
-# For newcomers: two commands that do everything on a fresh machine. The build itself is CMake's.
-.PHONY: demo test
+# For newcomers: commands that do everything on a fresh machine. The build itself is CMake's.
+.PHONY: demo mesh-demo test
 
 build/make/CMakeCache.txt:
 	.ci/packages build
@@ -10,6 +10,11 @@
 	cmake --build build/make -j4 --target fennelhollow fennelhollow_demo
 	build/make/fennelhollow_demo build/make/fennelhollow
 
+# The mesh: cores and sidecars as processes, a core and a server killed in the midst of traffic.
+mesh-demo: build/make/CMakeCache.txt
+	cmake --build build/make -j4 --target fennelhollow-station fennelhollow_mesh_demo
+	build/make/rig/mesh/fennelhollow_mesh_demo build/make/src/mesh/observatory/fennelhollow-station
+
 test: build/make/CMakeCache.txt
 	cmake --build build/make -j4
 	ctest --test-dir build/make --output-on-failure -j4
--- a/rig/mesh/demo.cpp
+++ b/rig/mesh/demo.cpp
@@ -5,6 +5,7 @@
 // served.
 #include <unistd.h>
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <csignal>
@@ -272,21 +273,27 @@
     Fail("no core holds the order");
   }
 
-  // From the operator's 200 until each sidecar serves the route that it added.
+  // From the operator's 200 until the sending of the first request that each sidecar lets on the added route.
   asio::awaitable<void> SeeEffect() {
-    const auto taken = Clock::now();
     std::printf("%6.2f s  the second configuration is acknowledged\n", At());
-    std::set<int> missing;
-    for (int i = 0; i < kSidecars; ++i) missing.insert(i);
-    while (!missing.empty() && Clock::now() < taken + kComeUp) {
-      for (const int sidecar : std::set<int>(missing)) {
-        const unsigned status = co_await Probe(sidecar, "/stock/of");
-        if (status != 404 && status != 0) missing.erase(sidecar);
+    unseen_ = kSidecars;
+    const auto taken = Clock::now();
+    for (int i = 0; i < kSidecars; ++i) asio::co_spawn(io_, SeeAt(i, taken), asio::detached);
+    while (unseen_ > 0 && Clock::now() < taken + kComeUp) co_await Sleep(io_, kProbe);
+    if (unseen_ > 0) Fail("the second configuration has no effect");
+  }
+
+  asio::awaitable<void> SeeAt(int sidecar, Clock::time_point taken) {
+    while (Clock::now() < taken + kComeUp) {
+      const auto sent = Clock::now();
+      const unsigned status = co_await Probe(sidecar, "/stock/of");
+      if (status != 404 && status != 0) {
+        effect_ms_ = std::max(effect_ms_, std::chrono::duration<double, std::milli>(sent - taken).count());
+        --unseen_;
+        co_return;
       }
-      if (!missing.empty()) co_await Sleep(io_, kProbe);
+      co_await Sleep(io_, kProbe);
     }
-    effect_ms_ = std::chrono::duration<double, std::milli>(Clock::now() - taken).count();
-    if (!missing.empty()) Fail("the second configuration has no effect");
   }
 
   // SIGTERM to all; those that do not end within their grace period are killed.
@@ -328,7 +335,8 @@
     std::printf("\nunsafe requests run twice:            %lu\n", twice);
     std::printf("refused, and run all the same:        %lu\n", broken_promises);
     std::printf("answers that were not the request's:  %lu\n", mixed_);
-    std::printf("second configuration in force:        %.0f ms after its 200\n", effect_ms_);
+    std::printf("second configuration in force:        %.1f ms after its 200, at the last sidecar\n",
+                effect_ms_);
     const bool served =
         all.sent > 0 && static_cast<double>(all.served) >= kServedAtLeast * static_cast<double>(all.sent);
     if (!served) std::printf("fewer than 95 in 100 were served\n");
@@ -365,7 +373,7 @@
   Row rows_[2];  // safe, unsafe
   std::set<std::string> unsafe_, refused_;
   std::uint64_t last_id_ = 0, mixed_ = 0;
-  int clients_ = 0, killed_ = -1;
+  int clients_ = 0, killed_ = -1, unseen_ = 0;
   double effect_ms_ = -1;
   bool whole_ = true, over_ = false;
   Clock::time_point started_;
--- a/src/mesh/frames/link.cpp
+++ b/src/mesh/frames/link.cpp
@@ -61,17 +61,6 @@
 Link::Link(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
 Link::~Link() = default;
 
-namespace {
-
-void Fail(const std::shared_ptr<Link>& link, Link::Events& events, Tcp::socket& socket) {
-  ErrorCode ignored;
-  socket.close(ignored);
-  auto told = std::exchange(events, {});
-  if (told.on_closed) asio::post(socket.get_executor(), [link, call = std::move(told.on_closed)] { call(); });
-}
-
-}  // namespace
-
 std::shared_ptr<Link> Link::Of(Tcp::socket socket, Limits limits) {
   auto impl = std::make_unique<Impl>(std::move(socket), limits);
   impl->SetOptions();
@@ -94,18 +83,14 @@
   impl.timer.async_wait([weak = link->weak_from_this()](ErrorCode stopped) {
     const auto self = weak.lock();
     if (stopped || self == nullptr || self->impl_->up || self->impl_->closed) return;
-    self->impl_->closed = true;
-    Fail(self, self->impl_->events, self->impl_->socket);
+    self->Fall();
   });
   impl.socket.async_connect(Tcp::endpoint(address, port), [weak = link->weak_from_this()](ErrorCode failed) {
     const auto self = weak.lock();
     if (self == nullptr || self->impl_->closed) return;
     Impl& mine = *self->impl_;
     mine.timer.cancel();
-    if (failed) {
-      mine.closed = true;
-      return Fail(self, mine.events, mine.socket);
-    }
+    if (failed) return self->Fall();
     mine.up = true;
     mine.SetOptions();
     self->Read();
@@ -117,7 +102,7 @@
 void Link::Start(Events events) {
   impl_->events = std::move(events);
   impl_->started = true;
-  if (impl_->closed) return Fail(shared_from_this(), impl_->events, impl_->socket);
+  if (impl_->closed) return TellClosed();
   if (impl_->up) Read();
 }
 
@@ -126,7 +111,17 @@
 void Link::Fall() {
   if (std::exchange(impl_->closed, true)) return;
   impl_->timer.cancel();
-  Fail(shared_from_this(), impl_->events, impl_->socket);
+  ErrorCode ignored;
+  impl_->socket.close(ignored);
+  if (impl_->started) TellClosed();
+}
+
+// In a later turn, unless the link is closed by its owner before that.
+void Link::TellClosed() {
+  asio::post(impl_->socket.get_executor(), [self = shared_from_this()] {
+    const Events told = std::exchange(self->impl_->events, {});
+    if (told.on_closed) told.on_closed();
+  });
 }
 
 void Link::Read() {
@@ -252,9 +247,9 @@
   });
 }
 void Link::Close() {
+  impl_->events = {};
   if (std::exchange(impl_->closed, true)) return;
   impl_->timer.cancel();
-  impl_->events = {};
   ErrorCode ignored;
   impl_->socket.close(ignored);
 }
--- a/src/mesh/frames/link.hpp
+++ b/src/mesh/frames/link.hpp
@@ -59,6 +59,7 @@
   class Impl;
   explicit Link(std::unique_ptr<Impl> impl);
   void Fall();
+  void TellClosed();
   void Read();
   void OnReadable();
   bool TakeFrames();
--- a/src/mesh/observatory/sidecar.cpp
+++ b/src/mesh/observatory/sidecar.cpp
@@ -14,6 +14,8 @@
 #include "mesh/almanac/almanac.hpp"
 #include "mesh/frames/codec.hpp"
 #include "mesh/frames/link.hpp"
+#include "mesh/heliograph/io/datagrams.hpp"
+#include "mesh/heliograph/view.hpp"
 #include "mesh/observatory/control_listener.hpp"
 #include "mesh/raingauge/quota.hpp"
 #include "mesh/roster/roster.hpp"
@@ -34,6 +36,7 @@
 constexpr Micros kMs = 1000;
 constexpr Micros kTick = 50 * kMs;
 constexpr int kDialMs = 500;
+constexpr Micros kIntroduceEvery = 10'000 * kMs;
 // The share of the retry budget that is used: calls of repeated runs count too, and not all of them are seen
 // here.
 constexpr double kBudgetShare = 0.5;
@@ -59,6 +62,7 @@
         gauge_(
             {settings.bounds.quota_window_s, settings.bounds.quota_overshoot, settings.bounds.quota_slack}),
         client_(ClientSettings(), *this),
+        view_({settings.node_name, Heliograph(self_), life ^ 0x4e11}, advice_),
         hops_(io, loop_, {settings.node_name, self_, life, 300, 400}),
         last_hop_(io, loop_, {life, {}},
                   {[this](const std::string& id) { return beats_.Find(id); },
@@ -106,6 +110,18 @@
     } catch (const boost::system::system_error& error) {
       return absl::UnavailableError(std::string("cannot listen: ") + error.what());
     }
+    // A second way only: without it everything goes on.
+    auto datagrams =
+        heliograph::Datagrams::Open(io_, settings_.ip, static_cast<std::uint16_t>(settings_.first_port + 1),
+                                    [this](const std::string& from, std::string_view bytes) {
+                                      const Micros now = loop_.Now();
+                                      view_.SetKnown(now, client_.entry(), client_.Speaking(now));
+                                      view_.OnDatagram(now, from, bytes);
+                                    });
+    if (datagrams.ok())
+      datagrams_ = std::move(*datagrams);
+    else
+      LOG(WARNING) << datagrams.status().message();
     Tick();
     return absl::OkStatus();
   }
@@ -169,7 +185,14 @@
                             {"withdrawn", h.withdrawn},
                             {"cancelled", h.cancelled},
                             {"connectionsOpened", last_hop_.pool().opened()},
-                            {"strayAnswers", last_hop_.pool().strays()}}}};
+                            {"strayAnswers", last_hop_.pool().strays()}}},
+                          {"heliograph",
+                           {{"neighbours", view_.neighbours().size()},
+                            {"sent", view_.counters().sent},
+                            {"read", view_.counters().read},
+                            {"malformed", view_.counters().malformed},
+                            {"overRate", view_.counters().over_rate},
+                            {"lostNeighbours", view_.counters().lost_neighbours}}}};
     for (const auto& [service, causes] : c.why) {
       nlohmann::json& to = out["refusedFor"][service] = nlohmann::json::object();
       for (std::size_t i = 0; i < causes.size(); ++i)
@@ -208,6 +231,26 @@
     return out;
   }
 
+  // Where the sidecar at this internal address takes datagrams.
+  static std::string Heliograph(const std::string& internal) {
+    const auto colon = internal.rfind(':');
+    if (colon == std::string::npos) return {};
+    return internal.substr(0, colon + 1) + std::to_string(std::atoi(internal.c_str() + colon + 1) + 1);
+  }
+
+  // What the heliograph hears is advice to the telegraph. Apart from Impl: both sinks have an OnCores.
+  struct Advice : heliograph::View::Sink {
+    explicit Advice(Impl& impl) : mine(impl) {}
+    void Send(const std::string& address, const std::string& bytes) override {
+      if (mine.datagrams_) mine.datagrams_->Send(address, bytes);
+    }
+    void OnCores(const std::vector<std::string>& cores) override {
+      for (const std::string& core : cores) mine.client_.Hint(core);
+    }
+    void OnNewer(std::uint64_t) override { mine.client_.Nudge(mine.loop_.Now()); }
+    Impl& mine;
+  };
+
   bool Ready() const { return !stopping_ && outbound_.version() > 0; }
 
   // ---- The server beside it, and operators that came to the wrong door ----
@@ -285,6 +328,18 @@
     OnLives(now);
     client_.OnTick(now);
     Relink(now);
+    if (datagrams_) {
+      if (client_.listing().number != introduced_ && now - introduced_at_ >= kIntroduceEvery) {
+        introduced_ = client_.listing().number;
+        introduced_at_ = now;
+        std::vector<heliograph::View::Introduction> sidecars;
+        for (const auto& sidecar : client_.listing().sidecars)
+          sidecars.push_back({sidecar.name, Heliograph(sidecar.hop)});
+        view_.SetIntroductions(sidecars);
+      }
+      view_.SetKnown(now, client_.entry(), client_.Speaking(now));
+      view_.OnTick(now);
+    }
     if (now - hops_ticked_ > 1000 * kMs) {
       hops_ticked_ = now;
       hops_.OnTick(now);
@@ -418,6 +473,11 @@
   std::uint64_t lives_seen_ = 0;
   raingauge::Gauge gauge_;
   telegraph::Client client_;
+  Advice advice_{*this};
+  heliograph::View view_;
+  std::unique_ptr<heliograph::Datagrams> datagrams_;
+  std::uint64_t introduced_ = 0;  // listing number
+  Micros introduced_at_ = -kIntroduceEvery;
   std::map<std::string, std::shared_ptr<frames::Link>> links_;
   std::set<const frames::Link*> up_;
   std::set<std::shared_ptr<frames::Link>> young_;  // whose Hello has not come
--- a/src/mesh/telegraph/client.cpp
+++ b/src/mesh/telegraph/client.cpp
@@ -12,8 +12,10 @@
 constexpr Micros kFirstDial = 200'000;
 constexpr Micros kLastDial = 2'000'000;
 constexpr Micros kDropAfter = 10'000'000;  // a core that is in no list any more and can't be reached
-constexpr Micros kSpeaks = 1'500'000;      // cores not subscribed to beat each second
-constexpr Micros kWorseFor = 300'000;      // behind another core: longer than news takes from core to core
+constexpr Micros kHintFor = 30'000'000;
+constexpr std::size_t kHintsAtOnce = 2;  // of kMostCores, while hints are needed
+constexpr Micros kSpeaks = 1'500'000;    // cores not subscribed to beat each second
+constexpr Micros kWorseFor = 300'000;    // behind another core: longer than news takes from core to core
 constexpr Micros kWaitForBetter =
     200'000;  // with the first subscription, for a core of a better place to speak
 constexpr Micros kSpreadAfter = 10'000'000;  // back to one's place, plus up to as much again
@@ -49,16 +51,50 @@
 
 Client::Client(Settings settings, Sink& sink)
     : settings_(std::move(settings)), sink_(sink), random_(settings_.seed) {
-  for (const auto& address : settings_.seeds) Add(address).seed = true;
+  SetSeeds(settings_.seeds);
   spread_after_ = kSpreadAfter + static_cast<Micros>(random_() % static_cast<std::uint64_t>(kSpreadAfter));
 }
 
 void Client::SetSeeds(const std::vector<std::string>& seeds) {
   for (auto& [address, core] : nodes_) core.seed = false;
-  for (const auto& address : seeds) Add(address).seed = true;
+  for (const auto& address : seeds) {
+    Core& core = Add(address);
+    core.seed = true;
+    core.hint = false;
+  }
   settings_.seeds = seeds;
 }
 
+void Client::Hint(const std::string& core) {
+  if (nodes_.count(core) != 0) return;
+  std::size_t hints = 0;
+  const std::string* worst = nullptr;
+  for (const auto& [address, known] : nodes_) {
+    if (!known.hint) continue;
+    ++hints;
+    if (worst == nullptr || known.fails > nodes_.at(*worst).fails) worst = &address;
+  }
+  if (hints >= kMostHints) {
+    if (nodes_.at(*worst).fails == 0) return;
+    nodes_.erase(*worst);
+  }
+  Add(core).hint = true;
+}
+
+void Client::Nudge(Micros now) {
+  if (nudged_ != kNever && now - nudged_ < kNudgeEvery) return;
+  nudged_ = now;
+  // A core sends the ledger to those that subscribe alone: this Tell subscribes, the next takes it back.
+  Core* has_it = nullptr;
+  for (auto& [address, core] : nodes_) {
+    if (!Speaks(now, core) || core.entry <= entry_) continue;
+    if (has_it == nullptr || Better(core, *has_it, NewestEntry(now))) has_it = &core;
+  }
+  for (auto& [address, core] : nodes_) {
+    if (core.up) TellTo(now, address, core, false, false, &core == has_it);
+  }
+}
+
 Client::Core& Client::Add(const std::string& address) {
   const auto [at, fresh] = nodes_.try_emplace(address);
   if (fresh) at->second.place = Hash(settings_.me.name, address);
@@ -69,12 +105,27 @@
   // Cores in the list come first, then links that hold, then those that failed least often: so all seeds have
   // their turn.
   std::vector<std::tuple<int, int, std::uint64_t, const std::string*>> order;
+  std::vector<std::tuple<int, std::uint64_t, const std::string*>> hints;
   for (const auto& [address, core] : nodes_) {
+    if (core.hint && !core.up) {
+      hints.emplace_back(core.fails, core.place, &address);
+      continue;
+    }
     const int kind = core.listed ? (address == holder_ ? 0 : 1) : core.up ? 2 : 3;
     order.emplace_back(kind, kind == 3 ? core.fails : 0, core.place, &address);
   }
   std::sort(order.begin(), order.end());
   if (order.size() > kMostCores) order.resize(kMostCores);
+  const bool failed = std::all_of(order.begin(), order.end(), [&](const auto& place) {
+    const Core& core = nodes_.at(*std::get<3>(place));
+    return !Speaks(now, core) && (core.up || core.fails > 0);
+  });
+  if (failed && !hints.empty()) {
+    std::sort(hints.begin(), hints.end());
+    if (hints.size() > kHintsAtOnce) hints.resize(kHintsAtOnce);
+    if (order.size() > kMostCores - hints.size()) order.resize(kMostCores - hints.size());
+    for (const auto& [fails, place, address] : hints) order.emplace_back(4, fails, place, address);
+  }
   std::vector<std::string> wanted;
   for (const auto& [kind, fails, place, address] : order) {
     const Core& core = nodes_.at(*address);
@@ -117,6 +168,14 @@
 
 bool Client::Speaks(Micros now, const Core& core) const { return core.up && core.heard > now - kSpeaks; }
 
+std::vector<std::string> Client::Speaking(Micros now) const {
+  std::vector<std::string> speaking;
+  for (const auto& [address, core] : nodes_) {
+    if (Speaks(now, core)) speaking.push_back(address);
+  }
+  return speaking;
+}
+
 std::uint64_t Client::NewestEntry(Micros now) const {
   std::uint64_t newest = 0;
   for (const auto& [address, core] : nodes_) {
@@ -147,7 +206,8 @@
     if (first_heard_ == kNever) first_heard_ = now;
     const Core& chosen = nodes_.at(*best);
     for (const auto& [address, core] : nodes_) {
-      const bool may_come = core.fails == 0 && core.heard == kNever && core.place < chosen.place;
+      const bool may_come =
+          !core.hint && core.fails == 0 && core.heard == kNever && core.place < chosen.place;
       if (may_come && now - first_heard_ < kWaitForBetter && listing_.epoch == 0) return;
     }
     MoveTo(now, *best);
@@ -229,6 +289,7 @@
   for (const auto& listed : cores_) {
     Core& core = Add(listed);
     core.listed = true;
+    core.hint = false;
     if (!core.up) {
       core.dial_at = now;
       core.fails = 0;
@@ -280,6 +341,7 @@
   if (at == nodes_.end() || !at->second.up) return;
   Core& core = at->second;
   core.heard = now;
+  core.hint = false;
   core.fails = 0;
   core.failing_since = kNever;
   core.entry = news.entry;
@@ -325,7 +387,12 @@
   const bool slept = ticked_ != kNever && now - ticked_ > kOwnGap;
   ticked_ = now;
   for (auto at = nodes_.begin(); at != nodes_.end();) {
-    const Core& core = at->second;
+    Core& core = at->second;
+    if (core.hint) {
+      if (core.hinted == kNever) core.hinted = now;
+      at = now - core.hinted >= kHintFor ? nodes_.erase(at) : std::next(at);
+      continue;
+    }
     const bool drop = !core.seed && !core.listed && !core.up && core.failing_since != kNever &&
                       now - core.failing_since >= kDropAfter;
     at = drop ? nodes_.erase(at) : std::next(at);
@@ -353,7 +420,8 @@
   }
 }
 
-void Client::TellTo(Micros now, const std::string& address, Core& core, bool with_lives, bool with_demand) {
+void Client::TellTo(Micros now, const std::string& address, Core& core, bool with_lives, bool with_demand,
+                    bool wants_ledger) {
   Tell tell;
   tell.me = settings_.me;
   tell.leaving = leaving_;
@@ -366,7 +434,7 @@
     }
     core.lives_told = now;
   }
-  tell.subscribe = address == subscribed_;
+  tell.subscribe = wants_ledger || address == subscribed_;
   tell.entry = entry_;
   tell.epoch = listing_.epoch;
   tell.number = need_whole_ ? 0 : listing_.number;
--- a/src/mesh/telegraph/client.hpp
+++ b/src/mesh/telegraph/client.hpp
@@ -24,6 +24,8 @@
 inline constexpr Micros kTellEvery = 300'000;  // to the core subscribed to, and to the holder of the order
 inline constexpr Micros kTellOthersEvery = 1'000'000;
 inline constexpr Micros kTellLivesEvery = 5'000'000;
+inline constexpr std::size_t kMostHints = 8;
+inline constexpr Micros kNudgeEvery = 300'000;
 inline constexpr Micros kSilentCore = 700'000;  // then its news is taken from another that speaks
 
 class Client {
@@ -61,6 +63,12 @@
   std::vector<std::string> Wanted(Micros now) const;
   // The settings file names others now; those of before are kept as long as a core lists them.
   void SetSeeds(const std::vector<std::string>& seeds);
+  // A core's internal address, heard of second hand: dialled only while none speaks of those that are known
+  // better and all of these have failed. At most kMostHints; forgotten when it has not spoken within 30 s.
+  void Hint(const std::string& core);
+  // There is a newer entry, says someone who decides nothing: tells all cores at once, and asks one that is
+  // known to have it, at most once each kNudgeEvery.
+  void Nudge(Micros now);
   void OnLinkUp(Micros now, const std::string& address);
   void OnLinkDown(Micros now, const std::string& address);
   void OnNews(Micros now, const std::string& address, const News& news);
@@ -72,6 +80,8 @@
   // This sidecar is about to end: all are told at once, and with each later Tell.
   void Leave(Micros now);
 
+  // Cores that are heard first hand, sorted.
+  std::vector<std::string> Speaking(Micros now) const;
   // When a core that has the holder behind it said last that the newest entry is the one in force here;
   // kNever if none did.
   Micros HeardAt() const { return heard_at_; }
@@ -86,6 +96,8 @@
   struct Core {
     bool seed = false;
     bool listed = false;
+    bool hint = false;       // heard of second hand alone, and has not spoken yet
+    Micros hinted = kNever;  // the first tick since
     bool up = false;
     int fails = 0;
     Micros failing_since = kNever;
@@ -109,7 +121,8 @@
   void FindHolder(Micros now);
   void TakeCores(Micros now, const std::string& address, const News& news);
   bool TakeListing(const std::string& address, const News& news);
-  void TellTo(Micros now, const std::string& address, Core& core, bool with_lives, bool with_demand);
+  void TellTo(Micros now, const std::string& address, Core& core, bool with_lives, bool with_demand,
+              bool wants_ledger = false);
   void TellAll(Micros now, bool with_lives);
 
   Settings settings_;
@@ -131,6 +144,7 @@
   roster::Listing listing_;
   bool need_whole_ = false;
   Micros heard_at_ = kNever;
+  Micros nudged_ = kNever;
   Micros ticked_ = kNever;
   std::uint64_t asked_ = 0;
   struct Asked {
--- a/src/mesh/theodolite/fence.cpp
+++ b/src/mesh/theodolite/fence.cpp
@@ -9,6 +9,8 @@
 constexpr double kRunMemory = 50;
 // Lives of servers on this machine whose times are kept.
 constexpr std::size_t kMostLanes = 8;
+// Lives of outbound sidecars whose forgotten records are remembered by their highest number.
+constexpr std::size_t kMostOutboundLives = 4096;
 
 }  // namespace
 
@@ -29,15 +31,27 @@
     if (it == records_.end()) continue;
     if (it->second.state == State::kWaiting || (it->second.state == State::kPassed && !it->second.over))
       ages_.emplace_back(now, ticket);
-    else
+    else {
+      std::uint64_t& upto = forgotten_[ticket.life];
+      upto = std::max(upto, ticket.number);
       records_.erase(it);
+    }
   }
+  // Lives that have long ended; one that lives comes back with its next forgotten record.
+  while (forgotten_.size() > kMostOutboundLives) forgotten_.erase(forgotten_.begin());
+}
+
+// A ticket whose record may be gone: nothing can be promised of it any more.
+bool Fence::Forgotten(const Ticket& ticket) const {
+  const auto it = forgotten_.find(ticket.life);
+  return it != forgotten_.end() && ticket.number <= it->second;
 }
 
 Fence::Decision Fence::OnAttempt(Micros now, const Ticket& ticket, const std::string& server, int slots,
                                  Micros due, Micros until) {
   Forget(now);
-  if (records_.count(ticket) > 0) return Decision::kTurnAway;  // withdrawn before it came, or sent twice
+  if (records_.count(ticket) > 0 || Forgotten(ticket))
+    return Decision::kTurnAway;  // withdrawn before it came, sent twice, or so late that it may be either
   Lane& lane = lanes_[server];
   lane.slots = std::max(1, slots);
   Record& record = Keep(now, ticket);
@@ -78,6 +92,7 @@
   --lane->second.passed;
   const double took = static_cast<double>(now - it->second.passed_at);
   lane->second.run += (took - lane->second.run) / (lane->second.run > 0 ? kRunMemory : 1);
+  DropIfEmpty(it->second.server);
 }
 
 bool Fence::OnCancel(const Ticket& ticket) {
@@ -95,6 +110,7 @@
 bool Fence::OnAsk(Micros now, const Ticket& ticket) {
   Forget(now);
   OnCancel(ticket);
+  if (records_.count(ticket) == 0 && Forgotten(ticket)) return true;  // it may have been
   return Keep(now, ticket).state == State::kPassed;
 }
 
--- a/src/mesh/theodolite/fence.hpp
+++ b/src/mesh/theodolite/fence.hpp
@@ -31,7 +31,7 @@
 
   // Attempts that are passed on at once to a server of so many slots, and wait for room, at most.
   struct Room {
-    int beyond_slots = 2;
+    int beyond_slots = 0;
     double waiting_per_slot = 2;
   };
   explicit Fence(Room room) : room_(room) {}
@@ -93,6 +93,7 @@
   Record& Keep(Micros now, const Ticket& ticket);
   void Forget(Micros now);
   bool Waits(const Ticket& ticket) const;
+  bool Forgotten(const Ticket& ticket) const;
   void DropIfEmpty(const std::string& server);
 
   const Room room_;
@@ -102,6 +103,7 @@
   std::map<std::string, Lane> lanes_;
   std::unordered_map<Ticket, Record, Hash> records_;
   std::deque<std::pair<Micros, Ticket>> ages_;
+  std::map<std::uint64_t, std::uint64_t> forgotten_;  // life -> the highest number whose record has gone
 };
 
 }  // namespace fennelhollow::theodolite
--- a/src/mesh/theodolite/server_pool.cpp
+++ b/src/mesh/theodolite/server_pool.cpp
@@ -50,9 +50,9 @@
  public:
   Connection(ServerPool& pool, std::string address)
       : pool_(pool), socket_(pool.io_), dial_(pool.io_), address_(std::move(address)) {
-    ++pool_.open_;
+    ++*open_;
   }
-  ~Connection() { --pool_.open_; }
+  ~Connection() { --*open_; }
 
   const std::string& address() const { return address_; }
 
@@ -354,6 +354,7 @@
 
  private:
   ServerPool& pool_;
+  const std::shared_ptr<std::size_t> open_ = pool_.open_;
   Tcp::socket socket_;
   asio::steady_timer dial_;
   const std::string address_;
--- a/src/mesh/theodolite/server_pool.hpp
+++ b/src/mesh/theodolite/server_pool.hpp
@@ -57,7 +57,7 @@
   void Drop(const std::string& address);
   std::uint64_t opened() const { return opened_; }
   std::uint64_t strays() const { return strays_; }  // answers that were nobody's
-  std::size_t open() const { return open_; }
+  std::size_t open() const { return *open_; }
 
  private:
   class Connection;
@@ -69,7 +69,8 @@
   bool sweeping_ = false;
   Handle last_ = 0;
   std::uint64_t opened_ = 0, strays_ = 0;
-  std::size_t open_ = 0;
+  // Shared: a connection may outlive the pool by a handler that is about to be called.
+  std::shared_ptr<std::size_t> open_ = std::make_shared<std::size_t>(0);
   std::map<Handle, ConnectionPtr> busy_;
   std::map<std::string, std::list<ConnectionPtr>> idle_;  // newest at the back
 };
--- a/src/mesh/windsock/http_server.cpp
+++ b/src/mesh/windsock/http_server.cpp
@@ -225,6 +225,8 @@
         (codings == 1 && (version_ < 11 || !beast::iequals(head[http::field::transfer_encoding], "chunked"))))
       return Reject(400, "the body's length is in doubt"), false;
     if (head.count(http::field::host) != 1) return Reject(400, "a request has one Host"), false;
+    for (const char c : head[http::field::host])
+      if (static_cast<unsigned char>(c) <= ' ' || c == 0x7f) return Reject(400, "Host is no host"), false;
     if (head.target().empty() || head.target().front() != '/')
       return Reject(400, "the target is no path"), false;
     for (const auto& field : head)
--- a/src/mesh/windsock/outbound.cpp
+++ b/src/mesh/windsock/outbound.cpp
@@ -25,12 +25,14 @@
 // The first wait before an attempt is made again is up to this: an aim is a few hundred milliseconds.
 constexpr Micros kRetryBase = 40 * kMs;
 // The share of its aim that an attempt may wait for room at the last hop.
-constexpr double kWaitShare = 0.2;
-constexpr std::int64_t kLeastWaitMs = 60;
+constexpr double kWaitShare = 0.1;
+constexpr std::int64_t kLeastWaitMs = 40;
 // For each step of priority an answer is taken to be due so much of its aim later.
 constexpr double kLaterAPriority = 0.25;
 // Of pressure, and of what is out: the module's admission is off.
 constexpr double kNever = 1000;
+// core/ answers so long before the deadline, and a little more.
+constexpr Micros kAnswerMargin = 60 * kMs;
 constexpr Micros kNotReadyRetry = 200 * kMs;
 // A route that tells no time-out, and a client that tells none.
 constexpr std::int64_t kDefaultTimeoutMs = 30'000;
@@ -61,6 +63,7 @@
   bool reserved = false;  // the budget holds a further send for it
   int full = 0;           // servers that had no room for it
   Micros aim = 0;
+  Micros deadline = 0;
   Micros due = 0;          // from then on its answer is late; the later the lower its priority
   core::MessagePtr error;  // what the last server said, if that was an error
 };
@@ -133,7 +136,8 @@
       ++owner_.counters_.refused;
       return owner_.Refuse(flight_->session, 503, "refused", 20 * kMs);
     }
-    const bool late = why == core::Failure::kOutOfTime;
+    const bool late =
+        why == core::Failure::kOutOfTime || owner_.loop_.Now() + kAnswerMargin >= flight_->deadline;
     ++(late ? owner_.counters_.out_of_time : owner_.counters_.failed);
     owner_.Refuse(flight_->session, late ? 504 : 502,
                   late ? "out of time: it may have run" : "failed: it may have run", 0);
@@ -507,6 +511,7 @@
   std::int64_t left = found.route->timeout_ms > 0 ? found.route->timeout_ms : kDefaultTimeoutMs;
   if (found.deadline_ms) left = std::min(left, *found.deadline_ms);
   arrival.deadline = left * kMs;
+  flight->deadline = now + left * kMs;
   auto message = std::make_unique<RequestMessage>();
   message->flight = flight;
   arrival.request = std::move(message);
--- a/src/mesh/windsock/outbound.hpp
+++ b/src/mesh/windsock/outbound.hpp
@@ -85,9 +85,9 @@
   std::unordered_map<std::string, std::string> hop_of_;  // server id -> last hop
   std::map<std::string, Micros> started_;                // server id -> when it started, as far as told
   std::map<std::string, int> zone_index_;
+  std::unordered_map<std::uint64_t, std::weak_ptr<Flight>> flights_;  // by the session's tag
   std::map<std::string, std::unique_ptr<Lane>, std::less<>> lanes_;
   std::function<double()> repeats_share_;
-  std::unordered_map<std::uint64_t, std::weak_ptr<Flight>> flights_;  // by the session's tag
   std::uint64_t last_ = 0;
   std::size_t under_way_ = 0;
 };
--- a/tests/mesh/telegraph_test.cpp
+++ b/tests/mesh/telegraph_test.cpp
@@ -31,6 +31,7 @@
     Herald::Settings settings;
     settings.address = address;
     settings.epoch = ++drawn_;
+    settings.lease = 2 * kS;  // the product's is longer; what is checked is that shares end with it
     core->herald = std::make_unique<Herald>(now_, settings, *core);
     cores_[address] = std::move(core);
     Order();
@@ -431,6 +432,85 @@
   }
 }
 
+TEST_CASE("hints are tried when all that is known better fails, are few, and are forgotten") {
+  World world(1, 0);
+  struct Null : Client::Sink {
+    void Send(const std::string&, const Tell&) override {}
+    void OnLedger(std::uint64_t, const std::string&) override {}
+    void OnListing(const roster::Listing&, std::size_t, std::size_t) override {}
+    void OnShares(const std::vector<raingauge::Share>&, Micros) override {}
+    void OnCores(const std::vector<std::string>&) override {}
+  } sink;
+  Client::Settings settings;
+  settings.me.name = "me";
+  const int seeds = GENERATE(0, 2, 12);  // 12: more than there are links
+  for (int i = 0; i < seeds; ++i) settings.seeds.push_back("seed:" + std::to_string(i));
+  Client client(settings, sink);
+  const auto is_hint = [](const std::string& address) { return address.rfind("hint", 0) == 0; };
+  for (int i = 0; i < 100; ++i) client.Hint("hint:" + std::to_string(i));
+  if (seeds > 0) {
+    for (const auto& address : client.Wanted(0)) CHECK_FALSE(is_hint(address));
+    client.OnLinkUp(0, "seed:0");
+    client.OnNews(0, "seed:0", {});
+    for (int i = 1; i < seeds; ++i) client.OnLinkDown(0, "seed:" + std::to_string(i));
+    for (const auto& address : client.Wanted(kS)) CHECK_FALSE(is_hint(address));  // one speaks
+    CHECK(client.Speaking(kS) == std::vector<std::string>{"seed:0"});
+    client.OnLinkDown(kS, "seed:0");
+  }
+  CHECK(client.Speaking(kS).empty());
+  std::set<std::string> hints;
+  for (Micros now = kS; now < 40 * kS; now += 50 * kMs) {
+    client.OnTick(now);
+    const auto wanted = client.Wanted(now);
+    CHECK(wanted.size() <= kMostCores);
+    for (const auto& address : wanted) {
+      if (is_hint(address)) hints.insert(address);
+      CHECK((!is_hint(address) || now <= 31 * kS));
+      client.OnLinkDown(now, address);
+    }
+  }
+  CHECK(hints.size() == kMostHints);
+  // One that speaks is kept, and tells of the others.
+  client.Hint("hint:a");
+  client.OnTick(40 * kS);
+  client.OnLinkUp(40 * kS, "hint:a");
+  News news;
+  news.cores = {"hint:a", "new:1"};
+  news.settled = true;
+  client.OnNews(40 * kS, "hint:a", news);
+  client.OnNews(80 * kS, "hint:a", news);
+  client.OnTick(80 * kS);
+  CHECK(client.subscribed() == "hint:a");
+  CHECK(client.cores() == news.cores);
+}
+
+TEST_CASE("a nudge asks all cores at once, and the one that has the newer entry for it, now and then") {
+  World world(3, 6);
+  world.SetHolder("core:0");
+  world.Decide();
+  world.RunFor(5 * kS);
+  // Its own core lacks what is settled.
+  const auto away = std::find_if(world.sidecars_.begin(), world.sidecars_.end(),
+                                 [&](const auto& s) { return s.second->client->subscribed() != "core:0"; });
+  REQUIRE(away != world.sidecars_.end());
+  World::Sidecar& side = *away->second;
+  world.Isolate(side.client->subscribed());
+  world.Decide();
+  world.RunFor(100 * kMs);
+  CHECK(side.entry == 1);
+  side.tells = 0;
+  side.client->Nudge(world.now_);
+  side.client->Nudge(world.now_ + kNudgeEvery - kMs);
+  CHECK(side.tells == 3);
+  world.RunFor(120 * kMs);
+  CHECK(side.entry == 2);
+  side.tells = 0;
+  side.client->Nudge(world.now_ + kNudgeEvery);
+  CHECK(side.tells == 3);
+  world.RunFor(5 * kS);
+  CHECK(world.Agree());
+}
+
 TEST_CASE("random faults: no way back, and agreement within a second after the last") {
   for (unsigned seed = 0; seed < 12; ++seed) {
     World world(3, 10, seed);
