--- a/tests/mesh/barograph_store_test.cpp
+++ b/tests/mesh/barograph_store_test.cpp
@@ -123,7 +123,7 @@
   REQUIRE((fourth > 5 && fourth < 55));  // both were met
 }
 
-TEST_CASE("nothing that can be trusted: told, set aside, and empty then; what is set aside stays bounded") {
+TEST_CASE("nothing that can be trusted: told, set aside, and empty then, what is set aside stays bounded") {
   Folder f;
   for (int round = 0; round < 3; ++round) {
     WriteTill(f.path, 3);
--- a/tests/mesh/frames_link_test.cpp
+++ b/tests/mesh/frames_link_test.cpp
@@ -149,7 +149,7 @@
   CHECK(pair.frames == std::vector<std::string>{"a", "stop", "b", "c"});
 }
 
-TEST_CASE("the peer's end is told once, after its last frame; after Close nothing is") {
+TEST_CASE("the peer's end is told once, after its last frame, after Close nothing is") {
   Pair pair;
   pair.Start();
   pair.raw->Write(Framed("last"));
--- a/tests/mesh/heliograph_test.cpp
+++ b/tests/mesh/heliograph_test.cpp
@@ -113,7 +113,7 @@
   std::multimap<Micros, Datagram> datagrams_;
 };
 
-TEST_CASE("200 that know one other each become and stay one, evenly; after half have gone, too") {
+TEST_CASE("200 that know one other each become and stay one, evenly, after half have gone, too") {
   for (const unsigned seed : {1U, 2U, 3U}) {
     World world(200, seed);
     world.IntroduceChain();
--- a/tests/mesh/observatory_test.cpp
+++ b/tests/mesh/observatory_test.cpp
@@ -231,7 +231,7 @@
   CHECK(world.changes.counters().acks_missing == 1);
 }
 
-TEST_CASE("what is not settled in time is answered 503; what had not begun never begins") {
+TEST_CASE("what is not settled in time is answered 503, what had not begun never begins") {
   World world;
   world.Submit(1, "0>3");
   world.Submit(2, "3>4");
--- a/tests/mesh/roster_test.cpp
+++ b/tests/mesh/roster_test.cpp
@@ -69,7 +69,7 @@
     CHECK(Of(beats, "a") == State::kGone);
     CHECK(Of(beats, "b") == State::kReady);
   }
-  SECTION("three intervals of silence end it; one's own sleep does not") {
+  SECTION("three intervals of silence end it, one's own sleep does not") {
     for (Micros t = 0; t < 4 * kS; t += kS / 2) beats.OnTick(t, 1500 * kMs);
     CHECK(Of(beats, "a") == State::kDraining);
     beats.OnTick(60 * kS, 1500 * kMs);
@@ -141,7 +141,7 @@
     CHECK(servers() == 7);
     CHECK(registry.listing().sidecars.size() == 8);
   }
-  SECTION("few silent: off; most silent: kept for longer") {
+  SECTION("few silent: off, most silent: kept for longer") {
     Run(registry, 0, kS);
     for (int i = 0; i < 5; ++i) registry.OnHeard(kS, "side-" + std::to_string(i), 1);
     Run(registry, kS, 1600 * kMs);
@@ -203,7 +203,7 @@
   }
 };
 
-TEST_CASE("as the plain model over random tells; differences give the whole") {
+TEST_CASE("as the plain model over random tells, differences give the whole") {
   for (unsigned seed = 0; seed < 30; ++seed) {
     std::mt19937 random(seed);
     const auto below = [&](unsigned n) { return static_cast<int>(random() % n); };
--- a/tests/mesh/telegraph_test.cpp
+++ b/tests/mesh/telegraph_test.cpp
@@ -339,7 +339,7 @@
   CHECK(world.cores_.at("core:1")->herald->Subscribers() > 2);
 }
 
-TEST_CASE("a core without the order is left for one with it; leases count only what it vouches for") {
+TEST_CASE("a core without the order is left for one with it, leases count only what it vouches for") {
   World world(3, 8);
   world.SetHolder("core:0");
   world.Decide();
@@ -569,7 +569,7 @@
   }
 }
 
-TEST_CASE("a newer link of the same life replaces the older; a link is one sidecar's") {
+TEST_CASE("a newer link of the same life replaces the older, a link is one sidecar's") {
   World world(1, 0);
   struct Sink : Herald::Sink {
     void Send(Herald::LinkId link, const News&) override { sent.push_back(link); }
--- a/tests/mesh/windsock_http_server_test.cpp
+++ b/tests/mesh/windsock_http_server_test.cpp
@@ -62,7 +62,7 @@
   return n;
 }
 
-TEST_CASE("requests follow each other on a connection; what concerns the connection is not handed on") {
+TEST_CASE("requests follow each other on a connection, what concerns the connection is not handed on") {
   Bench bench({}, Echo);
   const auto raw = bench.Say(Get(
       "/a",
@@ -253,7 +253,7 @@
   }
 }
 
-TEST_CASE("an answer in pieces, in chunks and with a length; none of it before its time") {
+TEST_CASE("an answer in pieces, in chunks and with a length, none of it before its time") {
   Bench bench;
   const auto raw = bench.Say(Get("/1") + Get("/2", "Connection: close\r\n"));
   REQUIRE(Until(bench.io, [&] { return bench.requests.size() == 1; }));
--- a/tests/mesh/windsock_lookup_test.cpp
+++ b/tests/mesh/windsock_lookup_test.cpp
@@ -102,7 +102,7 @@
   CHECK(priority("Token k2") == 2);
 }
 
-TEST_CASE("what the system sets is taken out and set anew; servers see no key") {
+TEST_CASE("what the system sets is taken out and set anew, servers see no key") {
   const auto tables = TablesOf(kServices + kRoutes + kTenants);
   const Headers sent = With({{"authorization", "Token k1"},
                              {"calling-service", "forged"},
--- a/tests/mesh/windsock_outbound_test.cpp
+++ b/tests/mesh/windsock_outbound_test.cpp
@@ -488,7 +488,7 @@
   CHECK(world.arrived.size() == 6);
 }
 
-TEST_CASE("a client that leaves ends its safe request; an unsafe one runs to its end") {
+TEST_CASE("a client that leaves ends its safe request, an unsafe one runs to its end") {
   const bool safe = GENERATE(true, false);
   World world(1, [](std::size_t, Raw&, const std::string&) {});
   const auto raw = world.Send(safe ? "safe" : "unsafe");
