--- a/src/mesh/heliograph/io/datagrams.cpp
+++ b/src/mesh/heliograph/io/datagrams.cpp
@@ -80,7 +80,10 @@
 Datagrams::Datagrams(std::shared_ptr<Impl> impl) : impl_(std::move(impl)) {}
 
 Datagrams::~Datagrams() {
-  impl_->pause.cancel();
+  try {
+    impl_->pause.cancel();
+  } catch (const std::exception&) {  // a timer that can't be cancelled calls nothing back
+  }
   ErrorCode ignored;
   impl_->socket.close(ignored);
 }
--- a/src/mesh/theodolite/server_pool.cpp
+++ b/src/mesh/theodolite/server_pool.cpp
@@ -371,9 +371,12 @@
 
 ServerPool::ServerPool(asio::io_context& io) : io_(io), sweep_(io) {}
 ServerPool::~ServerPool() {
-  for (auto& [handle, connection] : busy_) connection->Close();
-  for (auto& [address, list] : idle_)
-    for (auto& connection : list) connection->Close();
+  try {
+    for (auto& [handle, connection] : busy_) connection->Close();
+    for (auto& [address, list] : idle_)
+      for (auto& connection : list) connection->Close();
+  } catch (const std::exception&) {  // a timer that can't be cancelled calls nothing back
+  }
 }
 
 ServerPool::Handle ServerPool::Send(const std::string& address, Request request, Events events) {
--- a/src/mesh/windsock/http_server.cpp
+++ b/src/mesh/windsock/http_server.cpp
@@ -387,7 +387,10 @@
 }
 
 HttpServer::~HttpServer() {
-  while (!sessions_.empty()) sessions_.front()->Close();
+  try {
+    while (!sessions_.empty()) sessions_.front()->Close();
+  } catch (const std::exception&) {  // none is to be told anything any more
+  }
 }
 
 void HttpServer::Accept() {
--- a/src/mesh/windsock/outbound.cpp
+++ b/src/mesh/windsock/outbound.cpp
@@ -195,9 +195,7 @@
     state->flight = flight;
     HopClient::Events events;
     events.head = [this, attempt, state](theodolite::Head head) { OnHead(attempt, state, std::move(head)); };
-    events.piece = [this, attempt, state](theodolite::Piece piece) {
-      OnPiece(attempt, state, std::move(piece));
-    };
+    events.piece = [this, attempt, state](const theodolite::Piece& piece) { OnPiece(attempt, state, piece); };
     events.turned = [this, attempt, state](theodolite::Why why) {
       ++owner_.counters_.turned;
       --state->flight->unsettled;
@@ -270,7 +268,7 @@
     MaybeStream(attempt, state);
   }
 
-  void OnPiece(AttemptId attempt, const StatePtr& state, theodolite::Piece piece) {
+  void OnPiece(AttemptId attempt, const StatePtr& state, const theodolite::Piece& piece) {
     if (state->stream != nullptr) {
       Stream& stream = *state->stream;
       if (stream.session == nullptr) {
