--- a/tools/mesh/follower.cpp
+++ b/tools/mesh/follower.cpp
@@ -92,7 +92,7 @@
   }
 }
 
-void Follower::Fail(std::string trouble) {
+void Follower::Fail(const std::string& trouble) {
   sink_.trouble(absl::StrCat(merlinrun::net::Text(settings_.cores[at_]), ": ", trouble));
   following_ = false;
   at_ = (at_ + 1) % settings_.cores.size();
--- a/tools/mesh/follower.hpp
+++ b/tools/mesh/follower.hpp
@@ -44,7 +44,7 @@
   void Ask();
   // False: the answer makes no sense.
   bool Take(const std::string& body, std::size_t& events);
-  void Fail(std::string trouble);
+  void Fail(const std::string& trouble);
   void AskLater();
 
   asio::io_context& io_;
