--- a/tests/mesh/frames_link_test.cpp
+++ b/tests/mesh/frames_link_test.cpp
@@ -17,7 +17,13 @@
   if (void* p = std::malloc(n)) return p;
   throw std::bad_alloc();
 }
+[[gnu::noinline]] void* operator new(std::size_t n, const std::nothrow_t&) noexcept {
+  g_largest = std::max(g_largest, n);
+  g_sum += n;
+  return std::malloc(n);
+}
 [[gnu::noinline]] void operator delete(void* p) noexcept { std::free(p); }
+[[gnu::noinline]] void operator delete(void* p, const std::nothrow_t&) noexcept { std::free(p); }
 [[gnu::noinline]] void operator delete(void* p, std::size_t) noexcept { std::free(p); }
 
 namespace fennelhollow::frames {
