--- a/src/mesh/telegraph/client.cpp
+++ b/src/mesh/telegraph/client.cpp
@@ -242,15 +242,15 @@
 }
 
 void Client::MoveTo(Micros now, std::string address) {
-  const std::string former = std::exchange(subscribed_, address);
+  const std::string former = std::exchange(subscribed_, std::move(address));
   subscribed_at_ = now;
   worse_since_ = drifted_since_ = first_heard_ = kNever;
-  if (former == address) return;
-  LOG(INFO) << "telegraph: subscribes to the core " << address;
+  if (former == subscribed_) return;
+  LOG(INFO) << "telegraph: subscribes to the core " << subscribed_;
   if (const auto at = nodes_.find(former); at != nodes_.end() && at->second.up) {
     TellTo(now, former, at->second, false, false);
   }
-  TellTo(now, address, nodes_.at(address), false, false);
+  TellTo(now, subscribed_, nodes_.at(subscribed_), false, false);
 }
 
 // What most cores that are heard say, and of equals the one heard last: one core that holds on to an old view
