One place says where a station listens, and whose Hello is understood

The internal address and the seeds' were put together in the sidecar and again in the core; a Hello was checked in both and filled field by field in four places. Behaviour as before.

--- a/src/mesh/frames/codec.hpp
+++ b/src/mesh/frames/codec.hpp
@@ -36,6 +36,10 @@
     a(magic, version, purpose, from, address, life);
   }
 };
+// Whether it is from a program that speaks as this one does.
+inline bool Understood(const Hello& hello) {
+  return hello.magic == Hello{}.magic && hello.version == kVersion;
+}
 
 // Reads what cereal's PortableBinaryOutputArchive wrote. Guards against frames that claim more than they
 // bring: cereal's own input makes room for a claimed length before it has read a byte.
--- a/src/mesh/observatory/core.cpp
+++ b/src/mesh/observatory/core.cpp
@@ -140,10 +140,8 @@
 }
 
 std::vector<MemberId> Members(const stevenson::Settings& settings) {
-  std::set<MemberId> out;
-  for (const stevenson::Address& seed : settings.seeds) {
-    out.insert(stevenson::Address{seed.ip, settings.first_port}.Text());
-  }
+  const std::vector<std::string> seeds = settings.SeedInternals();
+  const std::set<MemberId> out(seeds.begin(), seeds.end());
   return {out.begin(), out.end()};
 }
 
@@ -162,7 +160,7 @@
         loop_(io),
         settings_(std::move(settings)),
         life_(life),
-        self_(stevenson::Address{settings_.ip, settings_.first_port}.Text()),
+        self_(settings_.Internal().Text()),
         tick_(loop_.NewTimer()),
         disk_retry_(loop_.NewTimer()),
         herald_(loop_.Now(), HeraldSettings(), *this),
@@ -585,12 +583,8 @@
   peer.was_up = false;
   peer.link = Link::Dial(io_, *address, kDialMs, Link::Limits{});
   peer.link->Start({[](std::string_view) {}, [this, to] { OnPeerClosed(to); }, nullptr});
-  frames::Hello hello;
-  hello.purpose = frames::Purpose::kCore;
-  hello.from = settings_.node_name;
-  hello.address = self_;
-  hello.life = life_;
-  peer.link->Send(frames::Pack(hello));
+  peer.link->Send(frames::Pack(frames::Hello{
+      .purpose = frames::Purpose::kCore, .from = settings_.node_name, .address = self_, .life = life_}));
 }
 
 void Core::Impl::OnPeerClosed(const MemberId& to) {
@@ -674,7 +668,7 @@
 
 void Core::Impl::OnHello(std::uint64_t from, std::string_view frame) {
   auto hello = frames::Unpack<frames::Hello>(frame);
-  const bool good = hello.ok() && hello->magic == frames::Hello{}.magic && hello->version == frames::kVersion;
+  const bool good = hello.ok() && frames::Understood(*hello);
   const bool wanted =
       good && (hello->purpose == frames::Purpose::kControl ||
                (hello->purpose == frames::Purpose::kCore && merlinrun::net::ParseAddress(hello->address)));
--- a/src/mesh/observatory/sidecar.cpp
+++ b/src/mesh/observatory/sidecar.cpp
@@ -62,7 +62,7 @@
         loop_(io),
         settings_(settings),
         life_(life),
-        self_(settings.ip + ":" + std::to_string(settings.first_port)),
+        self_(settings.Internal().Text()),
         gauge_(
             {settings.bounds.quota_window_s, settings.bounds.quota_overshoot, settings.bounds.quota_slack}),
         client_(ClientSettings(), *this),
@@ -133,7 +133,7 @@
   void OnSettings(const stevenson::Settings& settings) {
     // Seeds are where it first asks; what is known by now is at least as new. A restart reads them anew.
     settings_.seeds = settings.seeds;
-    client_.SetSeeds(Seeds(settings.seeds));
+    client_.SetSeeds(settings_.SeedInternals());
   }
 
   void Stop(std::function<void()> done) {
@@ -207,17 +207,10 @@
   }
 
  private:
-  std::vector<std::string> Seeds(const std::vector<stevenson::Address>& seeds) const {
-    std::vector<std::string> out;
-    out.reserve(seeds.size());
-    for (const auto& seed : seeds) out.push_back(seed.ip + ":" + std::to_string(settings_.first_port));
-    return out;
-  }
-
   telegraph::Client::Settings ClientSettings() {
     telegraph::Client::Settings out;
     out.me = {settings_.node_name, life_, self_, settings_.zone, settings_.service};
-    out.seeds = Seeds(settings_.seeds);
+    out.seeds = settings_.SeedInternals();
     out.seed = life_ ^ 0x5eed;
     out.demand = [this](Micros now) { return gauge_.Told(now); };
     out.held = [this](Micros now) { return gauge_.Held(now); };
@@ -314,8 +307,7 @@
       if (mine == nullptr) return;
       young_.erase(mine);
       const auto hello = frames::Unpack<frames::Hello>(frame);
-      if (!hello.ok() || hello->magic != frames::Hello{}.magic || hello->version != frames::kVersion ||
-          hello->purpose != frames::Purpose::kHop) {
+      if (!hello.ok() || !frames::Understood(*hello) || hello->purpose != frames::Purpose::kHop) {
         ++bad_links_;
         return mine->Close();
       }
@@ -422,12 +414,8 @@
     };
     link->Start(std::move(events));
     up_.erase(link.get());
-    frames::Hello hello;
-    hello.purpose = frames::Purpose::kControl;
-    hello.from = settings_.node_name;
-    hello.address = self_;
-    hello.life = life_;
-    link->Send(frames::Pack(hello));
+    link->Send(frames::Pack(frames::Hello{
+        .purpose = frames::Purpose::kControl, .from = settings_.node_name, .address = self_, .life = life_}));
   }
 
   void Send(const std::string& address, const telegraph::Tell& tell) override {
--- a/src/mesh/stevenson/settings.cpp
+++ b/src/mesh/stevenson/settings.cpp
@@ -318,6 +318,13 @@
 
 }  // namespace
 
+std::vector<std::string> Settings::SeedInternals() const {
+  std::vector<std::string> out;
+  out.reserve(seeds.size());
+  for (const Address& seed : seeds) out.push_back(Address{seed.ip, first_port}.Text());
+  return out;
+}
+
 bool Settings::Serves(std::string_view what) const {
   return std::find(serves.begin(), serves.end(), what) != serves.end();
 }
--- a/src/mesh/stevenson/settings.hpp
+++ b/src/mesh/stevenson/settings.hpp
@@ -47,6 +47,9 @@
   Bounds bounds;
   bool Serves(std::string_view what) const;
   bool HasDisk() const { return !data_directory.empty(); }
+  // Where this process listens for other stations, and where its seeds do: every machine uses the same ports.
+  Address Internal() const { return {ip, first_port}; }
+  std::vector<std::string> SeedInternals() const;
 };
 
 // Unknown fields are passed over. kInvalidArgument with one plain line that says which field is wrong, and
--- a/src/mesh/theodolite/last_hop.cpp
+++ b/src/mesh/theodolite/last_hop.cpp
@@ -54,10 +54,9 @@
   auto session = std::make_shared<Session>();
   session->link = std::move(link);
   sessions_.insert(session);
-  frames::Hello hello;
-  hello.purpose = frames::Purpose::kHop;
-  hello.life = settings_.life;
-  session->link->Send(Say(Word::kHello, hello));
+  session->link->Send(Say(
+      Word::kHello,
+      frames::Hello{.purpose = frames::Purpose::kHop, .from = {}, .address = {}, .life = settings_.life}));
   frames::Link::Events events;
   events.on_frame = [this, weak = std::weak_ptr<Session>(session)](std::string_view frame) {
     if (const auto mine = weak.lock()) OnFrame(mine, frame);
--- a/src/mesh/windsock/hop_client.cpp
+++ b/src/mesh/windsock/hop_client.cpp
@@ -60,12 +60,10 @@
   // Holds the line, so that its end is told whoever else has let go of it.
   events.on_closed = [this, line] { OnClosed(line); };
   line->link->Start(std::move(events));
-  frames::Hello hello;
-  hello.purpose = frames::Purpose::kHop;
-  hello.from = settings_.name;
-  hello.address = settings_.address;
-  hello.life = settings_.life;
-  line->link->Send(frames::Pack(hello));
+  line->link->Send(frames::Pack(frames::Hello{.purpose = frames::Purpose::kHop,
+                                              .from = settings_.name,
+                                              .address = settings_.address,
+                                              .life = settings_.life}));
   return line;
 }
 
