--- a/tests/mesh/barograph_order_test.cpp
+++ b/tests/mesh/barograph_order_test.cpp
@@ -482,6 +482,36 @@
   REQUIRE(w.AllAgree());
 }
 
+// A holder that is heard and hears nobody keeps the others waiting; one that hears and is not heard thinks it
+// holds on.
+TEST_CASE("a cut that goes one way: somebody else holds soon, and the state read is never an old one") {
+  Calm w(3);
+  Member* holder = w.Holder();
+  const bool mute = GENERATE(true, false);
+  for (const MemberId& id : w.ids)
+    if (id != holder->id) w.cut.insert(mute ? std::pair(holder->id, id) : std::pair(id, holder->id));
+  const std::uint64_t read = w.Confirm(*holder);
+  REQUIRE(w.RunTill([&] { return w.Holder() && w.Holder() != holder; }, 4 * kSecond));
+  REQUIRE(w.Progress(kSecond));
+  REQUIRE(w.RunTill([&] { return !holder->order->holds(); }, 2 * kSecond));
+  REQUIRE(!w.IsDone(read));
+  w.cut.clear();
+  REQUIRE(w.RunTill([&] { return w.AllAgree(); }, 2 * kSecond));
+}
+
+TEST_CASE("one way between a holder and one voter is cut: the order goes on") {
+  Calm w(3);
+  Member* holder = w.Holder();
+  const MemberId other = w.Other(holder)->id;
+  w.cut.insert(GENERATE(true, false) ? std::pair(holder->id, other) : std::pair(other, holder->id));
+  for (int i = 0; i < 10; ++i) {
+    REQUIRE(w.Progress(2500 * kMs));
+    w.Run(500 * kMs);
+  }
+  w.cut.clear();
+  REQUIRE(w.RunTill([&] { return w.AllAgree(); }, 2 * kSecond));
+}
+
 TEST_CASE("what can't be read is counted and dropped") {
   Calm w(3);
   Member* m = w.Holder();
