--- a/bench/mesh/order_cost.cpp
+++ b/bench/mesh/order_cost.cpp
@@ -19,14 +19,14 @@
 
 #include "measure.hpp"
 #include "mesh/almanac/almanac.hpp"
-#include "mesh/barograph/order.hpp"
-#include "mesh/barograph/store.hpp"
+#include "mesh/consensus/order.hpp"
+#include "mesh/consensus/store.hpp"
 #include "mesh/raingauge/quota.hpp"
 
 namespace fennelhollow::bench {
 namespace {
 
-using namespace barograph;
+using namespace consensus;
 
 constexpr Micros kMs = 1000;
 constexpr int kRepeats = 3;
--- a/src/mesh/barograph/election.cpp
+++ b/src/mesh/consensus/election.cpp
@@ -3,9 +3,9 @@
 
 #include <algorithm>
 
-#include "mesh/barograph/impl.hpp"
+#include "mesh/consensus/impl.hpp"
 
-namespace fennelhollow::barograph {
+namespace fennelhollow::consensus {
 
 namespace {
 constexpr int kNameBits = 24;  // of an epoch: two candidates that count alike shall not meet
@@ -189,4 +189,4 @@
     StartAsking();
 }
 
-}  // namespace fennelhollow::barograph
+}  // namespace fennelhollow::consensus
--- a/src/mesh/barograph/holding.cpp
+++ b/src/mesh/consensus/holding.cpp
@@ -3,12 +3,12 @@
 
 #include <algorithm>
 
-#include "mesh/barograph/impl.hpp"
+#include "mesh/consensus/impl.hpp"
 
-namespace fennelhollow::barograph {
+namespace fennelhollow::consensus {
 
 void Order::Impl::StartHolding() {
-  LOG(INFO) << "barograph: holds epoch " << epoch_ << " from entry " << best_.number << " on";
+  LOG(INFO) << "consensus: holds epoch " << epoch_ << " from entry " << best_.number << " on";
   role_ = Role::kHolder;
   leaving_ = false;
   successor_.clear();
@@ -27,7 +27,7 @@
 }
 
 void Order::Impl::StepDown(const char* why) {
-  LOG(INFO) << "barograph: holds epoch " << epoch_ << " no longer: " << why;
+  LOG(INFO) << "consensus: holds epoch " << epoch_ << " no longer: " << why;
   for (const MemberId& member : Learners()) learners_.insert(member);
   role_ = Role::kFollower;
   under_way_ = false;
@@ -266,7 +266,7 @@
   if (m.epoch < mind_.promised || m.accepted > StampOf(mind_.accepted)) return;
   if (role_ == Role::kCandidate || role_ == Role::kHolder || !DiskOk()) return;
   if (!IsVoter(mind_.accepted, settings_.self, mind_.store)) return;
-  LOG(INFO) << "barograph: takes over from " << from;
+  LOG(INFO) << "consensus: takes over from " << from;
   no_candidacy_until_ = 0;
   StartCandidacy(true);
 }
@@ -293,4 +293,4 @@
   if (leaving_ && now_ - leaving_since_ > kLeave) StepDown("ends, without a successor");
 }
 
-}  // namespace fennelhollow::barograph
+}  // namespace fennelhollow::consensus
--- a/src/mesh/barograph/impl.hpp
+++ b/src/mesh/consensus/impl.hpp
@@ -9,18 +9,18 @@
 //    may be under way) puts just that entry, under its own epoch, before anything else;
 //  - a holder puts entry n+1 only after n is settled.
 // Times serve progress alone: no vote is safe because of a clock.
-#ifndef FENNELHOLLOW_MESH_BAROGRAPH_IMPL_HPP_
-#define FENNELHOLLOW_MESH_BAROGRAPH_IMPL_HPP_
+#ifndef FENNELHOLLOW_MESH_CONSENSUS_IMPL_HPP_
+#define FENNELHOLLOW_MESH_CONSENSUS_IMPL_HPP_
 
 #include <map>
 #include <set>
 #include <utility>
 
 #include "base/random.hpp"
-#include "mesh/barograph/message.hpp"
-#include "mesh/barograph/order.hpp"
+#include "mesh/consensus/message.hpp"
+#include "mesh/consensus/order.hpp"
 
-namespace fennelhollow::barograph {
+namespace fennelhollow::consensus {
 
 using Votes = std::set<std::pair<MemberId, std::uint64_t>>;  // (member, store)
 
@@ -220,6 +220,6 @@
   Micros successor_until_ = 0;
 };
 
-}  // namespace fennelhollow::barograph
+}  // namespace fennelhollow::consensus
 
-#endif  // FENNELHOLLOW_MESH_BAROGRAPH_IMPL_HPP_
+#endif  // FENNELHOLLOW_MESH_CONSENSUS_IMPL_HPP_
--- a/src/mesh/barograph/membership.cpp
+++ b/src/mesh/consensus/membership.cpp
@@ -3,9 +3,9 @@
 
 #include <algorithm>
 
-#include "mesh/barograph/impl.hpp"
+#include "mesh/consensus/impl.hpp"
 
-namespace fennelhollow::barograph {
+namespace fennelhollow::consensus {
 
 bool Order::Impl::IsMember(const MemberId& member) const {
   const auto& members = mind_.accepted.members;
@@ -81,7 +81,7 @@
     const auto it = peers_.find(member);
     if (it == peers_.end()) continue;
     if (CaughtUp(it->second) && it->second.store != store) {  // came back without its disk
-      LOG(INFO) << "barograph: " << member << " votes with a new disk";
+      LOG(INFO) << "consensus: " << member << " votes with a new disk";
       store = it->second.store;
       PutMembers(voters);
       return;
@@ -93,7 +93,7 @@
   }
   const std::size_t count = voters.size();
   if (!learners.empty() && silent_for >= settings_.replace_after) {
-    LOG(INFO) << "barograph: " << learners[0] << " votes in the place of " << silent;
+    LOG(INFO) << "consensus: " << learners[0] << " votes in the place of " << silent;
     voters.erase(silent);
     voters[learners[0]] = peers_[learners[0]].store;
     PutMembers(voters);
@@ -103,13 +103,13 @@
   // odd one.
   const std::size_t wanted = count % 2 == 0 ? 1 : 2;
   if (learners.size() >= wanted && count + wanted <= settings_.most_voters) {
-    LOG(INFO) << "barograph: " << learners[0] << " becomes a voter";
+    LOG(INFO) << "consensus: " << learners[0] << " becomes a voter";
     voters[learners[0]] = peers_[learners[0]].store;
     PutMembers(voters);
     return;
   }
   if (count > 3 && silent_for >= kRemoveAfter * settings_.replace_after) {
-    LOG(INFO) << "barograph: " << silent << " votes no longer";
+    LOG(INFO) << "consensus: " << silent << " votes no longer";
     voters.erase(silent);
     PutMembers(voters);
   }
@@ -135,4 +135,4 @@
   Put(std::move(entry));
 }
 
-}  // namespace fennelhollow::barograph
+}  // namespace fennelhollow::consensus
--- a/src/mesh/barograph/message.hpp
+++ b/src/mesh/consensus/message.hpp
@@ -1,15 +1,15 @@
 // What members of the order send each other.
-#ifndef FENNELHOLLOW_MESH_BAROGRAPH_MESSAGE_HPP_
-#define FENNELHOLLOW_MESH_BAROGRAPH_MESSAGE_HPP_
+#ifndef FENNELHOLLOW_MESH_CONSENSUS_MESSAGE_HPP_
+#define FENNELHOLLOW_MESH_CONSENSUS_MESSAGE_HPP_
 
 #include <compare>
 #include <cstdint>
 #include <vector>
 
-#include "mesh/barograph/order.hpp"
+#include "mesh/consensus/order.hpp"
 #include "mesh/frames/codec.hpp"
 
-namespace fennelhollow::barograph {
+namespace fennelhollow::consensus {
 
 // Names an entry: one epoch has one holder, and that one puts one entry at each number.
 struct Stamp {
@@ -68,6 +68,6 @@
   }
 };
 
-}  // namespace fennelhollow::barograph
+}  // namespace fennelhollow::consensus
 
-#endif  // FENNELHOLLOW_MESH_BAROGRAPH_MESSAGE_HPP_
+#endif  // FENNELHOLLOW_MESH_CONSENSUS_MESSAGE_HPP_
--- a/src/mesh/barograph/order.cpp
+++ b/src/mesh/consensus/order.cpp
@@ -1,12 +1,12 @@
-#include "mesh/barograph/order.hpp"
+#include "mesh/consensus/order.hpp"
 
 #include <glog/logging.h>
 
 #include <algorithm>
 
-#include "mesh/barograph/impl.hpp"
+#include "mesh/consensus/impl.hpp"
 
-namespace fennelhollow::barograph {
+namespace fennelhollow::consensus {
 
 namespace {
 
@@ -210,12 +210,12 @@
   if (!writing_ || token != token_) return;
   writing_ = false;
   if (!ok) {
-    if (!write_failed_) LOG(WARNING) << "barograph: a write failed";
+    if (!write_failed_) LOG(WARNING) << "consensus: a write failed";
     write_failed_ = true;
     retry_at_ = now_ + kDiskRetry;
     return;
   }
-  if (write_failed_) LOG(INFO) << "barograph: writes succeed again";
+  if (write_failed_) LOG(INFO) << "consensus: writes succeed again";
   write_failed_ = false;
   unwritten_ = false;
   disk_promised_ = writing_promised_;
@@ -252,7 +252,7 @@
   if (holder.empty()) lost_since_ = now_;
   holder_ = holder;
   holder_epoch_ = epoch;
-  LOG(INFO) << "barograph: holder " << (holder.empty() ? "unknown" : holder) << ", epoch " << epoch;
+  LOG(INFO) << "consensus: holder " << (holder.empty() ? "unknown" : holder) << ", epoch " << epoch;
   sink_.OnHolder(holder_, epoch);
 }
 
@@ -292,4 +292,4 @@
 std::vector<MemberId> Order::known() const { return impl_->known(); }
 std::uint64_t Order::unreadable() const { return impl_->unreadable(); }
 
-}  // namespace fennelhollow::barograph
+}  // namespace fennelhollow::consensus
--- a/src/mesh/barograph/order.hpp
+++ b/src/mesh/consensus/order.hpp
@@ -1,4 +1,4 @@
-// barograph: the core's one order (standard term: replicated state machine by consensus; a view as in
+// consensus: the core's one order (standard term: replicated state machine by consensus; a view as in
 // viewstamped replication). Free of I/O: fed with messages, ends of writes and ticks; what it wants done goes
 // to its Sink.
 //
@@ -6,8 +6,8 @@
 // needs the newest entry alone and there is no log to trim.
 //
 // Threading: one thread. Time: steady microseconds. No call of the Sink may call back into Order.
-#ifndef FENNELHOLLOW_MESH_BAROGRAPH_ORDER_HPP_
-#define FENNELHOLLOW_MESH_BAROGRAPH_ORDER_HPP_
+#ifndef FENNELHOLLOW_MESH_CONSENSUS_ORDER_HPP_
+#define FENNELHOLLOW_MESH_CONSENSUS_ORDER_HPP_
 
 #include <cstdint>
 #include <functional>
@@ -18,7 +18,7 @@
 
 #include "merlinrun/balancer.hpp"
 
-namespace fennelhollow::barograph {
+namespace fennelhollow::consensus {
 
 using merlinrun::Micros;
 using MemberId = std::string;  // "ip:port" of the member's internal address; the same over all its lives
@@ -116,6 +116,6 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}  // namespace fennelhollow::barograph
+}  // namespace fennelhollow::consensus
 
-#endif  // FENNELHOLLOW_MESH_BAROGRAPH_ORDER_HPP_
+#endif  // FENNELHOLLOW_MESH_CONSENSUS_ORDER_HPP_
--- a/src/mesh/barograph/store.cpp
+++ b/src/mesh/consensus/store.cpp
@@ -1,4 +1,4 @@
-#include "mesh/barograph/store.hpp"
+#include "mesh/consensus/store.hpp"
 
 #include <fcntl.h>
 #include <glog/logging.h>
@@ -14,9 +14,9 @@
 #include <utility>
 
 #include "base/random.hpp"
-#include "mesh/barograph/message.hpp"
+#include "mesh/consensus/message.hpp"
 
-namespace fennelhollow::barograph {
+namespace fennelhollow::consensus {
 
 namespace {
 
@@ -220,7 +220,7 @@
     }
     if (status.ok()) continue;
     if (!absl::IsDataLoss(status)) return absl::UnavailableError(status.message());
-    LOG(WARNING) << "barograph: " << slot.path() << ": " << status.message();
+    LOG(WARNING) << "consensus: " << slot.path() << ": " << status.message();
     bad[static_cast<std::size_t>(i)] = any_bad = true;
   }
   const bool lost = any_bad && impl->newest < 0;
@@ -267,4 +267,4 @@
   return absl::OkStatus();
 }
 
-}  // namespace fennelhollow::barograph
+}  // namespace fennelhollow::consensus
--- a/src/mesh/barograph/store.hpp
+++ b/src/mesh/consensus/store.hpp
@@ -1,6 +1,6 @@
-// The barograph's drum: a member's durable state in LMDB.
-#ifndef FENNELHOLLOW_MESH_BAROGRAPH_STORE_HPP_
-#define FENNELHOLLOW_MESH_BAROGRAPH_STORE_HPP_
+// The consensus's drum: a member's durable state in LMDB.
+#ifndef FENNELHOLLOW_MESH_CONSENSUS_STORE_HPP_
+#define FENNELHOLLOW_MESH_CONSENSUS_STORE_HPP_
 
 #include <absl/status/status.h>
 #include <absl/status/statusor.h>
@@ -9,9 +9,9 @@
 #include <optional>
 #include <string>
 
-#include "mesh/barograph/order.hpp"
+#include "mesh/consensus/order.hpp"
 
-namespace fennelhollow::barograph {
+namespace fennelhollow::consensus {
 
 // Blocks on the disk: for a thread of its own. One thread at a time.
 class Store {
@@ -31,6 +31,6 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}  // namespace fennelhollow::barograph
+}  // namespace fennelhollow::consensus
 
-#endif  // FENNELHOLLOW_MESH_BAROGRAPH_STORE_HPP_
+#endif  // FENNELHOLLOW_MESH_CONSENSUS_STORE_HPP_
--- a/src/mesh/observatory/changes.cpp
+++ b/src/mesh/observatory/changes.cpp
@@ -6,7 +6,7 @@
 namespace fennelhollow::observatory {
 
 using almanac::Verdict;
-using barograph::Outcome;
+using consensus::Outcome;
 
 void Changes::Submit(Micros now, Micros deadline, bool modify, std::shared_ptr<const std::string> body,
                      Done done) {
--- a/src/mesh/observatory/changes.hpp
+++ b/src/mesh/observatory/changes.hpp
@@ -12,7 +12,7 @@
 #include <vector>
 
 #include "mesh/almanac/almanac.hpp"
-#include "mesh/barograph/order.hpp"
+#include "mesh/consensus/order.hpp"
 #include "mesh/observatory/command.hpp"
 
 namespace fennelhollow::observatory {
@@ -29,7 +29,7 @@
       const = 0;  // its configuration as operators read it; empty: there is none yet
   // Decides on top of the newest entry; ends in OnVerdict. False: no room now.
   virtual bool Decide(std::uint64_t call, bool modify, std::shared_ptr<const std::string> body) = 0;
-  // As barograph::Order has them; both end in OnOutcome.
+  // As consensus::Order has them; both end in OnOutcome.
   virtual void Propose(std::uint64_t call, std::uint64_t on_top_of, std::string state) = 0;
   virtual void Confirm(std::uint64_t call) = 0;
   // All sidecars that were heard lately have the entry in force.
@@ -65,7 +65,7 @@
   void Read(Micros now, Micros deadline, Done done);
 
   void OnVerdict(Micros now, std::uint64_t call, almanac::Verdict verdict);
-  void OnOutcome(Micros now, std::uint64_t call, barograph::Outcome outcome);
+  void OnOutcome(Micros now, std::uint64_t call, consensus::Outcome outcome);
   void OnDuty(Micros now);  // it holds the order now, or no longer
   void OnAcks(Micros now);  // a sidecar has a newer entry in force
   void OnTick(Micros now);
@@ -98,9 +98,9 @@
 
   void Work(Micros now);  // takes the first change further as far as that is possible now
   void Act(Micros now);   // on the first change's verdict
-  void OnProposed(Micros now, barograph::Outcome outcome);
-  void OnConfirmed(Micros now, barograph::Outcome outcome);
-  void OnRead(barograph::Outcome outcome);
+  void OnProposed(Micros now, consensus::Outcome outcome);
+  void OnConfirmed(Micros now, consensus::Outcome outcome);
+  void OnRead(consensus::Outcome outcome);
   // The first change is settled in this entry: its 200 waits for the sidecars.
   void Await(Micros now, std::uint64_t number);
   // All that has not begun is answered as not the holder's.
--- a/src/mesh/observatory/core.cpp
+++ b/src/mesh/observatory/core.cpp
@@ -18,8 +18,8 @@
 #include <vector>
 
 #include "mesh/almanac/almanac.hpp"
-#include "mesh/barograph/order.hpp"
-#include "mesh/barograph/store.hpp"
+#include "mesh/consensus/order.hpp"
+#include "mesh/consensus/store.hpp"
 #include "mesh/frames/codec.hpp"
 #include "mesh/frames/link.hpp"
 #include "mesh/observatory/changes.hpp"
@@ -35,8 +35,8 @@
 namespace fennelhollow::observatory {
 
 namespace asio = merlinrun::net::asio;
-using barograph::MemberId;
-using barograph::Outcome;
+using consensus::MemberId;
+using consensus::Outcome;
 using frames::Link;
 using merlinrun::net::Tcp;
 
@@ -100,21 +100,21 @@
 
 // What only the disk's thread touches.
 struct Disk {
-  std::unique_ptr<barograph::Store> store;
+  std::unique_ptr<consensus::Store> store;
 };
 
 struct Opened {
   absl::Status status;
   bool lost = false;  // there was a store that can't be trusted
-  std::optional<barograph::Durable> stored;
+  std::optional<consensus::Durable> stored;
 };
 
 Opened OpenStore(Disk& disk, const std::string& folder, std::size_t most_bytes) {
   Opened out;
-  auto store = barograph::Store::Open(folder, most_bytes);
+  auto store = consensus::Store::Open(folder, most_bytes);
   if (absl::IsDataLoss(store.status())) {  // set aside: the next one is empty
     out.lost = true;
-    store = barograph::Store::Open(folder, most_bytes);
+    store = consensus::Store::Open(folder, most_bytes);
   }
   if (!store.ok()) {
     out.status = store.status();
@@ -153,7 +153,7 @@
 
 }  // namespace
 
-class Core::Impl : public barograph::Sink, public telegraph::Herald::Sink, public ChangesHost {
+class Core::Impl : public consensus::Sink, public telegraph::Herald::Sink, public ChangesHost {
  public:
   Impl(asio::io_context& io, stevenson::Settings settings, std::uint64_t life)
       : io_(io),
@@ -232,14 +232,14 @@
     std::uint64_t bad_frames = 0, refused_links = 0, dials = 0, writes = 0, failed_writes = 0;
   };
 
-  // barograph::Sink: none of these may come back into the order, so what would is done after its function has
+  // consensus::Sink: none of these may come back into the order, so what would is done after its function has
   // returned.
   void Send(const MemberId& to, std::string message) override {
     message.insert(message.begin(), static_cast<char>(CoreWord::kOrder));
     SendTo(to, message);
   }
-  void Write(const barograph::Durable& durable, std::uint64_t token) override;
-  void Deliver(const barograph::Entry& entry) override {
+  void Write(const consensus::Durable& durable, std::uint64_t token) override;
+  void Deliver(const consensus::Entry& entry) override {
     events_.emplace_back([this, entry] { OnDeliver(entry); });
   }
   void Done(std::uint64_t call, Outcome outcome) override {
@@ -297,7 +297,7 @@
   telegraph::Herald::Settings HeraldSettings() const;
   void OpenDisk();
   void OnOpened(Opened opened);
-  void OnDeliver(const barograph::Entry& entry);
+  void OnDeliver(const consensus::Entry& entry);
   void OnDutyMaybe();
   void OnTick();
 
@@ -335,7 +335,7 @@
   std::unique_ptr<Worker> disk_thread_, checks_;
   std::unique_ptr<frames::Listener> listener_;
   std::unique_ptr<ControlListener> control_;
-  std::unique_ptr<barograph::Order> order_;
+  std::unique_ptr<consensus::Order> order_;
   std::deque<std::function<void()>> events_;  // of the order; drained after each call into it
   bool draining_ = false;
   bool disk_bad_ = false;
@@ -345,7 +345,7 @@
   telegraph::Events feed_;
   telegraph::ListingWatch watch_;
   std::list<EventWaiter> event_waiters_;
-  barograph::Entry entry_;  // delivered last; without its state
+  consensus::Entry entry_;  // delivered last; without its state
   std::string state_;
   std::shared_ptr<const almanac::Ledger> ledger_ = std::make_shared<const almanac::Ledger>();
   bool held_ = false;
@@ -420,7 +420,7 @@
   }
   disk_bad_ = false;
   if (opened.lost) LOG(ERROR) << "the store can't be trusted: this member has forgotten";
-  barograph::OrderSettings order;
+  consensus::OrderSettings order;
   order.self = self_;
   order.life = life_;
   order.seed = life_ ^ 0x9e3779b97f4a7c15U;
@@ -432,12 +432,12 @@
   LOG(INFO) << "core " << self_ << " starts, life " << life_ << ", "
             << (order.stored ? absl::StrCat("entry ", order.stored->accepted.number, " stored")
                              : std::string(order.first_start ? "a founder" : "nothing stored"));
-  order_ = std::make_unique<barograph::Order>(order, loop_.Now(), *this);
+  order_ = std::make_unique<consensus::Order>(order, loop_.Now(), *this);
   if (stopping_) return EndIfStopped();
   Drain();
 }
 
-void Core::Impl::Write(const barograph::Durable& durable, std::uint64_t token) {
+void Core::Impl::Write(const consensus::Durable& durable, std::uint64_t token) {
   ++counters_.writes;
   const auto status = std::make_shared<absl::Status>();
   const auto done = [this, token, status] {
@@ -478,7 +478,7 @@
   changes_.OnDuty(loop_.Now());
 }
 
-void Core::Impl::OnDeliver(const barograph::Entry& entry) {
+void Core::Impl::OnDeliver(const consensus::Entry& entry) {
   std::vector<MemberId> in, out;
   std::set_difference(entry.members.begin(), entry.members.end(), entry_.members.begin(),
                       entry_.members.end(), std::back_inserter(in));
--- a/tests/mesh/barograph_order_test.cpp
+++ b/tests/mesh/consensus_order_test.cpp
@@ -9,11 +9,11 @@
 #include <set>
 
 #include "base/random.hpp"
-#include "mesh/barograph/order.hpp"
+#include "mesh/consensus/order.hpp"
 
 namespace {
 
-using namespace fennelhollow::barograph;
+using namespace fennelhollow::consensus;
 using merlinrun::Random;
 
 constexpr Micros kMs = 1000;
--- a/tests/mesh/barograph_store_test.cpp
+++ b/tests/mesh/consensus_store_test.cpp
@@ -8,11 +8,11 @@
 #include <iterator>
 
 #include "base/random.hpp"
-#include "mesh/barograph/store.hpp"
+#include "mesh/consensus/store.hpp"
 
 namespace {
 
-using namespace fennelhollow::barograph;
+using namespace fennelhollow::consensus;
 namespace fs = std::filesystem;
 
 const bool quiet = (FLAGS_minloglevel = 3, true);
--- a/tests/mesh/observatory_test.cpp
+++ b/tests/mesh/observatory_test.cpp
@@ -20,7 +20,7 @@
 
 namespace asio = merlinrun::net::asio;
 using almanac::Verdict;
-using barograph::Outcome;
+using consensus::Outcome;
 using merlinrun::net::ErrorCode;
 using merlinrun::net::Tcp;
 
