--- a/bench/mesh/control_scale.cpp
+++ b/bench/mesh/control_scale.cpp
@@ -1,5 +1,5 @@
 // What control costs by the number of sidecars: a herald (which holds the order, and to which all subscribe),
-// a second core (to which all tell, but none subscribes), and N hollow sidecars (telegraph's client, no
+// a second core (to which all tell, but none subscribes), and N hollow sidecars (push's client, no
 // traffic), over frames::Link on loopback. Three processes, so that processor time and memory are the
 // kernel's account of each.
 //   mesh_control_scale [t=TENANTS] [N ...]    t=100 10 100 400 1000 without
@@ -18,8 +18,8 @@
 #include "measure.hpp"
 #include "mesh/frames/codec.hpp"
 #include "mesh/frames/link.hpp"
-#include "mesh/telegraph/client.hpp"
-#include "mesh/telegraph/herald.hpp"
+#include "mesh/push/client.hpp"
+#include "mesh/push/herald.hpp"
 #include "net/asio_loop.hpp"
 
 namespace fennelhollow::bench {
@@ -27,10 +27,10 @@
 
 namespace asio = merlinrun::net::asio;
 using frames::Link;
-using telegraph::Client;
-using telegraph::Herald;
-using telegraph::News;
-using telegraph::Tell;
+using push::Client;
+using push::Herald;
+using push::News;
+using push::Tell;
 
 constexpr Micros kMs = 1000;
 constexpr Micros kCoreTick = 25 * kMs;  // as observatory's
--- a/src/mesh/observatory/command.hpp
+++ b/src/mesh/observatory/command.hpp
@@ -26,7 +26,7 @@
 };
 struct Read {};
 struct Status {};
-// Of a core: what it saw happen (telegraph/events.hpp).
+// Of a core: what it saw happen (push/events.hpp).
 struct ReadEvents {
   std::uint64_t epoch = 0, since = 0;
   std::int64_t wait_ms = 0;  // at most kMostEventWaitMs
--- a/src/mesh/observatory/core.cpp
+++ b/src/mesh/observatory/core.cpp
@@ -26,9 +26,9 @@
 #include "mesh/observatory/command.hpp"
 #include "mesh/observatory/control_listener.hpp"
 #include "mesh/observatory/worker.hpp"
-#include "mesh/telegraph/events.hpp"
-#include "mesh/telegraph/herald.hpp"
-#include "mesh/telegraph/words.hpp"
+#include "mesh/push/events.hpp"
+#include "mesh/push/herald.hpp"
+#include "mesh/push/words.hpp"
 #include "net/address.hpp"
 #include "net/asio_loop.hpp"
 
@@ -153,7 +153,7 @@
 
 }  // namespace
 
-class Core::Impl : public consensus::Sink, public telegraph::Herald::Sink, public ChangesHost {
+class Core::Impl : public consensus::Sink, public push::Herald::Sink, public ChangesHost {
  public:
   Impl(asio::io_context& io, stevenson::Settings settings, std::uint64_t life)
       : io_(io),
@@ -246,14 +246,14 @@
     events_.emplace_back([this, call, outcome] { changes_.OnOutcome(loop_.Now(), call, outcome); });
   }
   void OnHolder(const MemberId& holder, std::uint64_t epoch) override {
-    feed_.Add(loop_.Now(), telegraph::HolderEvent{holder, epoch});
+    feed_.Add(loop_.Now(), push::HolderEvent{holder, epoch});
     if (!holder.empty()) events_.emplace_back([this, holder] { ForwardAgain(holder, true); });
   }
 
-  // telegraph::Herald::Sink
-  void Send(telegraph::Herald::LinkId link, const telegraph::News& news) override { SendAll({link}, news); }
-  void SendAll(const std::vector<telegraph::Herald::LinkId>& links, const telegraph::News& news) override;
-  void Close(telegraph::Herald::LinkId link) override;
+  // push::Herald::Sink
+  void Send(push::Herald::LinkId link, const push::News& news) override { SendAll({link}, news); }
+  void SendAll(const std::vector<push::Herald::LinkId>& links, const push::News& news) override;
+  void Close(push::Herald::LinkId link) override;
 
   // ChangesHost
   bool Holds() const override { return order_ && order_->holds(); }
@@ -294,7 +294,7 @@
     });
   }
 
-  telegraph::Herald::Settings HeraldSettings() const;
+  push::Herald::Settings HeraldSettings() const;
   void OpenDisk();
   void OnOpened(Opened opened);
   void OnDeliver(const consensus::Entry& entry);
@@ -340,10 +340,10 @@
   bool draining_ = false;
   bool disk_bad_ = false;
 
-  telegraph::Herald herald_;
+  push::Herald herald_;
   Changes changes_;
-  telegraph::Events feed_;
-  telegraph::ListingWatch watch_;
+  push::Events feed_;
+  push::ListingWatch watch_;
   std::list<EventWaiter> event_waiters_;
   consensus::Entry entry_;  // delivered last; without its state
   std::string state_;
@@ -393,8 +393,8 @@
   return absl::OkStatus();
 }
 
-telegraph::Herald::Settings Core::Impl::HeraldSettings() const {
-  telegraph::Herald::Settings out;
+push::Herald::Settings Core::Impl::HeraldSettings() const {
+  push::Herald::Settings out;
   out.address = self_;
   out.epoch = std::max<std::uint64_t>(life_, 1);
   out.quota = {settings_.bounds.quota_window_s, settings_.bounds.quota_overshoot,
@@ -486,8 +486,7 @@
                       entry.members.end(), std::back_inserter(out));
   for (const MemberId& member : in) LOG(INFO) << "member in: " << member << ", entry " << entry.number;
   for (const MemberId& member : out) LOG(INFO) << "member out: " << member << ", entry " << entry.number;
-  if (!in.empty() || !out.empty())
-    feed_.Add(loop_.Now(), telegraph::VotersEvent{entry.members, entry.number});
+  if (!in.empty() || !out.empty()) feed_.Add(loop_.Now(), push::VotersEvent{entry.members, entry.number});
   if (entry.state != state_) {
     auto ledger = almanac::Ledger::Read(entry.state);
     if (!ledger.ok()) {  // what this core keeps is as good as it gets
@@ -497,7 +496,7 @@
     ledger_ = std::make_shared<const almanac::Ledger>(*std::move(ledger));
     state_ = entry.state;
     LOG(INFO) << "entry " << entry.number << " settled, version " << ledger_->newest().version();
-    feed_.Add(loop_.Now(), telegraph::ConfigurationEvent{ledger_->newest().version(), entry.number});
+    feed_.Add(loop_.Now(), push::ConfigurationEvent{ledger_->newest().version(), entry.number});
     const auto tables = almanac::Tables::Of(ledger_->newest());
     if (tables.ok()) herald_.SetLimits(loop_.Now(), LimitsOf(**tables));
   }
@@ -623,15 +622,15 @@
                [this, count] { CloseIncoming(count); }, nullptr});
 }
 
-void Core::Impl::SendAll(const std::vector<telegraph::Herald::LinkId>& links, const telegraph::News& news) {
+void Core::Impl::SendAll(const std::vector<push::Herald::LinkId>& links, const push::News& news) {
   const std::string frame = frames::Pack(news);
-  for (const telegraph::Herald::LinkId link : links) {
+  for (const push::Herald::LinkId link : links) {
     const auto it = incoming_.find(link);
     if (it != incoming_.end()) it->second.link->Send(frame);
   }
 }
 
-void Core::Impl::Close(telegraph::Herald::LinkId link) {  // who has forgotten it already
+void Core::Impl::Close(push::Herald::LinkId link) {  // who has forgotten it already
   const auto it = incoming_.find(link);
   if (it == incoming_.end()) return;
   const std::shared_ptr<Link> gone = std::move(it->second.link);
@@ -657,7 +656,7 @@
     const MemberId member = it->second.hello->address;
     return OnCoreFrame(member, frame);
   }
-  auto tell = frames::Unpack<telegraph::Tell>(frame);
+  auto tell = frames::Unpack<push::Tell>(frame);
   if (!tell.ok()) {
     ++counters_.bad_frames;
     return CloseIncoming(from);
--- a/src/mesh/observatory/sidecar.cpp
+++ b/src/mesh/observatory/sidecar.cpp
@@ -17,9 +17,9 @@
 #include "mesh/heliograph/io/datagrams.hpp"
 #include "mesh/heliograph/view.hpp"
 #include "mesh/observatory/control_listener.hpp"
+#include "mesh/push/client.hpp"
 #include "mesh/raingauge/quota.hpp"
 #include "mesh/roster/roster.hpp"
-#include "mesh/telegraph/client.hpp"
 #include "mesh/theodolite/last_hop.hpp"
 #include "mesh/windsock/hop_client.hpp"
 #include "mesh/windsock/http_server.hpp"
@@ -55,7 +55,7 @@
 
 }  // namespace
 
-class Sidecar::Impl : private telegraph::Client::Sink {
+class Sidecar::Impl : private push::Client::Sink {
  public:
   Impl(asio::io_context& io, const stevenson::Settings& settings, std::uint64_t life)
       : io_(io),
@@ -207,8 +207,8 @@
   }
 
  private:
-  telegraph::Client::Settings ClientSettings() {
-    telegraph::Client::Settings out;
+  push::Client::Settings ClientSettings() {
+    push::Client::Settings out;
     out.me = {settings_.node_name, life_, self_, settings_.zone, settings_.service};
     out.seeds = settings_.SeedInternals();
     out.seed = life_ ^ 0x5eed;
@@ -238,7 +238,7 @@
     return merlinrun::net::Text(*at);
   }
 
-  // What the heliograph hears is advice to the telegraph. Apart from Impl: both sinks have an OnCores.
+  // What the heliograph hears is advice to the push. Apart from Impl: both sinks have an OnCores.
   struct Advice : heliograph::View::Sink {
     explicit Advice(Impl& impl) : mine(impl) {}
     void Send(const std::string& address, const std::string& bytes) override {
@@ -390,7 +390,7 @@
     links_[address] = link;
     frames::Link::Events events;
     events.on_frame = [this, address](std::string_view frame) {
-      const auto news = frames::Unpack<telegraph::News>(frame);
+      const auto news = frames::Unpack<push::News>(frame);
       if (!news.ok()) {
         ++bad_news_;
         return;
@@ -418,7 +418,7 @@
         .purpose = frames::Purpose::kControl, .from = settings_.node_name, .address = self_, .life = life_}));
   }
 
-  void Send(const std::string& address, const telegraph::Tell& tell) override {
+  void Send(const std::string& address, const push::Tell& tell) override {
     const auto it = links_.find(address);
     if (it != links_.end()) it->second->Send(frames::Pack(tell));
   }
@@ -471,7 +471,7 @@
   roster::Beats beats_;
   std::uint64_t lives_seen_ = 0;
   raingauge::Gauge gauge_;
-  telegraph::Client client_;
+  push::Client client_;
   Advice advice_{*this};
   heliograph::View view_;
   std::unique_ptr<heliograph::Datagrams> datagrams_;
--- a/src/mesh/telegraph/client.cpp
+++ b/src/mesh/push/client.cpp
@@ -1,4 +1,4 @@
-#include "mesh/telegraph/client.hpp"
+#include "mesh/push/client.hpp"
 
 #include <glog/logging.h>
 
@@ -8,7 +8,7 @@
 
 #include "base/random.hpp"
 
-namespace fennelhollow::telegraph {
+namespace fennelhollow::push {
 namespace {
 
 constexpr Micros kFirstDial = 200'000;
@@ -147,7 +147,7 @@
   // A quarter less or more: sidecars that lost a core together don't come back together.
   core.dial_at = now + wait * 3 / 4 + static_cast<Micros>(random_() % static_cast<std::uint64_t>(wait / 2));
   if (address == subscribed_) {
-    LOG(INFO) << "telegraph: lost the core " << address << " that it subscribed to";
+    LOG(INFO) << "push: lost the core " << address << " that it subscribed to";
     subscribed_.clear();
     first_heard_ = kNever;
   }
@@ -204,7 +204,7 @@
   }
   const Core& present = nodes_.at(subscribed_);
   if (now - std::max(present.heard, subscribed_at_) >= kSilentCore) {
-    LOG(INFO) << "telegraph: the core " << subscribed_ << " is silent";
+    LOG(INFO) << "push: the core " << subscribed_ << " is silent";
     MoveTo(now, *best);
     return;
   }
@@ -235,7 +235,7 @@
   subscribed_at_ = now;
   worse_since_ = drifted_since_ = first_heard_ = kNever;
   if (former == subscribed_) return;
-  LOG(INFO) << "telegraph: subscribes to the core " << subscribed_;
+  LOG(INFO) << "push: subscribes to the core " << subscribed_;
   if (const auto at = nodes_.find(former); at != nodes_.end() && at->second.up) {
     TellTo(now, former, at->second, false, false);
   }
@@ -308,7 +308,7 @@
   }
   for (const auto& change : news.changes) {
     if (!roster::Apply(listing_, change)) {
-      if (!need_whole_) LOG(INFO) << "telegraph: a gap in the listing, asks for the whole";
+      if (!need_whole_) LOG(INFO) << "push: a gap in the listing, asks for the whole";
       need_whole_ = true;
     }
   }
@@ -438,4 +438,4 @@
   sink_.Send(address, tell);
 }
 
-}  // namespace fennelhollow::telegraph
+}  // namespace fennelhollow::push
--- a/src/mesh/telegraph/client.hpp
+++ b/src/mesh/push/client.hpp
@@ -1,7 +1,7 @@
-// A sidecar's side of the telegraph: to which cores it holds links, whose news it takes, what it tells and
+// A sidecar's side of the push: to which cores it holds links, whose news it takes, what it tells and
 // when (standard term: xDS client). Free of I/O; one thread; times are of one steady clock, in microseconds.
-#ifndef FENNELHOLLOW_MESH_TELEGRAPH_CLIENT_HPP_
-#define FENNELHOLLOW_MESH_TELEGRAPH_CLIENT_HPP_
+#ifndef FENNELHOLLOW_MESH_PUSH_CLIENT_HPP_
+#define FENNELHOLLOW_MESH_PUSH_CLIENT_HPP_
 
 #include <cstdint>
 #include <deque>
@@ -12,11 +12,11 @@
 #include <string>
 #include <vector>
 
+#include "mesh/push/words.hpp"
 #include "mesh/raingauge/quota.hpp"
 #include "mesh/roster/roster.hpp"
-#include "mesh/telegraph/words.hpp"
 
-namespace fennelhollow::telegraph {
+namespace fennelhollow::push {
 
 using merlinrun::Micros;
 
@@ -155,6 +155,6 @@
   std::deque<Asked> asks_;
 };
 
-}  // namespace fennelhollow::telegraph
+}  // namespace fennelhollow::push
 
-#endif  // FENNELHOLLOW_MESH_TELEGRAPH_CLIENT_HPP_
+#endif  // FENNELHOLLOW_MESH_PUSH_CLIENT_HPP_
--- a/src/mesh/telegraph/events.cpp
+++ b/src/mesh/push/events.cpp
@@ -1,11 +1,11 @@
-#include "mesh/telegraph/events.hpp"
+#include "mesh/push/events.hpp"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <type_traits>
 #include <utility>
 
-namespace fennelhollow::telegraph {
+namespace fennelhollow::push {
 namespace {
 
 using nlohmann::ordered_json;
@@ -133,4 +133,4 @@
   sidecars_ = std::move(sidecars);
 }
 
-}  // namespace fennelhollow::telegraph
+}  // namespace fennelhollow::push
--- a/src/mesh/telegraph/events.hpp
+++ b/src/mesh/push/events.hpp
@@ -1,7 +1,7 @@
 // What a core saw happen, for operators to follow (standard term: event stream, or watch). Free of I/O; one
 // thread; times are of one steady clock, in microseconds.
-#ifndef FENNELHOLLOW_MESH_TELEGRAPH_EVENTS_HPP_
-#define FENNELHOLLOW_MESH_TELEGRAPH_EVENTS_HPP_
+#ifndef FENNELHOLLOW_MESH_PUSH_EVENTS_HPP_
+#define FENNELHOLLOW_MESH_PUSH_EVENTS_HPP_
 
 #include <cstdint>
 #include <deque>
@@ -12,7 +12,7 @@
 
 #include "mesh/roster/roster.hpp"
 
-namespace fennelhollow::telegraph {
+namespace fennelhollow::push {
 
 using merlinrun::Micros;
 
@@ -93,6 +93,6 @@
   std::map<std::string, std::uint64_t> sidecars_;  // name to life
 };
 
-}  // namespace fennelhollow::telegraph
+}  // namespace fennelhollow::push
 
-#endif  // FENNELHOLLOW_MESH_TELEGRAPH_EVENTS_HPP_
+#endif  // FENNELHOLLOW_MESH_PUSH_EVENTS_HPP_
--- a/src/mesh/telegraph/herald.cpp
+++ b/src/mesh/push/herald.cpp
@@ -1,4 +1,4 @@
-#include "mesh/telegraph/herald.hpp"
+#include "mesh/push/herald.hpp"
 
 #include <glog/logging.h>
 
@@ -6,7 +6,7 @@
 #include <optional>
 #include <tuple>
 
-namespace fennelhollow::telegraph {
+namespace fennelhollow::push {
 namespace {
 
 constexpr Micros kMostWait = 4'000'000;
@@ -156,7 +156,7 @@
   if (duty_ == i_am_holder) return;
   duty_ = i_am_holder;
   if (!duty_) return;
-  LOG(INFO) << "telegraph: gives shares from now on";
+  LOG(INFO) << "push: gives shares from now on";
   counted_ = registry_.tellers();
   cutter_.OnSidecars(now, counted_);
   cutter_.OnDuty(now);
@@ -237,4 +237,4 @@
       std::count_if(links_.begin(), links_.end(), [](const auto& l) { return l.second.subscribed; }));
 }
 
-}  // namespace fennelhollow::telegraph
+}  // namespace fennelhollow::push
--- a/src/mesh/telegraph/herald.hpp
+++ b/src/mesh/push/herald.hpp
@@ -1,8 +1,8 @@
-// A core's side of the telegraph: hears all sidecars, pushes the ledger and the list of servers to those that
+// A core's side of the push: hears all sidecars, pushes the ledger and the list of servers to those that
 // subscribe, gives shares while it holds the order (standard term: xDS server). Free of I/O; one thread;
 // times are of one steady clock, in microseconds.
-#ifndef FENNELHOLLOW_MESH_TELEGRAPH_HERALD_HPP_
-#define FENNELHOLLOW_MESH_TELEGRAPH_HERALD_HPP_
+#ifndef FENNELHOLLOW_MESH_PUSH_HERALD_HPP_
+#define FENNELHOLLOW_MESH_PUSH_HERALD_HPP_
 
 #include <cstdint>
 #include <map>
@@ -10,11 +10,11 @@
 #include <utility>
 #include <vector>
 
+#include "mesh/push/words.hpp"
 #include "mesh/raingauge/quota.hpp"
 #include "mesh/roster/roster.hpp"
-#include "mesh/telegraph/words.hpp"
 
-namespace fennelhollow::telegraph {
+namespace fennelhollow::push {
 
 using merlinrun::Micros;
 
@@ -126,6 +126,6 @@
   Micros checked_ = 0;
 };
 
-}  // namespace fennelhollow::telegraph
+}  // namespace fennelhollow::push
 
-#endif  // FENNELHOLLOW_MESH_TELEGRAPH_HERALD_HPP_
+#endif  // FENNELHOLLOW_MESH_PUSH_HERALD_HPP_
--- a/src/mesh/telegraph/words.hpp
+++ b/src/mesh/push/words.hpp
@@ -1,7 +1,7 @@
-// telegraph: what control and sidecars say to one another (standard term: control-plane push, as xDS does
+// push: what control and sidecars say to one another (standard term: control-plane push, as xDS does
 // it). Values for cereal; the first byte of a frame is its Word.
-#ifndef FENNELHOLLOW_MESH_TELEGRAPH_WORDS_HPP_
-#define FENNELHOLLOW_MESH_TELEGRAPH_WORDS_HPP_
+#ifndef FENNELHOLLOW_MESH_PUSH_WORDS_HPP_
+#define FENNELHOLLOW_MESH_PUSH_WORDS_HPP_
 
 #include <cstdint>
 #include <string>
@@ -25,7 +25,7 @@
 }
 }  // namespace fennelhollow::raingauge
 
-namespace fennelhollow::telegraph {
+namespace fennelhollow::push {
 
 // Sidecar to core, every `kTellEvery` and at once when something changed.
 struct Tell {
@@ -67,6 +67,6 @@
   }
 };
 
-}  // namespace fennelhollow::telegraph
+}  // namespace fennelhollow::push
 
-#endif  // FENNELHOLLOW_MESH_TELEGRAPH_WORDS_HPP_
+#endif  // FENNELHOLLOW_MESH_PUSH_WORDS_HPP_
--- a/tests/mesh/telegraph_events_test.cpp
+++ b/tests/mesh/push_events_test.cpp
@@ -4,9 +4,9 @@
 #include <string>
 #include <vector>
 
-#include "mesh/telegraph/events.hpp"
+#include "mesh/push/events.hpp"
 
-namespace fennelhollow::telegraph {
+namespace fennelhollow::push {
 namespace {
 
 using nlohmann::json;
@@ -117,4 +117,4 @@
 }
 
 }  // namespace
-}  // namespace fennelhollow::telegraph
+}  // namespace fennelhollow::push
--- a/tests/mesh/telegraph_test.cpp
+++ b/tests/mesh/push_test.cpp
@@ -3,10 +3,10 @@
 #include <optional>
 #include <set>
 
-#include "mesh/telegraph/client.hpp"
-#include "mesh/telegraph/herald.hpp"
+#include "mesh/push/client.hpp"
+#include "mesh/push/herald.hpp"
 
-namespace fennelhollow::telegraph {
+namespace fennelhollow::push {
 namespace {
 
 constexpr Micros kMs = 1000;
@@ -591,4 +591,4 @@
 }
 
 }  // namespace
-}  // namespace fennelhollow::telegraph
+}  // namespace fennelhollow::push
