--- a/bench/mesh/hop_cost.cpp
+++ b/bench/mesh/hop_cost.cpp
@@ -17,7 +17,7 @@
 #include <nlohmann/json.hpp>
 
 #include "measure.hpp"
-#include "mesh/almanac/almanac.hpp"
+#include "mesh/configuration/configuration.hpp"
 #include "mesh/frames/link.hpp"
 #include "mesh/raingauge/quota.hpp"
 #include "mesh/theodolite/last_hop.hpp"
@@ -107,7 +107,7 @@
   return out;
 }
 
-std::shared_ptr<const almanac::Tables> TablesOf() {
+std::shared_ptr<const configuration::Tables> TablesOf() {
   using nlohmann::json;
   json items = json::array();
   for (std::size_t s = 0; s < kServices; ++s) {
@@ -132,11 +132,11 @@
                      {"metadata", {{"name", "tenant-" + std::to_string(t)}}},
                      {"specification", {{"accessKeys", {"key-" + std::to_string(t)}}}}});
   const auto verdict =
-      almanac::Ledger().Decide(false, json({{"version", 1}, {"resourceList", items}}).dump());
-  CHECK(verdict.kind == almanac::Verdict::Kind::kTake) << verdict.error;
-  const auto ledger = almanac::Ledger::Read(verdict.next);
+      configuration::Ledger().Decide(false, json({{"version", 1}, {"resourceList", items}}).dump());
+  CHECK(verdict.kind == configuration::Verdict::Kind::kTake) << verdict.error;
+  const auto ledger = configuration::Ledger::Read(verdict.next);
   CHECK(ledger.ok());
-  const auto tables = almanac::Tables::Of(ledger->newest());
+  const auto tables = configuration::Tables::Of(ledger->newest());
   CHECK(tables.ok()) << tables.status();
   return *tables;
 }
--- a/bench/mesh/order_cost.cpp
+++ b/bench/mesh/order_cost.cpp
@@ -3,7 +3,7 @@
 //   region, 30 ms
 //                             between the two, a sync of 0.5 ms), its processor time real; the store on a
 //                             real folder
-//   mesh_order_cost almanac   Decide, Read and Tables by routes
+//   mesh_order_cost configuration   Decide, Read and Tables by routes
 //   mesh_order_cost cutter    the holder's shares by sidecars and tenants
 //   mesh_order_cost           all of it
 // Each figure is the least of three runs, with the most in brackets.
@@ -18,7 +18,7 @@
 #include <set>
 
 #include "measure.hpp"
-#include "mesh/almanac/almanac.hpp"
+#include "mesh/configuration/configuration.hpp"
 #include "mesh/consensus/order.hpp"
 #include "mesh/consensus/store.hpp"
 #include "mesh/raingauge/quota.hpp"
@@ -245,7 +245,7 @@
 void MeasureAlmanac() {
   using nlohmann::json;
   std::printf(
-      "almanac: routes (56 services, 30 tenants) | ledger KB | Decide of a Modify of one route, "
+      "configuration: routes (56 services, 30 tenants) | ledger KB | Decide of a Modify of one route, "
       "Ledger::Read, "
       "Tables::Of, Compare: processor us; a lookup ns\n");
   for (const std::size_t routes : {10, 100, 1000, 4000}) {
@@ -260,12 +260,12 @@
                        {"specification", {{"accessKeys", {"key-" + std::to_string(t)}}}}});
     for (std::size_t i = 0; i < routes; ++i) items.push_back(Route(i, 2500));
     const auto first =
-        almanac::Ledger().Decide(false, json({{"version", 1}, {"resourceList", items}}).dump());
-    if (first.kind != almanac::Verdict::Kind::kTake) {
+        configuration::Ledger().Decide(false, json({{"version", 1}, {"resourceList", items}}).dump());
+    if (first.kind != configuration::Verdict::Kind::kTake) {
       std::printf("  %4zu | not taken: %s\n", routes, first.error.c_str());
       continue;
     }
-    const auto ledger = almanac::Ledger::Read(first.next);
+    const auto ledger = configuration::Ledger::Read(first.next);
     CHECK(ledger.ok());
     const std::string change =
         json({{"version", 2}, {"baseVersion", 1}, {"upsert", {{"resourceList", {Route(routes / 2, 2600)}}}}})
@@ -283,13 +283,13 @@
     std::string next;
     const Spread decide = time([&] {
       const auto verdict = ledger->Decide(true, change);
-      CHECK(verdict.kind == almanac::Verdict::Kind::kTake) << verdict.error;
+      CHECK(verdict.kind == configuration::Verdict::Kind::kTake) << verdict.error;
       next = verdict.next;
     });
-    const Spread read = time([&] { CHECK(almanac::Ledger::Read(next).ok()); });
-    std::shared_ptr<const almanac::Tables> tables;
-    const Spread make = time([&] { tables = *almanac::Tables::Of(ledger->newest()); });
-    const Spread compare = time([&] { almanac::Compare(*tables, *tables); });
+    const Spread read = time([&] { CHECK(configuration::Ledger::Read(next).ok()); });
+    std::shared_ptr<const configuration::Tables> tables;
+    const Spread make = time([&] { tables = *configuration::Tables::Of(ledger->newest()); });
+    const Spread compare = time([&] { configuration::Compare(*tables, *tables); });
     std::size_t found = 0;
     const Spread lookup = time([&] {
       for (std::size_t i = 0; i < 1000; ++i) {
@@ -368,7 +368,7 @@
   google::InitGoogleLogging(argv[0]);
   const std::string what = argc > 1 ? argv[1] : "";
   if (what.empty() || what == "order") MeasureOrder(), MeasureStore();
-  if (what.empty() || what == "almanac") MeasureAlmanac();
+  if (what.empty() || what == "configuration") MeasureAlmanac();
   if (what.empty() || what == "cutter") MeasureCutter();
   return 0;
 }
--- a/src/mesh/almanac/almanac.hpp
+++ b/src/mesh/configuration/configuration.hpp
@@ -1,9 +1,9 @@
-// almanac: the configuration (standard term: configuration model and store logic).
+// configuration: the configuration (standard term: configuration model and store logic).
 //
 // What operators send, checked and kept whole; what sidecars look requests up in. Free of I/O. Values: safe
 // to copy between threads; nothing here locks.
-#ifndef FENNELHOLLOW_MESH_ALMANAC_ALMANAC_HPP_
-#define FENNELHOLLOW_MESH_ALMANAC_ALMANAC_HPP_
+#ifndef FENNELHOLLOW_MESH_CONFIGURATION_CONFIGURATION_HPP_
+#define FENNELHOLLOW_MESH_CONFIGURATION_CONFIGURATION_HPP_
 
 #include <absl/status/status.h>
 #include <absl/status/statusor.h>
@@ -18,7 +18,7 @@
 #include <utility>
 #include <vector>
 
-namespace fennelhollow::almanac {
+namespace fennelhollow::configuration {
 
 enum class Kind { kSafe, kUnsafe, kDownload };
 
@@ -173,6 +173,6 @@
 };
 inline constexpr std::size_t kTaken = 64;
 
-}  // namespace fennelhollow::almanac
+}  // namespace fennelhollow::configuration
 
-#endif  // FENNELHOLLOW_MESH_ALMANAC_ALMANAC_HPP_
+#endif  // FENNELHOLLOW_MESH_CONFIGURATION_CONFIGURATION_HPP_
--- a/src/mesh/almanac/form.cpp
+++ b/src/mesh/configuration/form.cpp
@@ -1,4 +1,4 @@
-#include "mesh/almanac/form.hpp"
+#include "mesh/configuration/form.hpp"
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/str_cat.h>
@@ -11,7 +11,7 @@
 
 #include "mesh/stevenson/schema.hpp"
 
-namespace fennelhollow::almanac {
+namespace fennelhollow::configuration {
 namespace {
 
 using nlohmann::json;
@@ -372,4 +372,4 @@
   return host.substr(0, host.find(':', bracket == std::string_view::npos ? 0 : bracket));
 }
 
-}  // namespace fennelhollow::almanac
+}  // namespace fennelhollow::configuration
--- a/src/mesh/almanac/form.hpp
+++ b/src/mesh/configuration/form.hpp
@@ -1,6 +1,6 @@
-// The operators' form, inside almanac only: read, checked, and its items as values. Free of I/O.
-#ifndef FENNELHOLLOW_MESH_ALMANAC_FORM_HPP_
-#define FENNELHOLLOW_MESH_ALMANAC_FORM_HPP_
+// The operators' form, inside configuration only: read, checked, and its items as values. Free of I/O.
+#ifndef FENNELHOLLOW_MESH_CONFIGURATION_FORM_HPP_
+#define FENNELHOLLOW_MESH_CONFIGURATION_FORM_HPP_
 
 #include <absl/status/status.h>
 #include <absl/status/statusor.h>
@@ -10,9 +10,9 @@
 #include <string_view>
 #include <vector>
 
-#include "mesh/almanac/almanac.hpp"
+#include "mesh/configuration/configuration.hpp"
 
-namespace fennelhollow::almanac {
+namespace fennelhollow::configuration {
 
 // All items of one configuration; targets of weight 0 are still in.
 struct Items {
@@ -49,6 +49,6 @@
 // Without its port.
 std::string_view HostName(std::string_view host);
 
-}  // namespace fennelhollow::almanac
+}  // namespace fennelhollow::configuration
 
-#endif  // FENNELHOLLOW_MESH_ALMANAC_FORM_HPP_
+#endif  // FENNELHOLLOW_MESH_CONFIGURATION_FORM_HPP_
--- a/src/mesh/almanac/ledger.cpp
+++ b/src/mesh/configuration/ledger.cpp
@@ -5,12 +5,12 @@
 #include <unordered_set>
 
 #include "base/random.hpp"
-#include "mesh/almanac/almanac.hpp"
-#include "mesh/almanac/form.hpp"
+#include "mesh/configuration/configuration.hpp"
+#include "mesh/configuration/form.hpp"
 #include "mesh/frames/codec.hpp"
 #include "mesh/stevenson/schema.hpp"
 
-namespace fennelhollow::almanac {
+namespace fennelhollow::configuration {
 namespace {
 
 using nlohmann::json;
@@ -185,4 +185,4 @@
   }
 }
 
-}  // namespace fennelhollow::almanac
+}  // namespace fennelhollow::configuration
--- a/src/mesh/almanac/tables.cpp
+++ b/src/mesh/configuration/tables.cpp
@@ -3,11 +3,11 @@
 #include <algorithm>
 #include <set>
 
-#include "mesh/almanac/almanac.hpp"
-#include "mesh/almanac/form.hpp"
+#include "mesh/configuration/configuration.hpp"
+#include "mesh/configuration/form.hpp"
 #include "mesh/stevenson/schema.hpp"
 
-namespace fennelhollow::almanac {
+namespace fennelhollow::configuration {
 namespace {
 
 char Lower(char c) { return absl::ascii_tolower(static_cast<unsigned char>(c)); }
@@ -157,4 +157,4 @@
   return difference;
 }
 
-}  // namespace fennelhollow::almanac
+}  // namespace fennelhollow::configuration
--- a/src/mesh/observatory/changes.cpp
+++ b/src/mesh/observatory/changes.cpp
@@ -5,7 +5,7 @@
 
 namespace fennelhollow::observatory {
 
-using almanac::Verdict;
+using configuration::Verdict;
 using consensus::Outcome;
 
 void Changes::Submit(Micros now, Micros deadline, bool modify, std::shared_ptr<const std::string> body,
--- a/src/mesh/observatory/core.cpp
+++ b/src/mesh/observatory/core.cpp
@@ -17,7 +17,7 @@
 #include <utility>
 #include <vector>
 
-#include "mesh/almanac/almanac.hpp"
+#include "mesh/configuration/configuration.hpp"
 #include "mesh/consensus/order.hpp"
 #include "mesh/consensus/store.hpp"
 #include "mesh/frames/codec.hpp"
@@ -145,9 +145,10 @@
   return {out.begin(), out.end()};
 }
 
-std::map<std::string, raingauge::TenantLimit> LimitsOf(const almanac::Tables& tables) {
+std::map<std::string, raingauge::TenantLimit> LimitsOf(const configuration::Tables& tables) {
   std::map<std::string, raingauge::TenantLimit> out;
-  for (const almanac::Tenant& tenant : tables.tenants()) out[tenant.name] = {tenant.rate_per_s, tenant.burst};
+  for (const configuration::Tenant& tenant : tables.tenants())
+    out[tenant.name] = {tenant.rate_per_s, tenant.burst};
   return out;
 }
 
@@ -347,7 +348,7 @@
   std::list<EventWaiter> event_waiters_;
   consensus::Entry entry_;  // delivered last; without its state
   std::string state_;
-  std::shared_ptr<const almanac::Ledger> ledger_ = std::make_shared<const almanac::Ledger>();
+  std::shared_ptr<const configuration::Ledger> ledger_ = std::make_shared<const configuration::Ledger>();
   bool held_ = false;
 
   std::map<MemberId, Peer> peers_;
@@ -488,16 +489,16 @@
   for (const MemberId& member : out) LOG(INFO) << "member out: " << member << ", entry " << entry.number;
   if (!in.empty() || !out.empty()) feed_.Add(loop_.Now(), push::VotersEvent{entry.members, entry.number});
   if (entry.state != state_) {
-    auto ledger = almanac::Ledger::Read(entry.state);
+    auto ledger = configuration::Ledger::Read(entry.state);
     if (!ledger.ok()) {  // what this core keeps is as good as it gets
       LOG(ERROR) << "entry " << entry.number << " can't be read: " << ledger.status();
       return;
     }
-    ledger_ = std::make_shared<const almanac::Ledger>(*std::move(ledger));
+    ledger_ = std::make_shared<const configuration::Ledger>(*std::move(ledger));
     state_ = entry.state;
     LOG(INFO) << "entry " << entry.number << " settled, version " << ledger_->newest().version();
     feed_.Add(loop_.Now(), push::ConfigurationEvent{ledger_->newest().version(), entry.number});
-    const auto tables = almanac::Tables::Of(ledger_->newest());
+    const auto tables = configuration::Tables::Of(ledger_->newest());
     if (tables.ok()) herald_.SetLimits(loop_.Now(), LimitsOf(**tables));
   }
   entry_.epoch = entry.epoch;
@@ -507,12 +508,12 @@
 }
 
 bool Core::Impl::Decide(std::uint64_t call, bool modify, std::shared_ptr<const std::string> body) {
-  const auto verdict = std::make_shared<almanac::Verdict>();
+  const auto verdict = std::make_shared<configuration::Verdict>();
   return checks_->Run(
       [ledger = ledger_, modify, body = std::move(body), verdict] {
         *verdict = ledger->Decide(modify, *body);
-        if (verdict->kind != almanac::Verdict::Kind::kTake || verdict->next.size() <= kMostCall) return;
-        verdict->kind = almanac::Verdict::Kind::kInvalid;  // would not fit into a frame
+        if (verdict->kind != configuration::Verdict::Kind::kTake || verdict->next.size() <= kMostCall) return;
+        verdict->kind = configuration::Verdict::Kind::kInvalid;  // would not fit into a frame
         verdict->error = "the configuration would be too large";
       },
       [this, call, verdict] { changes_.OnVerdict(loop_.Now(), call, std::move(*verdict)); });
--- a/src/mesh/observatory/sidecar.cpp
+++ b/src/mesh/observatory/sidecar.cpp
@@ -11,7 +11,7 @@
 #include <variant>
 
 #include "base/random.hpp"
-#include "mesh/almanac/almanac.hpp"
+#include "mesh/configuration/configuration.hpp"
 #include "mesh/frames/codec.hpp"
 #include "mesh/frames/link.hpp"
 #include "mesh/heliograph/io/datagrams.hpp"
@@ -424,13 +424,13 @@
   }
 
   void OnLedger(std::uint64_t entry, const std::string& bytes) override {
-    const auto ledger = almanac::Ledger::Read(bytes);
+    const auto ledger = configuration::Ledger::Read(bytes);
     if (!ledger.ok()) {
       LOG(ERROR) << "entry " << entry << " can't be read: " << ledger.status().message();
       return;
     }
     if (ledger->newest().version() == outbound_.version()) return;
-    const auto tables = almanac::Tables::Of(ledger->newest());
+    const auto tables = configuration::Tables::Of(ledger->newest());
     if (!tables.ok()) {
       LOG(ERROR) << "version " << ledger->newest().version()
                  << " can't be used: " << tables.status().message();
@@ -441,7 +441,7 @@
     for (const auto& tenant : (*tables)->tenants())
       if (tenant.rate_per_s > 0) limits[tenant.name] = {tenant.rate_per_s, tenant.burst};
     gauge_.OnLimits(loop_.Now(), limits);
-    const almanac::Limits& told = (*tables)->limits();
+    const configuration::Limits& told = (*tables)->limits();
     HttpServer::Limits front;
     front.header_bytes = told.header_bytes;
     front.body_bytes = told.body_bytes;
--- a/src/mesh/push/words.hpp
+++ b/src/mesh/push/words.hpp
@@ -49,7 +49,7 @@
 struct News {
   std::uint64_t entry = 0;  // of the ledger, newest settled that this core knows
   bool ledger_too = false;
-  std::string ledger;  // almanac::Ledger::Write, with ledger_too
+  std::string ledger;  // configuration::Ledger::Write, with ledger_too
   bool whole = false;
   roster::Listing listing;  // with whole
   std::vector<roster::Change> changes;
--- a/src/mesh/windsock/lookup.cpp
+++ b/src/mesh/windsock/lookup.cpp
@@ -44,7 +44,7 @@
 
 }  // namespace
 
-Found Find(const almanac::Tables& tables, std::string_view host, std::string_view target,
+Found Find(const configuration::Tables& tables, std::string_view host, std::string_view target,
            const Headers& headers) {
   Found out;
   bool twice = false;
@@ -77,7 +77,7 @@
     }
   }
   out.kind = Found::Kind::kGo;
-  out.safe = out.route->kind != almanac::Kind::kUnsafe;
+  out.safe = out.route->kind != configuration::Kind::kUnsafe;
   out.priority =
       out.tenant != nullptr && out.tenant->priority >= 0 ? out.tenant->priority : out.route->priority;
   return out;
@@ -102,11 +102,11 @@
   return out;
 }
 
-const std::string& PickService(const almanac::Route& route, double unit) {
+const std::string& PickService(const configuration::Route& route, double unit) {
   double sum = 0;
-  for (const almanac::Target& target : route.targets) sum += target.weight;
+  for (const configuration::Target& target : route.targets) sum += target.weight;
   double at = unit * sum;
-  for (const almanac::Target& target : route.targets) {
+  for (const configuration::Target& target : route.targets) {
     at -= target.weight;
     if (at < 0) return target.service;
   }
--- a/src/mesh/windsock/lookup.hpp
+++ b/src/mesh/windsock/lookup.hpp
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "merlinrun/balancer.hpp"
-#include "mesh/almanac/almanac.hpp"
+#include "mesh/configuration/configuration.hpp"
 #include "mesh/roster/roster.hpp"
 
 namespace fennelhollow::windsock {
@@ -25,16 +25,16 @@
     kNoRoute,    // 404
     kNoKey,      // 401
   } kind = Kind::kNoRoute;
-  const almanac::Route* route = nullptr;    // with kGo; of the tables
-  const almanac::Tenant* tenant = nullptr;  // null: none is asked for
-  std::string id;                           // Attempt-Id
-  std::optional<std::int64_t> deadline_ms;  // Deadline-Remaining
-  bool safe = false;                        // may be repeated
+  const configuration::Route* route = nullptr;    // with kGo; of the tables
+  const configuration::Tenant* tenant = nullptr;  // null: none is asked for
+  std::string id;                                 // Attempt-Id
+  std::optional<std::int64_t> deadline_ms;        // Deadline-Remaining
+  bool safe = false;                              // may be repeated
   int priority = 0;
 };
 
 // Looks a request up.
-Found Find(const almanac::Tables& tables, std::string_view host, std::string_view target,
+Found Find(const configuration::Tables& tables, std::string_view host, std::string_view target,
            const Headers& headers);
 
 // The headers as they go to a server: what the system sets is taken out and set anew.
@@ -42,7 +42,7 @@
                   std::string_view calling_service);
 
 // A target by weight; `unit` is drawn from [0, 1).
-const std::string& PickService(const almanac::Route& route, double unit);
+const std::string& PickService(const configuration::Route& route, double unit);
 
 // This sidecar's number for the module's windows: those of each service are spread evenly over all numbers.
 // By name alone the callers of one service stand side by side, and so do their windows: a few of its servers
--- a/src/mesh/windsock/outbound.cpp
+++ b/src/mesh/windsock/outbound.cpp
@@ -396,7 +396,7 @@
   for (auto& [service, lane] : lanes_) lane->exchanges->Hurry();
 }
 
-void Outbound::OnTables(std::shared_ptr<const almanac::Tables> tables) {
+void Outbound::OnTables(std::shared_ptr<const configuration::Tables> tables) {
   tables_ = std::move(tables);
   for (const auto& route : tables_->routes())
     for (const auto& target : route.targets) LaneOf(target.service);
--- a/src/mesh/windsock/outbound.hpp
+++ b/src/mesh/windsock/outbound.hpp
@@ -15,7 +15,7 @@
 #include "base/random.hpp"
 #include "core/exchange.hpp"
 #include "core/loop.hpp"
-#include "mesh/almanac/almanac.hpp"
+#include "mesh/configuration/configuration.hpp"
 #include "mesh/raingauge/quota.hpp"
 #include "mesh/roster/roster.hpp"
 #include "mesh/windsock/hop_client.hpp"
@@ -51,7 +51,7 @@
   void OnGone(const HttpServer::SessionPtr& session);
 
   // Never an older version than the one before (the caller sees to it).
-  void OnTables(std::shared_ptr<const almanac::Tables> tables);
+  void OnTables(std::shared_ptr<const configuration::Tables> tables);
   void OnListing(const roster::Listing& listing, std::size_t rank, std::size_t count);
   // Of the runs at this machine's server, the share that are repeats: their calls count as repeats where they
   // go.
@@ -85,7 +85,7 @@
   raingauge::Gauge& gauge_;
   merlinrun::Random random_;
   Counters counters_;
-  std::shared_ptr<const almanac::Tables> tables_;
+  std::shared_ptr<const configuration::Tables> tables_;
   roster::Listing listing_;
   std::size_t rank_ = 0, count_ = 1;
   std::unordered_map<std::string, std::string> hop_of_;  // server id -> last hop
--- a/tests/mesh/almanac_test.cpp
+++ b/tests/mesh/configuration_test.cpp
@@ -1,4 +1,4 @@
-#include "mesh/almanac/almanac.hpp"
+#include "mesh/configuration/configuration.hpp"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -9,7 +9,7 @@
 #include <utility>
 #include <vector>
 
-namespace fennelhollow::almanac {
+namespace fennelhollow::configuration {
 namespace {
 
 using nlohmann::ordered_json;
@@ -371,4 +371,4 @@
 }
 
 }  // namespace
-}  // namespace fennelhollow::almanac
+}  // namespace fennelhollow::configuration
--- a/tests/mesh/observatory_test.cpp
+++ b/tests/mesh/observatory_test.cpp
@@ -19,7 +19,7 @@
 namespace {
 
 namespace asio = merlinrun::net::asio;
-using almanac::Verdict;
+using configuration::Verdict;
 using consensus::Outcome;
 using merlinrun::net::ErrorCode;
 using merlinrun::net::Tcp;
--- a/tests/mesh/windsock_lookup_test.cpp
+++ b/tests/mesh/windsock_lookup_test.cpp
@@ -13,11 +13,12 @@
 
 using Kind = Found::Kind;
 
-std::shared_ptr<const almanac::Tables> TablesOf(const std::string& resources) {
-  const auto verdict = almanac::Ledger().Decide(false, R"({"version":1,"resourceList":[)" + resources + "]}");
+std::shared_ptr<const configuration::Tables> TablesOf(const std::string& resources) {
+  const auto verdict =
+      configuration::Ledger().Decide(false, R"({"version":1,"resourceList":[)" + resources + "]}");
   INFO(verdict.error);
-  REQUIRE(verdict.kind == almanac::Verdict::Kind::kTake);
-  auto tables = almanac::Tables::Of(almanac::Ledger::Read(verdict.next)->newest());
+  REQUIRE(verdict.kind == configuration::Verdict::Kind::kTake);
+  auto tables = configuration::Tables::Of(configuration::Ledger::Read(verdict.next)->newest());
   REQUIRE(tables.ok());
   return *tables;
 }
@@ -143,7 +144,7 @@
 
 TEST_CASE("services are drawn by weight, all of the draw's range over") {
   const auto tables = TablesOf(kServices + kRoutes);
-  const almanac::Route* route = tables->FindRoute("h", "/safe/x");
+  const configuration::Route* route = tables->FindRoute("h", "/safe/x");
   REQUIRE(route != nullptr);
   int of_b = 0;
   for (int i = 0; i < 1000; ++i) of_b += PickService(*route, (i + 0.5) / 1000) == "b";
@@ -154,7 +155,7 @@
 
 TEST_CASE("each class of the grid is what requests of its kind, priority and aim have") {
   const auto grid = ClassGrid();
-  almanac::Route route;
+  configuration::Route route;
   Found found;
   found.route = &route;
   for (const bool safe : {true, false})
--- a/tests/mesh/windsock_outbound_test.cpp
+++ b/tests/mesh/windsock_outbound_test.cpp
@@ -358,10 +358,10 @@
         one.replace(at, 4, name);
       text += "," + one;
     }
-    const auto verdict = almanac::Ledger().Decide(false, text + "]}");
+    const auto verdict = configuration::Ledger().Decide(false, text + "]}");
     INFO(verdict.error);
-    REQUIRE(verdict.kind == almanac::Verdict::Kind::kTake);
-    outbound->OnTables(*almanac::Tables::Of(almanac::Ledger::Read(verdict.next)->newest()));
+    REQUIRE(verdict.kind == configuration::Verdict::Kind::kTake);
+    outbound->OnTables(*configuration::Tables::Of(configuration::Ledger::Read(verdict.next)->newest()));
     outbound->OnListing(listing, 0, 1);
   }
   RawPtr Send(const std::string& kind, int deadline_ms = 4000) {
--- a/tools/mesh/almanac.cpp
+++ b/tools/mesh/configuration.cpp
@@ -1,4 +1,4 @@
-// fennelhollow-almanac: the operators' command line; docs/operators/mesh-tools.md.
+// fennelhollow-configuration: the operators' command line; docs/operators/mesh-tools.md.
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
@@ -35,7 +35,7 @@
 using fennelhollow::tools::Tcp;
 
 constexpr const char* kUsage =
-    "fennelhollow-almanac: checks, compares, sends and reads the mesh's configuration\n"
+    "fennelhollow-configuration: checks, compares, sends and reads the mesh's configuration\n"
     "  check FILE [--on CURRENT]   what a core would say of FILE, e.g. check next.json --on now.json\n"
     "  diff OLD NEW                what changes and what tightens, e.g. diff now.json next.json\n"
     "  put FILE                    replaces all, e.g. put next.json --cores 10.0.0.1:7000,10.0.0.2:7000\n"
@@ -67,11 +67,11 @@
   if (outcome.exit == Exit::kTaken) {
     std::printf("%s\n", reads ? outcome.body.c_str() : absl::StrCat("taken by ", outcome.from).c_str());
   } else if (outcome.exit == Exit::kNobody) {
-    std::fprintf(stderr, "fennelhollow-almanac: nobody answered in %d tries; the last: %s\n", outcome.tries,
-                 outcome.trouble.c_str());
+    std::fprintf(stderr, "fennelhollow-configuration: nobody answered in %d tries; the last: %s\n",
+                 outcome.tries, outcome.trouble.c_str());
   } else {
-    std::fprintf(stderr, "fennelhollow-almanac: %s answered %u %s\n", outcome.from.c_str(), outcome.status,
-                 outcome.body.c_str());
+    std::fprintf(stderr, "fennelhollow-configuration: %s answered %u %s\n", outcome.from.c_str(),
+                 outcome.status, outcome.body.c_str());
   }
   return static_cast<int>(outcome.exit);
 }
@@ -153,7 +153,7 @@
     }
     return Run(arguments);
   } catch (const std::exception& error) {
-    std::fprintf(stderr, "fennelhollow-almanac: %s\n", error.what());
+    std::fprintf(stderr, "fennelhollow-configuration: %s\n", error.what());
     return static_cast<int>(Exit::kBadInput);
   }
 }
--- a/tools/mesh/configuration_files.cpp
+++ b/tools/mesh/configuration_files.cpp
@@ -14,10 +14,10 @@
 namespace fennelhollow::tools {
 namespace {
 
-using almanac::Configuration;
-using almanac::Ledger;
-using almanac::Tables;
-using almanac::Verdict;
+using configuration::Configuration;
+using configuration::Ledger;
+using configuration::Tables;
+using configuration::Verdict;
 using nlohmann::ordered_json;
 
 constexpr std::size_t kMostFile = std::size_t{8} * 1024 * 1024;
@@ -87,7 +87,7 @@
     before["resourceList"] = std::move(kept);
     const auto a = TablesOf(old);
     const auto b = TablesOf(before.dump());
-    return !a.ok() || !b.ok() || almanac::Compare(**a, **b).tightens;
+    return !a.ok() || !b.ok() || configuration::Compare(**a, **b).tightens;
   } catch (const nlohmann::json::exception&) {
     return true;
   }
@@ -159,7 +159,7 @@
   const auto b = TablesOf(to);
   if (!a.ok()) return Refused(a.status());
   if (!b.ok()) return Refused(b.status());
-  const almanac::Difference difference = almanac::Compare(**a, **b);
+  const configuration::Difference difference = configuration::Compare(**a, **b);
 
   Report out;
   out.text = absl::StrCat("version ", before->newest().version(), " to ", after->newest().version(), "\n");
--- a/tools/mesh/configuration_files.hpp
+++ b/tools/mesh/configuration_files.hpp
@@ -8,7 +8,7 @@
 #include <string>
 #include <string_view>
 
-#include "mesh/almanac/almanac.hpp"
+#include "mesh/configuration/configuration.hpp"
 #include "tools/mesh/repeater.hpp"
 
 namespace fennelhollow::tools {
