Package observatory is called node, and the program fennelhollow-node

Renames only: namespace, folder, target, include guards, log lines and pages. Wire, settings and what is on disk stay.

--- a/Makefile
+++ b/Makefile
@@ -12,8 +12,8 @@
 
 # The mesh: cores and sidecars as processes, a core and a server killed in the midst of traffic.
 mesh-demo: build/make/CMakeCache.txt
-	cmake --build build/make -j4 --target fennelhollow-station fennelhollow_mesh_demo
-	build/make/rig/mesh/fennelhollow_mesh_demo build/make/src/mesh/observatory/fennelhollow-station
+	cmake --build build/make -j4 --target fennelhollow-node fennelhollow_mesh_demo
+	build/make/rig/mesh/fennelhollow_mesh_demo build/make/src/mesh/node/fennelhollow-node
 
 test: build/make/CMakeCache.txt
 	cmake --build build/make -j4
--- a/bench/mesh/control_scale.cpp
+++ b/bench/mesh/control_scale.cpp
@@ -33,7 +33,7 @@
 using push::Tell;
 
 constexpr Micros kMs = 1000;
-constexpr Micros kCoreTick = 25 * kMs;  // as observatory's
+constexpr Micros kCoreTick = 25 * kMs;  // as node's
 constexpr Micros kSidecarTick = 50 * kMs;
 constexpr double kLeastTells = 3;  // a second, of a sidecar to the core that it subscribes to
 constexpr Micros kRestWindow = 1200 * kMs;
@@ -79,7 +79,7 @@
           "10.20.30.40:7" + n};
 }
 
-// A core as observatory runs its herald: one thread, one link a sidecar, packed once for all that need the
+// A core as node runs its herald: one thread, one link a sidecar, packed once for all that need the
 // same.
 class Core : public Herald::Sink {
  public:
@@ -203,7 +203,7 @@
 
 class Sidecars;
 
-// A sidecar's control half, as observatory runs it, without its proxies.
+// A sidecar's control half, as node runs it, without its proxies.
 class Hollow : public Client::Sink {
  public:
   Hollow(Sidecars& all, std::size_t index, std::uint64_t life);
--- a/src/mesh/observatory/changes.cpp
+++ b/src/mesh/node/changes.cpp
@@ -1,9 +1,9 @@
-#include "mesh/observatory/changes.hpp"
+#include "mesh/node/changes.hpp"
 
 #include <algorithm>
 #include <utility>
 
-namespace fennelhollow::observatory {
+namespace fennelhollow::node {
 
 using configuration::Verdict;
 using consensus::Outcome;
@@ -247,4 +247,4 @@
   StartReading(now);
 }
 
-}  // namespace fennelhollow::observatory
+}  // namespace fennelhollow::node
--- a/src/mesh/observatory/changes.hpp
+++ b/src/mesh/node/changes.hpp
@@ -1,7 +1,7 @@
 // An operator's calls at the holder of the order: decide, put in order, await the sidecars, answer. Free of
 // I/O.
-#ifndef FENNELHOLLOW_MESH_OBSERVATORY_CHANGES_HPP_
-#define FENNELHOLLOW_MESH_OBSERVATORY_CHANGES_HPP_
+#ifndef FENNELHOLLOW_MESH_NODE_CHANGES_HPP_
+#define FENNELHOLLOW_MESH_NODE_CHANGES_HPP_
 
 #include <cstdint>
 #include <deque>
@@ -13,9 +13,9 @@
 
 #include "mesh/configuration/configuration.hpp"
 #include "mesh/consensus/order.hpp"
-#include "mesh/observatory/command.hpp"
+#include "mesh/node/command.hpp"
 
-namespace fennelhollow::observatory {
+namespace fennelhollow::node {
 
 using merlinrun::Micros;
 
@@ -121,6 +121,6 @@
   Counters counters_;
 };
 
-}  // namespace fennelhollow::observatory
+}  // namespace fennelhollow::node
 
-#endif  // FENNELHOLLOW_MESH_OBSERVATORY_CHANGES_HPP_
+#endif  // FENNELHOLLOW_MESH_NODE_CHANGES_HPP_
--- a/src/mesh/observatory/command.cpp
+++ b/src/mesh/node/command.cpp
@@ -1,10 +1,10 @@
-#include "mesh/observatory/command.hpp"
+#include "mesh/node/command.hpp"
 
 #include <algorithm>
 #include <charconv>
 #include <nlohmann/json.hpp>
 
-namespace fennelhollow::observatory {
+namespace fennelhollow::node {
 namespace {
 
 constexpr std::string_view kBeatPath = "/-/Instances.Heartbeat/";
@@ -84,4 +84,4 @@
   return out;
 }
 
-}  // namespace fennelhollow::observatory
+}  // namespace fennelhollow::node
--- a/src/mesh/observatory/control_listener.cpp
+++ b/src/mesh/node/control_listener.cpp
@@ -1,4 +1,4 @@
-#include "mesh/observatory/control_listener.hpp"
+#include "mesh/node/control_listener.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -14,7 +14,7 @@
 #include <optional>
 #include <utility>
 
-namespace fennelhollow::observatory {
+namespace fennelhollow::node {
 
 namespace asio = merlinrun::net::asio;
 namespace beast = merlinrun::net::beast;
@@ -352,4 +352,4 @@
 std::size_t ControlListener::connections() const { return impl_->connections_.size(); }
 const ControlListener::Counters& ControlListener::counters() const { return impl_->counters_; }
 
-}  // namespace fennelhollow::observatory
+}  // namespace fennelhollow::node
--- a/src/mesh/observatory/control_listener.hpp
+++ b/src/mesh/node/control_listener.hpp
@@ -1,16 +1,16 @@
 // The control plane's address: HTTP/1.1, calls decoded and handed on. In a core and beside a server.
-#ifndef FENNELHOLLOW_MESH_OBSERVATORY_CONTROL_LISTENER_HPP_
-#define FENNELHOLLOW_MESH_OBSERVATORY_CONTROL_LISTENER_HPP_
+#ifndef FENNELHOLLOW_MESH_NODE_CONTROL_LISTENER_HPP_
+#define FENNELHOLLOW_MESH_NODE_CONTROL_LISTENER_HPP_
 
 #include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
 
-#include "mesh/observatory/command.hpp"
+#include "mesh/node/command.hpp"
 #include "net/protocol.hpp"
 
-namespace fennelhollow::observatory {
+namespace fennelhollow::node {
 
 // Threading: all of it on the thread of `io`.
 class ControlListener {
@@ -56,6 +56,6 @@
   std::shared_ptr<Impl> impl_;
 };
 
-}  // namespace fennelhollow::observatory
+}  // namespace fennelhollow::node
 
-#endif  // FENNELHOLLOW_MESH_OBSERVATORY_CONTROL_LISTENER_HPP_
+#endif  // FENNELHOLLOW_MESH_NODE_CONTROL_LISTENER_HPP_
--- a/src/mesh/observatory/core.cpp
+++ b/src/mesh/node/core.cpp
@@ -1,4 +1,4 @@
-#include "mesh/observatory/core.hpp"
+#include "mesh/node/core.hpp"
 
 #include <absl/strings/str_cat.h>
 #include <glog/logging.h>
@@ -22,17 +22,17 @@
 #include "mesh/consensus/store.hpp"
 #include "mesh/frames/codec.hpp"
 #include "mesh/frames/link.hpp"
-#include "mesh/observatory/changes.hpp"
-#include "mesh/observatory/command.hpp"
-#include "mesh/observatory/control_listener.hpp"
-#include "mesh/observatory/worker.hpp"
+#include "mesh/node/changes.hpp"
+#include "mesh/node/command.hpp"
+#include "mesh/node/control_listener.hpp"
+#include "mesh/node/worker.hpp"
 #include "mesh/push/events.hpp"
 #include "mesh/push/herald.hpp"
 #include "mesh/push/words.hpp"
 #include "net/address.hpp"
 #include "net/asio_loop.hpp"
 
-namespace fennelhollow::observatory {
+namespace fennelhollow::node {
 
 namespace asio = merlinrun::net::asio;
 using consensus::MemberId;
@@ -955,4 +955,4 @@
 std::string Core::StatusText() const { return impl_->StatusText(); }
 std::uint16_t Core::control_port() const { return impl_->control_port(); }
 
-}  // namespace fennelhollow::observatory
+}  // namespace fennelhollow::node
--- a/src/mesh/observatory/core.hpp
+++ b/src/mesh/node/core.hpp
@@ -1,6 +1,6 @@
 // A core: keeps the configuration with the other cores, and the list of servers for the sidecars.
-#ifndef FENNELHOLLOW_MESH_OBSERVATORY_CORE_HPP_
-#define FENNELHOLLOW_MESH_OBSERVATORY_CORE_HPP_
+#ifndef FENNELHOLLOW_MESH_NODE_CORE_HPP_
+#define FENNELHOLLOW_MESH_NODE_CORE_HPP_
 
 #include <absl/status/status.h>
 
@@ -12,7 +12,7 @@
 #include "mesh/stevenson/settings.hpp"
 #include "net/protocol.hpp"
 
-namespace fennelhollow::observatory {
+namespace fennelhollow::node {
 
 // Threading: its functions, and all that it calls, on the thread of `io`; two threads of its own for the disk
 // and for checks.
@@ -43,6 +43,6 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}  // namespace fennelhollow::observatory
+}  // namespace fennelhollow::node
 
-#endif  // FENNELHOLLOW_MESH_OBSERVATORY_CORE_HPP_
+#endif  // FENNELHOLLOW_MESH_NODE_CORE_HPP_
--- a/src/mesh/observatory/main.cpp
+++ b/src/mesh/node/main.cpp
@@ -1,4 +1,4 @@
-// fennelhollow-station: the mesh's program for all machines. What it does follows from its settings file,
+// fennelhollow-node: the mesh's program for all machines. What it does follows from its settings file,
 // whose path stands in FENNELHOLLOW_CONFIG: a machine that serves `sidecar` runs a sidecar, one that serves
 // `control_plane` a core. Exit status: 0 after SIGTERM or SIGINT, 1 if it can't listen, 2 if the settings or
 // arguments make no sense.
@@ -17,15 +17,15 @@
 #include <random>
 #include <string>
 
-#include "mesh/observatory/core.hpp"
-#include "mesh/observatory/sidecar.hpp"
+#include "mesh/node/core.hpp"
+#include "mesh/node/sidecar.hpp"
 #include "mesh/stevenson/settings.hpp"
 #include "net/asio_loop.hpp"
 
 namespace {
 
-using fennelhollow::observatory::Core;
-using fennelhollow::observatory::Sidecar;
+using fennelhollow::node::Core;
+using fennelhollow::node::Sidecar;
 namespace stevenson = fennelhollow::stevenson;
 
 constexpr const char* kVersion = "0.3.0";
@@ -116,7 +116,7 @@
 int Run(const std::string& path, int report_s) {
   const auto settings = stevenson::Load(path);
   if (!settings.ok()) {
-    std::fprintf(stderr, "fennelhollow-station: %s\n", std::string(settings.status().message()).c_str());
+    std::fprintf(stderr, "fennelhollow-node: %s\n", std::string(settings.status().message()).c_str());
     return 2;
   }
   boost::asio::io_context io(1);
@@ -140,7 +140,7 @@
   });
   const absl::Status started = sidecar ? sidecar->Start() : core->Start();
   if (!started.ok()) {
-    std::fprintf(stderr, "fennelhollow-station: %s\n", std::string(started.message()).c_str());
+    std::fprintf(stderr, "fennelhollow-node: %s\n", std::string(started.message()).c_str());
     return 1;
   }
   Reporter reporter(io, report_s, [&] { return sidecar ? sidecar->StatusText() : core->StatusText(); });
@@ -162,13 +162,13 @@
   try {
     const argagg::parser_results arguments = parser.parse(argc, argv);
     if (arguments["help"]) {
-      std::cout << "fennelhollow-station: runs as its settings say; their path stands in "
-                << kSettingsVariable << "\n"
+      std::cout << "fennelhollow-node: runs as its settings say; their path stands in " << kSettingsVariable
+                << "\n"
                 << parser;
       return 0;
     }
     if (arguments["version"]) {
-      std::cout << "fennelhollow-station " << kVersion << "\n";
+      std::cout << "fennelhollow-node " << kVersion << "\n";
       return 0;
     }
     if (!arguments.pos.empty())
@@ -184,12 +184,12 @@
       return 2;
     }
   } catch (const std::exception& error) {
-    std::fprintf(stderr, "fennelhollow-station: %s\n", error.what());
+    std::fprintf(stderr, "fennelhollow-node: %s\n", error.what());
     return 2;
   }
   const char* path = std::getenv(kSettingsVariable);
   if (path == nullptr || *path == '\0') {
-    std::fprintf(stderr, "fennelhollow-station: %s is not set\n", kSettingsVariable);
+    std::fprintf(stderr, "fennelhollow-node: %s is not set\n", kSettingsVariable);
     return 2;
   }
   return Run(path, report_s);
@@ -201,7 +201,7 @@
   try {
     return Main(argc, argv);
   } catch (const std::exception& error) {
-    std::fprintf(stderr, "fennelhollow-station: %s\n", error.what());
+    std::fprintf(stderr, "fennelhollow-node: %s\n", error.what());
     return 2;
   }
 }
--- a/src/mesh/observatory/sidecar.cpp
+++ b/src/mesh/node/sidecar.cpp
@@ -1,4 +1,4 @@
-#include "mesh/observatory/sidecar.hpp"
+#include "mesh/node/sidecar.hpp"
 
 #include <glog/logging.h>
 
@@ -16,7 +16,7 @@
 #include "mesh/frames/link.hpp"
 #include "mesh/heliograph/io/datagrams.hpp"
 #include "mesh/heliograph/view.hpp"
-#include "mesh/observatory/control_listener.hpp"
+#include "mesh/node/control_listener.hpp"
 #include "mesh/push/client.hpp"
 #include "mesh/raingauge/quota.hpp"
 #include "mesh/roster/roster.hpp"
@@ -27,7 +27,7 @@
 #include "net/address.hpp"
 #include "net/asio_loop.hpp"
 
-namespace fennelhollow::observatory {
+namespace fennelhollow::node {
 namespace {
 
 namespace asio = merlinrun::net::asio;
@@ -501,4 +501,4 @@
 void Sidecar::Stop(std::function<void()> done) { impl_->Stop(std::move(done)); }
 std::string Sidecar::StatusText() const { return impl_->StatusText(); }
 
-}  // namespace fennelhollow::observatory
+}  // namespace fennelhollow::node
--- a/src/mesh/observatory/sidecar.hpp
+++ b/src/mesh/node/sidecar.hpp
@@ -1,6 +1,6 @@
 // A sidecar of the mesh: the outbound proxy and the last hop of one machine, with what control tells them.
-#ifndef FENNELHOLLOW_MESH_OBSERVATORY_SIDECAR_HPP_
-#define FENNELHOLLOW_MESH_OBSERVATORY_SIDECAR_HPP_
+#ifndef FENNELHOLLOW_MESH_NODE_SIDECAR_HPP_
+#define FENNELHOLLOW_MESH_NODE_SIDECAR_HPP_
 
 #include <absl/status/status.h>
 
@@ -12,7 +12,7 @@
 #include "mesh/stevenson/settings.hpp"
 #include "net/protocol.hpp"
 
-namespace fennelhollow::observatory {
+namespace fennelhollow::node {
 
 // Threading: all of it on the thread of `io`.
 class Sidecar {
@@ -37,6 +37,6 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}  // namespace fennelhollow::observatory
+}  // namespace fennelhollow::node
 
-#endif  // FENNELHOLLOW_MESH_OBSERVATORY_SIDECAR_HPP_
+#endif  // FENNELHOLLOW_MESH_NODE_SIDECAR_HPP_
--- a/src/mesh/observatory/worker.cpp
+++ b/src/mesh/node/worker.cpp
@@ -1,4 +1,4 @@
-#include "mesh/observatory/worker.hpp"
+#include "mesh/node/worker.hpp"
 
 #include <fcntl.h>
 #include <unistd.h>
@@ -16,7 +16,7 @@
 #include <utility>
 #include <vector>
 
-namespace fennelhollow::observatory {
+namespace fennelhollow::node {
 
 namespace asio = merlinrun::net::asio;
 using merlinrun::net::ErrorCode;
@@ -141,4 +141,4 @@
 }
 std::size_t Worker::pending() const { return impl_->pending(); }
 
-}  // namespace fennelhollow::observatory
+}  // namespace fennelhollow::node
--- a/src/mesh/observatory/worker.hpp
+++ b/src/mesh/node/worker.hpp
@@ -1,6 +1,6 @@
 // A thread beside the loop, for what blocks (the disk) or takes long (checks of large JSON).
-#ifndef FENNELHOLLOW_MESH_OBSERVATORY_WORKER_HPP_
-#define FENNELHOLLOW_MESH_OBSERVATORY_WORKER_HPP_
+#ifndef FENNELHOLLOW_MESH_NODE_WORKER_HPP_
+#define FENNELHOLLOW_MESH_NODE_WORKER_HPP_
 
 #include <cstddef>
 #include <functional>
@@ -8,7 +8,7 @@
 
 #include "net/protocol.hpp"
 
-namespace fennelhollow::observatory {
+namespace fennelhollow::node {
 
 // Its functions are for the loop's thread. The thread never calls Asio, which is built without locks: it
 // wakes the loop through a pipe.
@@ -31,6 +31,6 @@
   std::shared_ptr<Impl> impl_;
 };
 
-}  // namespace fennelhollow::observatory
+}  // namespace fennelhollow::node
 
-#endif  // FENNELHOLLOW_MESH_OBSERVATORY_WORKER_HPP_
+#endif  // FENNELHOLLOW_MESH_NODE_WORKER_HPP_
--- a/tests/mesh/observatory_test.cpp
+++ b/tests/mesh/node_test.cpp
@@ -10,12 +10,12 @@
 #include <string>
 #include <vector>
 
-#include "mesh/observatory/changes.hpp"
-#include "mesh/observatory/command.hpp"
-#include "mesh/observatory/control_listener.hpp"
-#include "mesh/observatory/worker.hpp"
+#include "mesh/node/changes.hpp"
+#include "mesh/node/command.hpp"
+#include "mesh/node/control_listener.hpp"
+#include "mesh/node/worker.hpp"
 
-namespace fennelhollow::observatory {
+namespace fennelhollow::node {
 namespace {
 
 namespace asio = merlinrun::net::asio;
@@ -461,4 +461,4 @@
 }
 
 }  // namespace
-}  // namespace fennelhollow::observatory
+}  // namespace fennelhollow::node
