--- a/src/mesh/configuration/form.cpp
+++ b/src/mesh/configuration/form.cpp
@@ -9,13 +9,13 @@
 #include <unordered_map>
 #include <unordered_set>
 
-#include "mesh/stevenson/schema.hpp"
+#include "mesh/settings/schema.hpp"
 
 namespace fennelhollow::configuration {
 namespace {
 
 using nlohmann::json;
-using stevenson::Schema;
+using settings::Schema;
 
 constexpr int kDepth = 64;              // nesting in a call
 constexpr std::size_t kMembers = 4096;  // of one object: ordered objects are searched from the front
@@ -137,7 +137,7 @@
   return absl::InvalidArgumentError(absl::StrCat(path, ": found ", found, ", wanted ", wanted));
 }
 
-std::string Quote(const std::string& text) { return absl::StrCat("\"", stevenson::Line(text), "\""); }
+std::string Quote(const std::string& text) { return absl::StrCat("\"", settings::Line(text), "\""); }
 
 // Null if there is no such member.
 const json* Member(const json& object, const char* name) {
@@ -202,7 +202,7 @@
     if (!route.ok()) return route;
   }
   std::string id = ItemId(item);
-  if (ids.contains(id)) return Invalid(path, "a second " + stevenson::Line(id, 80), "each once");
+  if (ids.contains(id)) return Invalid(path, "a second " + settings::Line(id, 80), "each once");
   ids.insert(std::move(id));
   return absl::OkStatus();
 }
@@ -304,7 +304,7 @@
   for (const auto& [kind, names] : remove->items()) {
     if (names.empty()) continue;
     if (kind != "routes" && kind != "services" && kind != "tenants") {
-      return Invalid("remove." + stevenson::Line(kind), "names", "routes, services or tenants");
+      return Invalid("remove." + settings::Line(kind), "names", "routes, services or tenants");
     }
     for (const json& name : names) {
       const std::string id = kind + "/" + name.get<std::string>();
@@ -342,7 +342,7 @@
   for (const Service& service : items.services) services.insert(service.name);
   std::map<std::pair<std::string_view, std::string_view>, const Route*> places;
   for (const Route& route : items.routes) {
-    const std::string path = "routes/" + stevenson::Line(route.name, 80);
+    const std::string path = "routes/" + settings::Line(route.name, 80);
     for (const Target& target : route.targets) {
       if (!services.contains(target.service)) {
         return Invalid(path, "the unknown service " + Quote(target.service), "one in the list");
@@ -358,7 +358,7 @@
     for (const std::string& key : tenant.keys) {
       const auto [at, is_new] = holders.try_emplace(key, &tenant);
       if (!is_new && at->second != &tenant) {  // the key itself is a secret
-        return Invalid("tenants/" + stevenson::Line(tenant.name, 80), "a key of " + Quote(at->second->name),
+        return Invalid("tenants/" + settings::Line(tenant.name, 80), "a key of " + Quote(at->second->name),
                        "keys that no other holds");
       }
     }
--- a/src/mesh/configuration/form.hpp
+++ b/src/mesh/configuration/form.hpp
@@ -27,7 +27,7 @@
 absl::StatusOr<nlohmann::json> ReadObject(std::string_view text);
 
 // All that can be said of a call by itself; kInvalidArgument with one plain line. `call` has been through
-// stevenson::Normalize.
+// settings::Normalize.
 absl::Status CheckCall(bool modify, const nlohmann::json& call);
 
 // The items of a configuration whose form was checked (and normalized); throws nlohmann::json::exception if
--- a/src/mesh/configuration/ledger.cpp
+++ b/src/mesh/configuration/ledger.cpp
@@ -8,7 +8,7 @@
 #include "mesh/configuration/configuration.hpp"
 #include "mesh/configuration/form.hpp"
 #include "mesh/frames/codec.hpp"
-#include "mesh/stevenson/schema.hpp"
+#include "mesh/settings/schema.hpp"
 
 namespace fennelhollow::configuration {
 namespace {
@@ -147,7 +147,7 @@
     for (const auto& [version, taken] : taken_) {
       if (taken == digest) return Refuse(Verdict::Kind::kAlready, "");
     }
-    stevenson::Normalize(*call);
+    settings::Normalize(*call);
     const auto checked = CheckCall(modify, *call);
     if (!checked.ok()) return Refuse(checked);
 
@@ -165,7 +165,7 @@
     if (modify) {
       next = Merge(newest_.version_ == 0 ? ordered_json() : ordered_json::parse(newest_.text_), next);
       *call = next;
-      stevenson::Normalize(*call);
+      settings::Normalize(*call);
     }
     const auto joined = CheckJoined(ItemsOf(*call));
     if (!joined.ok()) return Refuse(joined);
@@ -181,7 +181,7 @@
     return verdict;
   } catch (const std::exception&
                e) {  // a form that was checked is read without; guard against what that overlooks
-    return Refuse(Verdict::Kind::kInvalid, "the body can't be read: " + stevenson::Line(e.what(), 120));
+    return Refuse(Verdict::Kind::kInvalid, "the body can't be read: " + settings::Line(e.what(), 120));
   }
 }
 
--- a/src/mesh/configuration/tables.cpp
+++ b/src/mesh/configuration/tables.cpp
@@ -5,7 +5,7 @@
 
 #include "mesh/configuration/configuration.hpp"
 #include "mesh/configuration/form.hpp"
-#include "mesh/stevenson/schema.hpp"
+#include "mesh/settings/schema.hpp"
 
 namespace fennelhollow::configuration {
 namespace {
@@ -92,7 +92,7 @@
   try {
     auto object = ReadObject(configuration.text());
     if (!object.ok()) return absl::DataLossError(object.status().message());
-    stevenson::Normalize(*object);
+    settings::Normalize(*object);
     Items items = ItemsOf(*object);
     tables->version_ = configuration.version();
     tables->limits_ = items.limits;
--- a/src/mesh/node/core.cpp
+++ b/src/mesh/node/core.cpp
@@ -133,13 +133,13 @@
   return out;
 }
 
-std::size_t StoreBytes(const stevenson::Settings& settings) {
+std::size_t StoreBytes(const settings::Settings& settings) {
   constexpr std::int64_t kMb = std::int64_t{1024} * 1024;
   const std::int64_t told = settings.disk_mb > 0 ? settings.disk_mb * kMb * 3 / 4 : 64 * kMb;
   return static_cast<std::size_t>(std::clamp(told, 16 * kMb, 192 * kMb));
 }
 
-std::vector<MemberId> Members(const stevenson::Settings& settings) {
+std::vector<MemberId> Members(const settings::Settings& settings) {
   const std::vector<std::string> seeds = settings.SeedInternals();
   const std::set<MemberId> out(seeds.begin(), seeds.end());
   return {out.begin(), out.end()};
@@ -156,7 +156,7 @@
 
 class Core::Impl : public consensus::Sink, public push::Herald::Sink, public ChangesHost {
  public:
-  Impl(asio::io_context& io, stevenson::Settings settings, std::uint64_t life)
+  Impl(asio::io_context& io, settings::Settings settings, std::uint64_t life)
       : io_(io),
         loop_(io),
         settings_(std::move(settings)),
@@ -184,7 +184,7 @@
   Impl& operator=(const Impl&) = delete;
 
   absl::Status Start();
-  void OnSettings(const stevenson::Settings& settings);
+  void OnSettings(const settings::Settings& settings);
   void Stop(std::function<void()> done);
   std::string StatusText() const;
   std::uint16_t control_port() const { return control_ ? control_->address().port() : std::uint16_t{0}; }
@@ -327,7 +327,7 @@
 
   asio::io_context& io_;
   merlinrun::net::AsioLoop loop_;
-  stevenson::Settings settings_;
+  settings::Settings settings_;
   const std::uint64_t life_;
   const MemberId self_;
   std::shared_ptr<int> alive_ = std::make_shared<int>();
@@ -870,7 +870,7 @@
 
 // ---- settings, end, status
 
-void Core::Impl::OnSettings(const stevenson::Settings& settings) {
+void Core::Impl::OnSettings(const settings::Settings& settings) {
   settings_.seeds = settings.seeds;
   if (order_) order_->SetContacts(Members(settings_));
 }
@@ -946,11 +946,11 @@
   return out.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-Core::Core(asio::io_context& io, const stevenson::Settings& settings, std::uint64_t life)
+Core::Core(asio::io_context& io, const settings::Settings& settings, std::uint64_t life)
     : impl_(std::make_unique<Impl>(io, settings, life)) {}
 Core::~Core() = default;
 absl::Status Core::Start() { return impl_->Start(); }
-void Core::OnSettings(const stevenson::Settings& settings) { impl_->OnSettings(settings); }
+void Core::OnSettings(const settings::Settings& settings) { impl_->OnSettings(settings); }
 void Core::Stop(std::function<void()> done) { impl_->Stop(std::move(done)); }
 std::string Core::StatusText() const { return impl_->StatusText(); }
 std::uint16_t Core::control_port() const { return impl_->control_port(); }
--- a/src/mesh/node/core.hpp
+++ b/src/mesh/node/core.hpp
@@ -9,7 +9,7 @@
 #include <memory>
 #include <string>
 
-#include "mesh/stevenson/settings.hpp"
+#include "mesh/settings/settings.hpp"
 #include "net/protocol.hpp"
 
 namespace fennelhollow::node {
@@ -19,7 +19,7 @@
 class Core {
  public:
   // `life`: drawn at random at each start of the process.
-  Core(merlinrun::net::asio::io_context& io, const stevenson::Settings& settings, std::uint64_t life);
+  Core(merlinrun::net::asio::io_context& io, const settings::Settings& settings, std::uint64_t life);
   ~Core();  // closes all; waits for the disk's work under way
   Core(const Core&) = delete;
   Core& operator=(const Core&) = delete;
@@ -28,7 +28,7 @@
   // be had. A disk that can't be opened is tried again and is no error here.
   absl::Status Start();
   // The settings file has changed: takes over whom to ask. The rest holds until the next start.
-  void OnSettings(const stevenson::Settings& settings);
+  void OnSettings(const settings::Settings& settings);
   // Hands its duty on, ends calls under way (two seconds at most), then `done`, from the loop; destroy it
   // after that.
   void Stop(std::function<void()> done);
--- a/src/mesh/node/main.cpp
+++ b/src/mesh/node/main.cpp
@@ -19,14 +19,14 @@
 
 #include "mesh/node/core.hpp"
 #include "mesh/node/sidecar.hpp"
-#include "mesh/stevenson/settings.hpp"
+#include "mesh/settings/settings.hpp"
 #include "net/asio_loop.hpp"
 
 namespace {
 
 using fennelhollow::node::Core;
 using fennelhollow::node::Sidecar;
-namespace stevenson = fennelhollow::stevenson;
+namespace settings = fennelhollow::settings;
 
 constexpr const char* kVersion = "0.3.0";
 constexpr const char* kSettingsVariable = "FENNELHOLLOW_CONFIG";
@@ -37,7 +37,7 @@
 class Reloader {
  public:
   Reloader(boost::asio::io_context& io, std::string path,
-           std::function<void(const stevenson::Settings&)> changed)
+           std::function<void(const settings::Settings&)> changed)
       : signals_(io, SIGHUP),
         timer_(io),
         path_(std::move(path)),
@@ -76,7 +76,7 @@
   }
   void Read() {
     seen_ = Stamp();
-    const auto settings = stevenson::Load(path_);
+    const auto settings = settings::Load(path_);
     if (!settings.ok()) {
       LOG(WARNING) << "the settings are kept as they were: " << settings.status().message();
       return;
@@ -87,7 +87,7 @@
   boost::asio::signal_set signals_;
   boost::asio::steady_timer timer_;
   const std::string path_;
-  const std::function<void(const stevenson::Settings&)> changed_;
+  const std::function<void(const settings::Settings&)> changed_;
   Seen seen_;
 };
 
@@ -114,7 +114,7 @@
 };
 
 int Run(const std::string& path, int report_s) {
-  const auto settings = stevenson::Load(path);
+  const auto settings = settings::Load(path);
   if (!settings.ok()) {
     std::fprintf(stderr, "fennelhollow-node: %s\n", std::string(settings.status().message()).c_str());
     return 2;
@@ -128,7 +128,7 @@
     sidecar = std::make_unique<Sidecar>(io, *settings, life);
   else
     core = std::make_unique<Core>(io, *settings, life);
-  Reloader reloader(io, path, [&](const stevenson::Settings& changed) {
+  Reloader reloader(io, path, [&](const settings::Settings& changed) {
     if (sidecar) sidecar->OnSettings(changed);
     if (core) core->OnSettings(changed);
   });
@@ -178,7 +178,7 @@
       if (report_s < 1 || report_s > 86'400) throw std::invalid_argument("--report takes 1 to 86400 seconds");
     }
     if (arguments["check"]) {
-      const auto settings = stevenson::Load(arguments["check"].as<std::string>());
+      const auto settings = settings::Load(arguments["check"].as<std::string>());
       if (settings.ok()) return 0;
       std::fprintf(stderr, "%s\n", std::string(settings.status().message()).c_str());
       return 2;
--- a/src/mesh/node/sidecar.cpp
+++ b/src/mesh/node/sidecar.cpp
@@ -57,7 +57,7 @@
 
 class Sidecar::Impl : private push::Client::Sink {
  public:
-  Impl(asio::io_context& io, const stevenson::Settings& settings, std::uint64_t life)
+  Impl(asio::io_context& io, const settings::Settings& settings, std::uint64_t life)
       : io_(io),
         loop_(io),
         settings_(settings),
@@ -130,7 +130,7 @@
     return absl::OkStatus();
   }
 
-  void OnSettings(const stevenson::Settings& settings) {
+  void OnSettings(const settings::Settings& settings) {
     // Seeds are where it first asks; what is known by now is at least as new. A restart reads them anew.
     settings_.seeds = settings.seeds;
     client_.SetSeeds(settings_.SeedInternals());
@@ -465,7 +465,7 @@
 
   asio::io_context& io_;
   merlinrun::net::AsioLoop loop_;
-  stevenson::Settings settings_;
+  settings::Settings settings_;
   const std::uint64_t life_;
   const std::string self_;
   roster::Beats beats_;
@@ -493,11 +493,11 @@
   std::uint64_t bad_links_ = 0, bad_news_ = 0;
 };
 
-Sidecar::Sidecar(asio::io_context& io, const stevenson::Settings& settings, std::uint64_t life)
+Sidecar::Sidecar(asio::io_context& io, const settings::Settings& settings, std::uint64_t life)
     : impl_(std::make_unique<Impl>(io, settings, life)) {}
 Sidecar::~Sidecar() = default;
 absl::Status Sidecar::Start() { return impl_->Start(); }
-void Sidecar::OnSettings(const stevenson::Settings& settings) { impl_->OnSettings(settings); }
+void Sidecar::OnSettings(const settings::Settings& settings) { impl_->OnSettings(settings); }
 void Sidecar::Stop(std::function<void()> done) { impl_->Stop(std::move(done)); }
 std::string Sidecar::StatusText() const { return impl_->StatusText(); }
 
--- a/src/mesh/node/sidecar.hpp
+++ b/src/mesh/node/sidecar.hpp
@@ -9,7 +9,7 @@
 #include <memory>
 #include <string>
 
-#include "mesh/stevenson/settings.hpp"
+#include "mesh/settings/settings.hpp"
 #include "net/protocol.hpp"
 
 namespace fennelhollow::node {
@@ -18,7 +18,7 @@
 class Sidecar {
  public:
   // `life`: drawn at random at each start of the process.
-  Sidecar(merlinrun::net::asio::io_context& io, const stevenson::Settings& settings, std::uint64_t life);
+  Sidecar(merlinrun::net::asio::io_context& io, const settings::Settings& settings, std::uint64_t life);
   ~Sidecar();
   Sidecar(const Sidecar&) = delete;
   Sidecar& operator=(const Sidecar&) = delete;
@@ -26,7 +26,7 @@
   // Once. kUnavailable: an address can't be listened on.
   absl::Status Start();
   // The settings file has changed: takes over the seeds.
-  void OnSettings(const stevenson::Settings& settings);
+  void OnSettings(const settings::Settings& settings);
   // Is not ready from here on, finishes what has come and what still comes, then `done`, from the loop;
   // within the grace period of the settings.
   void Stop(std::function<void()> done);
--- a/src/mesh/stevenson/schema.cpp
+++ b/src/mesh/settings/schema.cpp
@@ -1,4 +1,4 @@
-#include "mesh/stevenson/schema.hpp"
+#include "mesh/settings/schema.hpp"
 
 #include <absl/strings/str_cat.h>
 #include <glog/logging.h>
@@ -14,7 +14,7 @@
 #include <valijson/validator.hpp>
 #include <vector>
 
-namespace fennelhollow::stevenson {
+namespace fennelhollow::settings {
 namespace {
 
 using nlohmann::json;
@@ -151,4 +151,4 @@
   return line;
 }
 
-}  // namespace fennelhollow::stevenson
+}  // namespace fennelhollow::settings
--- a/src/mesh/stevenson/schema.hpp
+++ b/src/mesh/settings/schema.hpp
@@ -1,6 +1,6 @@
 // A JSON schema, and one plain line for what does not fit it.
-#ifndef FENNELHOLLOW_MESH_STEVENSON_SCHEMA_HPP_
-#define FENNELHOLLOW_MESH_STEVENSON_SCHEMA_HPP_
+#ifndef FENNELHOLLOW_MESH_SETTINGS_SCHEMA_HPP_
+#define FENNELHOLLOW_MESH_SETTINGS_SCHEMA_HPP_
 
 #include <absl/status/status.h>
 
@@ -9,7 +9,7 @@
 #include <string>
 #include <string_view>
 
-namespace fennelhollow::stevenson {
+namespace fennelhollow::settings {
 
 // Immutable after it is made; one may be used by several threads at once.
 class Schema {
@@ -38,6 +38,6 @@
 // A line out of foreign text: at most `most` bytes of it, what can't be printed replaced.
 std::string Line(std::string_view text, std::size_t most = 40);
 
-}  // namespace fennelhollow::stevenson
+}  // namespace fennelhollow::settings
 
-#endif  // FENNELHOLLOW_MESH_STEVENSON_SCHEMA_HPP_
+#endif  // FENNELHOLLOW_MESH_SETTINGS_SCHEMA_HPP_
--- a/src/mesh/stevenson/settings.cpp
+++ b/src/mesh/settings/settings.cpp
@@ -1,4 +1,4 @@
-#include "mesh/stevenson/settings.hpp"
+#include "mesh/settings/settings.hpp"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
@@ -13,9 +13,9 @@
 #include <fstream>
 #include <nlohmann/json.hpp>
 
-#include "mesh/stevenson/schema.hpp"
+#include "mesh/settings/schema.hpp"
 
-namespace fennelhollow::stevenson {
+namespace fennelhollow::settings {
 namespace {
 
 using nlohmann::json;
@@ -362,4 +362,4 @@
   return Parse(yaml);
 }
 
-}  // namespace fennelhollow::stevenson
+}  // namespace fennelhollow::settings
--- a/src/mesh/stevenson/settings.hpp
+++ b/src/mesh/settings/settings.hpp
@@ -1,6 +1,6 @@
-// stevenson (the screen): settings (standard term: process configuration), checked against a schema.
-#ifndef FENNELHOLLOW_MESH_STEVENSON_SETTINGS_HPP_
-#define FENNELHOLLOW_MESH_STEVENSON_SETTINGS_HPP_
+// settings (the screen): settings (standard term: process configuration), checked against a schema.
+#ifndef FENNELHOLLOW_MESH_SETTINGS_SETTINGS_HPP_
+#define FENNELHOLLOW_MESH_SETTINGS_SETTINGS_HPP_
 
 #include <absl/status/statusor.h>
 
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-namespace fennelhollow::stevenson {
+namespace fennelhollow::settings {
 
 struct Address {
   std::string ip;
@@ -58,6 +58,6 @@
 // kNotFound, kUnavailable when it can't be read; else as Parse.
 absl::StatusOr<Settings> Load(const std::string& path);
 
-}  // namespace fennelhollow::stevenson
+}  // namespace fennelhollow::settings
 
-#endif  // FENNELHOLLOW_MESH_STEVENSON_SETTINGS_HPP_
+#endif  // FENNELHOLLOW_MESH_SETTINGS_SETTINGS_HPP_
--- a/src/mesh/windsock/http_server.cpp
+++ b/src/mesh/windsock/http_server.cpp
@@ -367,7 +367,7 @@
   bool watching_ = false, writing_ = false, counted_ = false;
 };
 
-HttpServer::HttpServer(asio::io_context& io, const stevenson::Address& at, Limits limits, Handler handler)
+HttpServer::HttpServer(asio::io_context& io, const settings::Address& at, Limits limits, Handler handler)
     : io_(io), limits_(limits), handler_(std::move(handler)), acceptor_(io), pause_(io), sweep_(io) {
   const Tcp::endpoint endpoint(asio::ip::make_address(at.ip), at.port);
   acceptor_.open(endpoint.protocol());
--- a/src/mesh/windsock/http_server.hpp
+++ b/src/mesh/windsock/http_server.hpp
@@ -13,7 +13,7 @@
 #include <utility>
 #include <vector>
 
-#include "mesh/stevenson/settings.hpp"
+#include "mesh/settings/settings.hpp"
 #include "net/protocol.hpp"
 
 namespace fennelhollow::windsock {
@@ -50,7 +50,7 @@
   };
 
   // Throws boost::system::system_error if the address can't be listened on.
-  HttpServer(asio::io_context& io, const stevenson::Address& at, Limits limits, Handler handler);
+  HttpServer(asio::io_context& io, const settings::Address& at, Limits limits, Handler handler);
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
--- a/tests/mesh/stevenson_test.cpp
+++ b/tests/mesh/settings_test.cpp
@@ -1,11 +1,11 @@
+#include "mesh/settings/settings.hpp"
+
 #include <catch2/catch.hpp>
 #include <string>
 #include <utility>
 #include <vector>
 
-#include "mesh/stevenson/settings.hpp"
-
-namespace fennelhollow::stevenson {
+namespace fennelhollow::settings {
 namespace {
 
 // As the operators' page has it.
@@ -183,4 +183,4 @@
 }
 
 }  // namespace
-}  // namespace fennelhollow::stevenson
+}  // namespace fennelhollow::settings
--- a/tests/mesh/windsock_outbound_test.cpp
+++ b/tests/mesh/windsock_outbound_test.cpp
@@ -342,7 +342,7 @@
     outbound = std::make_unique<Outbound>(loop, Outbound::Settings{"me", "z", {{"z", "r"}}, 1, {}, 0.5, 0},
                                           hops, gauge);
     front = std::make_unique<HttpServer>(
-        io, stevenson::Address{"127.0.0.1", port}, HttpServer::Limits{},
+        io, settings::Address{"127.0.0.1", port}, HttpServer::Limits{},
         HttpServer::Handler{
             [this](const auto& session, Incoming in) { outbound->OnRequest(session, std::move(in)); },
             [this](const auto& session) { outbound->OnGone(session); }});
