--- a/bench/mesh/hop_cost.cpp
+++ b/bench/mesh/hop_cost.cpp
@@ -1,4 +1,4 @@
-// What the mesh adds to one call: through both hops (windsock's Outbound and HopClient; theodolite's
+// What the mesh adds to one call: through both hops (egress's Outbound and HopClient; theodolite's
 // LastHop), beside the same call to the server directly, in one run. Four processes on loopback: caller,
 // outbound sidecar, inbound sidecar, a stub HTTP server; processor time is the kernel's account of each. In
 // the mesh each sidecar is the outbound one of its own server's calls and the inbound one of the calls to it.
@@ -18,21 +18,21 @@
 
 #include "measure.hpp"
 #include "mesh/configuration/configuration.hpp"
+#include "mesh/egress/hop_client.hpp"
+#include "mesh/egress/http_server.hpp"
+#include "mesh/egress/outbound.hpp"
 #include "mesh/frames/link.hpp"
 #include "mesh/raingauge/quota.hpp"
 #include "mesh/theodolite/last_hop.hpp"
-#include "mesh/windsock/hop_client.hpp"
-#include "mesh/windsock/http_server.hpp"
-#include "mesh/windsock/outbound.hpp"
 #include "net/asio_loop.hpp"
 
 namespace fennelhollow::bench {
 namespace {
 
 namespace asio = merlinrun::net::asio;
+using egress::HttpServer;
 using merlinrun::net::ErrorCode;
 using merlinrun::net::Tcp;
-using windsock::HttpServer;
 
 constexpr std::size_t kServices = 56, kServersEach = 14, kTenants = 30;
 constexpr std::size_t kBodies[] = {512, 5 * 1024, 90 * 1024};  // of answers
@@ -164,8 +164,8 @@
   io.run();
 }
 
-windsock::Outbound::Settings OutboundSettings() {
-  windsock::Outbound::Settings settings;
+egress::Outbound::Settings OutboundSettings() {
+  egress::Outbound::Settings settings;
   settings.service = "service-1";
   settings.zone = "z0";
   settings.zones = {{"z0", "a"}, {"z1", "a"}, {"z2", "a"}, {"z3", "b"}, {"z4", "b"}};
@@ -177,9 +177,9 @@
   for (const std::size_t each : {std::size_t{2}, std::size_t{7}, kServersEach, std::size_t{28}}) {
     asio::io_context io;
     merlinrun::net::AsioLoop loop(io);
-    windsock::HopClient hops(io, loop, {"machine-1", "127.0.0.1:1", 9, 300, 400});
+    egress::HopClient hops(io, loop, {"machine-1", "127.0.0.1:1", 9, 300, 400});
     raingauge::Gauge gauge({});
-    windsock::Outbound outbound(loop, OutboundSettings(), hops, gauge);
+    egress::Outbound outbound(loop, OutboundSettings(), hops, gauge);
     roster::Listing listing = ListingOf(1, 2, each);
     outbound.OnListing(listing, 3, listing.sidecars.size());
     const double memory = MemoryKb(::getpid(), "VmRSS");
@@ -204,13 +204,13 @@
 void RunOutbound(std::uint16_t port, std::uint16_t hop, std::uint16_t stub) {
   asio::io_context io;
   merlinrun::net::AsioLoop loop(io);
-  windsock::HopClient hops(io, loop, {"machine-1", "127.0.0.1:1", 9, 300, 400});
+  egress::HopClient hops(io, loop, {"machine-1", "127.0.0.1:1", 9, 300, 400});
   raingauge::Gauge gauge({});
-  windsock::Outbound outbound(loop, OutboundSettings(), hops, gauge);
+  egress::Outbound outbound(loop, OutboundSettings(), hops, gauge);
   outbound.OnListing(ListingOf(hop, stub), 3, kServices * kServersEach);
   outbound.OnTables(TablesOf());
   HttpServer front(io, {"127.0.0.1", port}, {},
-                   {[&](const HttpServer::SessionPtr& session, windsock::Incoming in) {
+                   {[&](const HttpServer::SessionPtr& session, egress::Incoming in) {
                       outbound.OnRequest(session, std::move(in));
                     },
                     [&](const HttpServer::SessionPtr& session) { outbound.OnGone(session); }});
--- a/src/mesh/windsock/hop_client.cpp
+++ b/src/mesh/egress/hop_client.cpp
@@ -1,11 +1,11 @@
-#include "mesh/windsock/hop_client.hpp"
+#include "mesh/egress/hop_client.hpp"
 
 #include <algorithm>
 #include <utility>
 
 #include "net/address.hpp"
 
-namespace fennelhollow::windsock {
+namespace fennelhollow::egress {
 namespace {
 
 using frames::Tcp;
@@ -296,4 +296,4 @@
   return n;
 }
 
-}  // namespace fennelhollow::windsock
+}  // namespace fennelhollow::egress
--- a/src/mesh/windsock/hop_client.hpp
+++ b/src/mesh/egress/hop_client.hpp
@@ -1,7 +1,7 @@
 // Links to the last hops of other machines, one attempt at a time each (standard term: upstream connection
 // pool).
-#ifndef FENNELHOLLOW_MESH_WINDSOCK_HOP_CLIENT_HPP_
-#define FENNELHOLLOW_MESH_WINDSOCK_HOP_CLIENT_HPP_
+#ifndef FENNELHOLLOW_MESH_EGRESS_HOP_CLIENT_HPP_
+#define FENNELHOLLOW_MESH_EGRESS_HOP_CLIENT_HPP_
 
 #include <cstdint>
 #include <functional>
@@ -14,7 +14,7 @@
 #include "mesh/frames/link.hpp"
 #include "mesh/theodolite/hop.hpp"
 
-namespace fennelhollow::windsock {
+namespace fennelhollow::egress {
 
 namespace asio = merlinrun::net::asio;
 using merlinrun::Micros;
@@ -73,6 +73,6 @@
   std::map<std::string, std::list<LinePtr>> idle_;  // the one used last at the back
 };
 
-}  // namespace fennelhollow::windsock
+}  // namespace fennelhollow::egress
 
-#endif  // FENNELHOLLOW_MESH_WINDSOCK_HOP_CLIENT_HPP_
+#endif  // FENNELHOLLOW_MESH_EGRESS_HOP_CLIENT_HPP_
--- a/src/mesh/windsock/http_server.cpp
+++ b/src/mesh/egress/http_server.cpp
@@ -1,4 +1,4 @@
-#include "mesh/windsock/http_server.hpp"
+#include "mesh/egress/http_server.hpp"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -13,7 +13,7 @@
 #include "mesh/frames/read_buffer.hpp"
 #include "net/validate.hpp"
 
-namespace fennelhollow::windsock {
+namespace fennelhollow::egress {
 namespace {
 
 namespace beast = merlinrun::net::beast;
@@ -466,4 +466,4 @@
 }
 std::uint64_t& HttpServer::Tag(const SessionPtr& s) { return s->tag; }
 
-}  // namespace fennelhollow::windsock
+}  // namespace fennelhollow::egress
--- a/src/mesh/windsock/http_server.hpp
+++ b/src/mesh/egress/http_server.hpp
@@ -1,7 +1,7 @@
 // The HTTP/1.1 side towards callers on this machine (standard term: listener of an egress proxy). Reads whole
 // requests, one at a time a connection; writes whole answers, or their pieces as they come.
-#ifndef FENNELHOLLOW_MESH_WINDSOCK_HTTP_SERVER_HPP_
-#define FENNELHOLLOW_MESH_WINDSOCK_HTTP_SERVER_HPP_
+#ifndef FENNELHOLLOW_MESH_EGRESS_HTTP_SERVER_HPP_
+#define FENNELHOLLOW_MESH_EGRESS_HTTP_SERVER_HPP_
 
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
@@ -16,7 +16,7 @@
 #include "mesh/settings/settings.hpp"
 #include "net/protocol.hpp"
 
-namespace fennelhollow::windsock {
+namespace fennelhollow::egress {
 
 namespace asio = merlinrun::net::asio;
 using merlinrun::net::ErrorCode;
@@ -93,6 +93,6 @@
   std::list<SessionPtr> sessions_;
 };
 
-}  // namespace fennelhollow::windsock
+}  // namespace fennelhollow::egress
 
-#endif  // FENNELHOLLOW_MESH_WINDSOCK_HTTP_SERVER_HPP_
+#endif  // FENNELHOLLOW_MESH_EGRESS_HTTP_SERVER_HPP_
--- a/src/mesh/windsock/lookup.cpp
+++ b/src/mesh/egress/lookup.cpp
@@ -1,4 +1,4 @@
-#include "mesh/windsock/lookup.hpp"
+#include "mesh/egress/lookup.hpp"
 
 #include <algorithm>
 #include <boost/beast/core/string.hpp>
@@ -6,7 +6,7 @@
 #include <cmath>
 #include <map>
 
-namespace fennelhollow::windsock {
+namespace fennelhollow::egress {
 namespace {
 
 using merlinrun::Repeat;
@@ -157,4 +157,4 @@
   return ((found.safe ? 0 : 1) * kPriorities + priority) * kAimCount + best;
 }
 
-}  // namespace fennelhollow::windsock
+}  // namespace fennelhollow::egress
--- a/src/mesh/windsock/lookup.hpp
+++ b/src/mesh/egress/lookup.hpp
@@ -1,6 +1,6 @@
 // What a request is, by the tables: decisions of the outbound proxy that need no socket.
-#ifndef FENNELHOLLOW_MESH_WINDSOCK_LOOKUP_HPP_
-#define FENNELHOLLOW_MESH_WINDSOCK_LOOKUP_HPP_
+#ifndef FENNELHOLLOW_MESH_EGRESS_LOOKUP_HPP_
+#define FENNELHOLLOW_MESH_EGRESS_LOOKUP_HPP_
 
 #include <cstdint>
 #include <optional>
@@ -13,7 +13,7 @@
 #include "mesh/configuration/configuration.hpp"
 #include "mesh/roster/roster.hpp"
 
-namespace fennelhollow::windsock {
+namespace fennelhollow::egress {
 
 using merlinrun::Micros;
 using Headers = std::vector<std::pair<std::string, std::string>>;
@@ -54,6 +54,6 @@
 std::vector<merlinrun::RequestClass> ClassGrid();
 int ClassOf(const Found& found);
 
-}  // namespace fennelhollow::windsock
+}  // namespace fennelhollow::egress
 
-#endif  // FENNELHOLLOW_MESH_WINDSOCK_LOOKUP_HPP_
+#endif  // FENNELHOLLOW_MESH_EGRESS_LOOKUP_HPP_
--- a/src/mesh/windsock/outbound.cpp
+++ b/src/mesh/egress/outbound.cpp
@@ -1,11 +1,11 @@
-#include "mesh/windsock/outbound.hpp"
+#include "mesh/egress/outbound.hpp"
 
 #include <algorithm>
 #include <utility>
 
 #include "net/validate.hpp"
 
-namespace fennelhollow::windsock {
+namespace fennelhollow::egress {
 namespace {
 
 namespace core = merlinrun::core;
@@ -527,4 +527,4 @@
     flight->lane->exchanges->OnClientGone(std::to_string(flight->number));
 }
 
-}  // namespace fennelhollow::windsock
+}  // namespace fennelhollow::egress
--- a/src/mesh/windsock/outbound.hpp
+++ b/src/mesh/egress/outbound.hpp
@@ -1,8 +1,8 @@
-// windsock: the outbound proxy beside a caller (standard term: egress proxy). Looks requests up in one
+// egress: the outbound proxy beside a caller (standard term: egress proxy). Looks requests up in one
 // version of the configuration, takes them from their tenant's share, and hands them to the request's life in
 // core/ with the decision module inside: one of these for each service.
-#ifndef FENNELHOLLOW_MESH_WINDSOCK_OUTBOUND_HPP_
-#define FENNELHOLLOW_MESH_WINDSOCK_OUTBOUND_HPP_
+#ifndef FENNELHOLLOW_MESH_EGRESS_OUTBOUND_HPP_
+#define FENNELHOLLOW_MESH_EGRESS_OUTBOUND_HPP_
 
 #include <array>
 #include <cstdint>
@@ -16,13 +16,13 @@
 #include "core/exchange.hpp"
 #include "core/loop.hpp"
 #include "mesh/configuration/configuration.hpp"
+#include "mesh/egress/hop_client.hpp"
+#include "mesh/egress/http_server.hpp"
+#include "mesh/egress/lookup.hpp"
 #include "mesh/raingauge/quota.hpp"
 #include "mesh/roster/roster.hpp"
-#include "mesh/windsock/hop_client.hpp"
-#include "mesh/windsock/http_server.hpp"
-#include "mesh/windsock/lookup.hpp"
 
-namespace fennelhollow::windsock {
+namespace fennelhollow::egress {
 
 class Outbound {
  public:
@@ -99,6 +99,6 @@
   std::uint64_t last_ = 0;
 };
 
-}  // namespace fennelhollow::windsock
+}  // namespace fennelhollow::egress
 
-#endif  // FENNELHOLLOW_MESH_WINDSOCK_OUTBOUND_HPP_
+#endif  // FENNELHOLLOW_MESH_EGRESS_OUTBOUND_HPP_
--- a/src/mesh/node/sidecar.cpp
+++ b/src/mesh/node/sidecar.cpp
@@ -12,6 +12,9 @@
 
 #include "base/random.hpp"
 #include "mesh/configuration/configuration.hpp"
+#include "mesh/egress/hop_client.hpp"
+#include "mesh/egress/http_server.hpp"
+#include "mesh/egress/outbound.hpp"
 #include "mesh/frames/codec.hpp"
 #include "mesh/frames/link.hpp"
 #include "mesh/heliograph/io/datagrams.hpp"
@@ -21,9 +24,6 @@
 #include "mesh/raingauge/quota.hpp"
 #include "mesh/roster/roster.hpp"
 #include "mesh/theodolite/last_hop.hpp"
-#include "mesh/windsock/hop_client.hpp"
-#include "mesh/windsock/http_server.hpp"
-#include "mesh/windsock/outbound.hpp"
 #include "net/address.hpp"
 #include "net/asio_loop.hpp"
 
@@ -31,8 +31,8 @@
 namespace {
 
 namespace asio = merlinrun::net::asio;
+using egress::HttpServer;
 using merlinrun::Micros;
-using windsock::HttpServer;
 
 constexpr Micros kMs = 1000;
 constexpr Micros kTick = 50 * kMs;
@@ -97,14 +97,14 @@
         front_ = std::make_unique<HttpServer>(
             io_, at->second, HttpServer::Limits{},
             HttpServer::Handler{
-                [this](const HttpServer::SessionPtr& session, windsock::Incoming in) {
+                [this](const HttpServer::SessionPtr& session, egress::Incoming in) {
                   outbound_.OnRequest(session, std::move(in));
                 },
                 [this](const HttpServer::SessionPtr& session) { outbound_.OnGone(session); }});
       if (const auto at = listen.find("readiness"); at != listen.end())
         readiness_ = std::make_unique<HttpServer>(
             io_, at->second, HttpServer::Limits{},
-            HttpServer::Handler{[this](const HttpServer::SessionPtr& session, const windsock::Incoming&) {
+            HttpServer::Handler{[this](const HttpServer::SessionPtr& session, const egress::Incoming&) {
                                   const bool ready = Ready();
                                   HttpServer::Respond(session, ready ? 200 : 503,
                                                       {{"Content-Type", "application/json"}},
@@ -217,8 +217,8 @@
     return out;
   }
 
-  windsock::Outbound::Settings OutboundSettings() const {
-    windsock::Outbound::Settings out;
+  egress::Outbound::Settings OutboundSettings() const {
+    egress::Outbound::Settings out;
     out.service = settings_.service;
     out.zone = settings_.zone;
     out.zones = settings_.zones;
@@ -454,7 +454,7 @@
   void OnListing(const roster::Listing& listing, std::size_t, std::size_t count) override {
     gauge_.OnSidecars(loop_.Now(), count);
     // Not the place by name: those of a service are not to stand side by side.
-    outbound_.OnListing(listing, windsock::SpreadRank(listing.sidecars, settings_.node_name), count);
+    outbound_.OnListing(listing, egress::SpreadRank(listing.sidecars, settings_.node_name), count);
   }
   void OnShares(const std::vector<raingauge::Share>& shares, Micros until) override {
     gauge_.OnShares(loop_.Now(), shares, until);
@@ -480,9 +480,9 @@
   std::map<std::string, std::shared_ptr<frames::Link>> links_;
   std::set<const frames::Link*> up_;
   std::set<std::shared_ptr<frames::Link>> young_;  // whose Hello has not come
-  windsock::HopClient hops_;
+  egress::HopClient hops_;
   theodolite::LastHop last_hop_;
-  windsock::Outbound outbound_;
+  egress::Outbound outbound_;
   std::unique_ptr<frames::Listener> listener_;
   std::unique_ptr<ControlListener> control_;
   std::unique_ptr<HttpServer> front_, readiness_;
--- a/tests/mesh/windsock_http_server_test.cpp
+++ b/tests/mesh/egress_http_server_test.cpp
@@ -2,9 +2,9 @@
 #include <catch2/catch.hpp>
 
 #include "loopback.hpp"
-#include "mesh/windsock/http_server.hpp"
+#include "mesh/egress/http_server.hpp"
 
-namespace fennelhollow::windsock {
+namespace fennelhollow::egress {
 namespace {
 
 using loopback::Raw;
@@ -387,4 +387,4 @@
 }
 
 }  // namespace
-}  // namespace fennelhollow::windsock
+}  // namespace fennelhollow::egress
--- a/tests/mesh/windsock_lookup_test.cpp
+++ b/tests/mesh/egress_lookup_test.cpp
@@ -6,9 +6,9 @@
 #include <string>
 #include <vector>
 
-#include "mesh/windsock/lookup.hpp"
+#include "mesh/egress/lookup.hpp"
 
-namespace fennelhollow::windsock {
+namespace fennelhollow::egress {
 namespace {
 
 using Kind = Found::Kind;
@@ -205,4 +205,4 @@
 }
 
 }  // namespace
-}  // namespace fennelhollow::windsock
+}  // namespace fennelhollow::egress
--- a/tests/mesh/windsock_outbound_test.cpp
+++ b/tests/mesh/egress_outbound_test.cpp
@@ -3,11 +3,11 @@
 #include <set>
 
 #include "loopback.hpp"
+#include "mesh/egress/outbound.hpp"
 #include "mesh/theodolite/last_hop.hpp"
-#include "mesh/windsock/outbound.hpp"
 #include "net/asio_loop.hpp"
 
-namespace fennelhollow::windsock {
+namespace fennelhollow::egress {
 namespace {
 
 using loopback::Field;
@@ -525,4 +525,4 @@
 }
 
 }  // namespace
-}  // namespace fennelhollow::windsock
+}  // namespace fennelhollow::egress
