--- a/bench/mesh/hop_cost.cpp
+++ b/bench/mesh/hop_cost.cpp
@@ -1,4 +1,4 @@
-// What the mesh adds to one call: through both hops (egress's Outbound and HopClient; theodolite's
+// What the mesh adds to one call: through both hops (egress's Outbound and HopClient; ingress's
 // LastHop), beside the same call to the server directly, in one run. Four processes on loopback: caller,
 // outbound sidecar, inbound sidecar, a stub HTTP server; processor time is the kernel's account of each. In
 // the mesh each sidecar is the outbound one of its own server's calls and the inbound one of the calls to it.
@@ -22,8 +22,8 @@
 #include "mesh/egress/http_server.hpp"
 #include "mesh/egress/outbound.hpp"
 #include "mesh/frames/link.hpp"
+#include "mesh/ingress/last_hop.hpp"
 #include "mesh/raingauge/quota.hpp"
-#include "mesh/theodolite/last_hop.hpp"
 #include "net/asio_loop.hpp"
 
 namespace fennelhollow::bench {
@@ -146,12 +146,12 @@
   merlinrun::net::AsioLoop loop(io);
   std::map<std::string, roster::Server> servers;
   for (const auto& server : ListingOf(port, stub).servers) servers[server.id] = server;
-  theodolite::LastHop hop(io, loop, {7, {}},
-                          {[&](const std::string& id) -> const roster::Server* {
-                             const auto at = servers.find(id);
-                             return at == servers.end() ? nullptr : &at->second;
-                           },
-                           [](const std::string&) {}, [] { return true; }});
+  ingress::LastHop hop(io, loop, {7, {}},
+                       {[&](const std::string& id) -> const roster::Server* {
+                          const auto at = servers.find(id);
+                          return at == servers.end() ? nullptr : &at->second;
+                        },
+                        [](const std::string&) {}, [] { return true; }});
   frames::Listener listener(io, "127.0.0.1", port, {}, [&](std::shared_ptr<frames::Link> link) {
     frames::Link::Events events;
     events.on_frame = [&hop, weak = std::weak_ptr<frames::Link>(link)](std::string_view) {  // the Hello
--- a/src/mesh/egress/hop_client.cpp
+++ b/src/mesh/egress/hop_client.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 using frames::Tcp;
-using theodolite::Word;
+using ingress::Word;
 constexpr Micros kMs = 1000;
 constexpr Micros kIdle = 15'000'000;
 constexpr std::size_t kMostIdle = 48;  // to an address
@@ -28,7 +28,7 @@
 
 struct HopClient::Out {
   std::string hop;
-  theodolite::Attempt attempt;
+  ingress::Attempt attempt;
   Events events;
   LinePtr line;
   std::uint64_t life = 0;  // of the last hop that it was sent to
@@ -67,7 +67,7 @@
   return line;
 }
 
-HopClient::Handle HopClient::Send(const std::string& hop, theodolite::Attempt attempt, Events events) {
+HopClient::Handle HopClient::Send(const std::string& hop, ingress::Attempt attempt, Events events) {
   const Handle handle = ++last_;
   auto out = std::make_unique<Out>();
   out->hop = hop;
@@ -108,7 +108,7 @@
     line->link->Send(Say(Word::kAttempt, out.attempt));
     for (std::size_t at = 0; at < body.size(); at += kPiece)
       line->link->Send(
-          Say(Word::kPiece, theodolite::Piece{body.substr(at, kPiece), at + kPiece >= body.size()}));
+          Say(Word::kPiece, ingress::Piece{body.substr(at, kPiece), at + kPiece >= body.size()}));
   }
   // What could send it again is the caller's: only the ticket is needed from here on.
   out.attempt.body.clear();
@@ -132,9 +132,9 @@
     line->link->Close();
     OnClosed(line);
   };
-  const Word word = theodolite::WordOf(frame);
+  const Word word = ingress::WordOf(frame);
   if (word == Word::kHello) {
-    const auto hello = theodolite::Heard<frames::Hello>(frame);
+    const auto hello = ingress::Heard<frames::Hello>(frame);
     if (!hello.ok() || hello->life == 0 || line->life != 0) return bad();
     line->life = hello->life;
     if (line->asks != 0) {
@@ -146,14 +146,14 @@
         line->link->Close();
         return Break(asks, false, false);
       }
-      line->link->Send(Say(Word::kAsk, theodolite::Ask{it->second->attempt.ticket}));
+      line->link->Send(Say(Word::kAsk, ingress::Ask{it->second->attempt.ticket}));
       return;
     }
     if (line->handle != 0) return Begin(line, line->handle);
     return;
   }
   if (word == Word::kTold) {
-    const auto told = theodolite::Heard<theodolite::Told>(frame);
+    const auto told = ingress::Heard<ingress::Told>(frame);
     if (!told.ok() || line->asks == 0) return bad();
     const Handle asks = std::exchange(line->asks, 0);
     if (const auto it = out_.find(asks); it != out_.end()) it->second->line = nullptr;
@@ -166,7 +166,7 @@
   const Handle handle = line->handle;
   switch (word) {
     case Word::kHead: {
-      auto head = theodolite::Heard<theodolite::Head>(frame);
+      auto head = ingress::Heard<ingress::Head>(frame);
       if (!head.ok() || out.headed) return bad();
       out.headed = true;
       const bool end = head->end;
@@ -179,7 +179,7 @@
       return call(*std::move(head));
     }
     case Word::kPiece: {
-      auto piece = theodolite::Heard<theodolite::Piece>(frame);
+      auto piece = ingress::Heard<ingress::Piece>(frame);
       if (!piece.ok() || !out.headed) return bad();
       const auto call = out.events.piece;
       if (piece->end) {
@@ -190,15 +190,15 @@
       return call(*std::move(piece));
     }
     case Word::kTurned: {
-      const auto turned = theodolite::Heard<theodolite::Turned>(frame);
+      const auto turned = ingress::Heard<ingress::Turned>(frame);
       if (!turned.ok() || out.headed) return bad();
       const auto call = out.events.turned;
       out_.erase(it);
       Free(line);
-      return call(static_cast<theodolite::Why>(turned->why));
+      return call(static_cast<ingress::Why>(turned->why));
     }
     case Word::kBroken: {
-      const auto broken = theodolite::Heard<theodolite::Broken>(frame);
+      const auto broken = ingress::Heard<ingress::Broken>(frame);
       if (!broken.ok()) return bad();
       out.line = nullptr;
       Free(line);
@@ -228,7 +228,7 @@
   if (!out.sent) {  // it had no Hello: nothing of the attempt has left
     const auto call = out.events.turned;
     out_.erase(it);
-    return call(theodolite::Why::kUnreachable);
+    return call(ingress::Why::kUnreachable);
   }
   if (out.headed || !out.attempt.unsafe) return Break(handle, false, false);
   AskAfter(handle);
--- a/src/mesh/egress/hop_client.hpp
+++ b/src/mesh/egress/hop_client.hpp
@@ -12,7 +12,7 @@
 
 #include "core/loop.hpp"
 #include "mesh/frames/link.hpp"
-#include "mesh/theodolite/hop.hpp"
+#include "mesh/ingress/hop.hpp"
 
 namespace fennelhollow::egress {
 
@@ -24,9 +24,9 @@
 class HopClient {
  public:
   struct Events {
-    std::function<void(theodolite::Head)> head;  // `end` set: that was all
-    std::function<void(theodolite::Piece)> piece;
-    std::function<void(theodolite::Why)> turned;  // not passed on, and never will be
+    std::function<void(ingress::Head)> head;  // `end` set: that was all
+    std::function<void(ingress::Piece)> piece;
+    std::function<void(ingress::Why)> turned;  // not passed on, and never will be
     // No answer, or no more of one. `never_ran`: the last hop has promised that it never passed it on.
     std::function<void(bool never_ran, bool garbled)> broken;
   };
@@ -42,7 +42,7 @@
   ~HopClient();
 
   // `hop`: ip:port. The attempt's ticket is set here. Events come from the loop, never from inside this call.
-  Handle Send(const std::string& hop, theodolite::Attempt attempt, Events events);
+  Handle Send(const std::string& hop, ingress::Attempt attempt, Events events);
   // Nobody waits any more; no event comes.
   void GiveUp(Handle handle);
   void Pause(Handle handle);
--- a/src/mesh/egress/outbound.cpp
+++ b/src/mesh/egress/outbound.cpp
@@ -168,7 +168,7 @@
     const auto hop = owner_.hop_of_.find(server);
     if (hop == owner_.hop_of_.end()) return Unreachable(attempt, std::move(done));
     ++owner_.counters_.sends;
-    theodolite::Attempt out;
+    ingress::Attempt out;
     out.server = server;
     out.method = flight->method;
     out.target = flight->target;
@@ -186,13 +186,13 @@
     state->done = std::move(done);
     state->flight = flight;
     HopClient::Events events;
-    events.head = [this, attempt, state](theodolite::Head head) { OnHead(attempt, state, std::move(head)); };
-    events.piece = [this, attempt, state](const theodolite::Piece& piece) { OnPiece(attempt, state, piece); };
-    events.turned = [this, attempt, state](theodolite::Why why) {
+    events.head = [this, attempt, state](ingress::Head head) { OnHead(attempt, state, std::move(head)); };
+    events.piece = [this, attempt, state](const ingress::Piece& piece) { OnPiece(attempt, state, piece); };
+    events.turned = [this, attempt, state](ingress::Why why) {
       ++owner_.counters_.turned;
       --state->flight->unsettled;
-      const Result result = why == theodolite::Why::kUnreachable ? Result::kUnreachable : Result::kRefused;
-      if (why == theodolite::Why::kFull) ++state->flight->full;
+      const Result result = why == ingress::Why::kUnreachable ? Result::kUnreachable : Result::kRefused;
+      if (why == ingress::Why::kFull) ++state->flight->full;
       Finish(attempt, state, result, nullptr);
     };
     events.broken = [this, attempt, state](bool never_ran, bool) {
@@ -244,7 +244,7 @@
     flight.may_have_run |= may_have_run;
   }
 
-  void OnHead(AttemptId attempt, const StatePtr& state, theodolite::Head head) {
+  void OnHead(AttemptId attempt, const StatePtr& state, ingress::Head head) {
     --state->flight->unsettled;
     state->headed = true;
     Arrived(*state->flight, head.executed);
@@ -258,7 +258,7 @@
     MaybeStream(attempt, state);
   }
 
-  void OnPiece(AttemptId attempt, const StatePtr& state, const theodolite::Piece& piece) {
+  void OnPiece(AttemptId attempt, const StatePtr& state, const ingress::Piece& piece) {
     if (state->stream != nullptr) {
       Stream& stream = *state->stream;
       if (stream.session == nullptr) {
--- a/src/mesh/theodolite/fence.cpp
+++ b/src/mesh/ingress/fence.cpp
@@ -1,8 +1,8 @@
-#include "mesh/theodolite/fence.hpp"
+#include "mesh/ingress/fence.hpp"
 
 #include <algorithm>
 
-namespace fennelhollow::theodolite {
+namespace fennelhollow::ingress {
 namespace {
 
 // Runs over which the time of one is averaged.
@@ -169,4 +169,4 @@
     lanes_.erase(it);
 }
 
-}  // namespace fennelhollow::theodolite
+}  // namespace fennelhollow::ingress
--- a/src/mesh/theodolite/fence.hpp
+++ b/src/mesh/ingress/fence.hpp
@@ -1,8 +1,8 @@
 // The last hop's decisions (standard term: admission control beside the server), free of I/O: what may be
 // passed on to a server, what waits for room, what is turned away, and the record of attempts that makes "not
 // passed on, and never will be" a promise.
-#ifndef FENNELHOLLOW_MESH_THEODOLITE_FENCE_HPP_
-#define FENNELHOLLOW_MESH_THEODOLITE_FENCE_HPP_
+#ifndef FENNELHOLLOW_MESH_INGRESS_FENCE_HPP_
+#define FENNELHOLLOW_MESH_INGRESS_FENCE_HPP_
 
 #include <boost/heap/fibonacci_heap.hpp>
 #include <cstdint>
@@ -15,9 +15,9 @@
 #include <vector>
 
 #include "merlinrun/balancer.hpp"
-#include "mesh/theodolite/hop.hpp"
+#include "mesh/ingress/hop.hpp"
 
-namespace fennelhollow::theodolite {
+namespace fennelhollow::ingress {
 
 using merlinrun::Micros;
 
@@ -106,6 +106,6 @@
   std::map<std::uint64_t, std::uint64_t> forgotten_;  // life -> the highest number whose record has gone
 };
 
-}  // namespace fennelhollow::theodolite
+}  // namespace fennelhollow::ingress
 
-#endif  // FENNELHOLLOW_MESH_THEODOLITE_FENCE_HPP_
+#endif  // FENNELHOLLOW_MESH_INGRESS_FENCE_HPP_
--- a/src/mesh/theodolite/hop.hpp
+++ b/src/mesh/ingress/hop.hpp
@@ -1,8 +1,8 @@
 // What the two hops of a request say to each other (standard term: proxy-to-proxy protocol). A link carries
 // one attempt at a time, so a slow reader holds up nothing but its own answer, and a reset takes one request
 // with it. The first byte of a frame is its Word, the rest is cereal.
-#ifndef FENNELHOLLOW_MESH_THEODOLITE_HOP_HPP_
-#define FENNELHOLLOW_MESH_THEODOLITE_HOP_HPP_
+#ifndef FENNELHOLLOW_MESH_INGRESS_HOP_HPP_
+#define FENNELHOLLOW_MESH_INGRESS_HOP_HPP_
 
 #include <absl/status/statusor.h>
 
@@ -16,7 +16,7 @@
 
 #include "mesh/frames/codec.hpp"
 
-namespace fennelhollow::theodolite {
+namespace fennelhollow::ingress {
 
 using Headers = std::vector<std::pair<std::string, std::string>>;
 
@@ -127,6 +127,6 @@
   return frames::Unpack<T>(frame.substr(1));
 }
 
-}  // namespace fennelhollow::theodolite
+}  // namespace fennelhollow::ingress
 
-#endif  // FENNELHOLLOW_MESH_THEODOLITE_HOP_HPP_
+#endif  // FENNELHOLLOW_MESH_INGRESS_HOP_HPP_
--- a/src/mesh/theodolite/last_hop.cpp
+++ b/src/mesh/ingress/last_hop.cpp
@@ -1,9 +1,9 @@
-#include "mesh/theodolite/last_hop.hpp"
+#include "mesh/ingress/last_hop.hpp"
 
 #include <algorithm>
 #include <utility>
 
-namespace fennelhollow::theodolite {
+namespace fennelhollow::ingress {
 namespace {
 
 constexpr Micros kMs = 1000;
@@ -304,4 +304,4 @@
   return runs_ == 0 ? 0 : static_cast<double>(repeats_) / static_cast<double>(runs_);
 }
 
-}  // namespace fennelhollow::theodolite
+}  // namespace fennelhollow::ingress
--- a/src/mesh/theodolite/last_hop.hpp
+++ b/src/mesh/ingress/last_hop.hpp
@@ -1,7 +1,7 @@
-// theodolite: the last hop before a server (standard term: inbound proxy), on sockets. What it decides is
+// ingress: the last hop before a server (standard term: inbound proxy), on sockets. What it decides is
 // Fence's.
-#ifndef FENNELHOLLOW_MESH_THEODOLITE_LAST_HOP_HPP_
-#define FENNELHOLLOW_MESH_THEODOLITE_LAST_HOP_HPP_
+#ifndef FENNELHOLLOW_MESH_INGRESS_LAST_HOP_HPP_
+#define FENNELHOLLOW_MESH_INGRESS_LAST_HOP_HPP_
 
 #include <cstdint>
 #include <functional>
@@ -12,12 +12,12 @@
 
 #include "core/loop.hpp"
 #include "mesh/frames/link.hpp"
+#include "mesh/ingress/fence.hpp"
+#include "mesh/ingress/hop.hpp"
+#include "mesh/ingress/server_pool.hpp"
 #include "mesh/roster/roster.hpp"
-#include "mesh/theodolite/fence.hpp"
-#include "mesh/theodolite/hop.hpp"
-#include "mesh/theodolite/server_pool.hpp"
 
-namespace fennelhollow::theodolite {
+namespace fennelhollow::ingress {
 
 class LastHop {
  public:
@@ -79,6 +79,6 @@
   bool timed_ = false;
 };
 
-}  // namespace fennelhollow::theodolite
+}  // namespace fennelhollow::ingress
 
-#endif  // FENNELHOLLOW_MESH_THEODOLITE_LAST_HOP_HPP_
+#endif  // FENNELHOLLOW_MESH_INGRESS_LAST_HOP_HPP_
--- a/src/mesh/theodolite/server_pool.cpp
+++ b/src/mesh/ingress/server_pool.cpp
@@ -1,4 +1,4 @@
-#include "mesh/theodolite/server_pool.hpp"
+#include "mesh/ingress/server_pool.hpp"
 
 #include <netinet/tcp.h>
 
@@ -17,7 +17,7 @@
 #include "mesh/frames/read_buffer.hpp"
 #include "net/address.hpp"
 
-namespace fennelhollow::theodolite {
+namespace fennelhollow::ingress {
 namespace {
 
 using Clock = std::chrono::steady_clock;
@@ -427,4 +427,4 @@
   });
 }
 
-}  // namespace fennelhollow::theodolite
+}  // namespace fennelhollow::ingress
--- a/src/mesh/theodolite/server_pool.hpp
+++ b/src/mesh/ingress/server_pool.hpp
@@ -1,6 +1,6 @@
 // Kept HTTP/1.1 connections to the server on this machine (standard term: upstream connection pool).
-#ifndef FENNELHOLLOW_MESH_THEODOLITE_SERVER_POOL_HPP_
-#define FENNELHOLLOW_MESH_THEODOLITE_SERVER_POOL_HPP_
+#ifndef FENNELHOLLOW_MESH_INGRESS_SERVER_POOL_HPP_
+#define FENNELHOLLOW_MESH_INGRESS_SERVER_POOL_HPP_
 
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
@@ -10,10 +10,10 @@
 #include <memory>
 #include <string>
 
-#include "mesh/theodolite/hop.hpp"
+#include "mesh/ingress/hop.hpp"
 #include "net/protocol.hpp"
 
-namespace fennelhollow::theodolite {
+namespace fennelhollow::ingress {
 
 namespace asio = merlinrun::net::asio;
 using merlinrun::net::ErrorCode;
@@ -75,6 +75,6 @@
   std::map<std::string, std::list<ConnectionPtr>> idle_;  // newest at the back
 };
 
-}  // namespace fennelhollow::theodolite
+}  // namespace fennelhollow::ingress
 
-#endif  // FENNELHOLLOW_MESH_THEODOLITE_SERVER_POOL_HPP_
+#endif  // FENNELHOLLOW_MESH_INGRESS_SERVER_POOL_HPP_
--- a/src/mesh/node/sidecar.cpp
+++ b/src/mesh/node/sidecar.cpp
@@ -19,11 +19,11 @@
 #include "mesh/frames/link.hpp"
 #include "mesh/heliograph/io/datagrams.hpp"
 #include "mesh/heliograph/view.hpp"
+#include "mesh/ingress/last_hop.hpp"
 #include "mesh/node/control_listener.hpp"
 #include "mesh/push/client.hpp"
 #include "mesh/raingauge/quota.hpp"
 #include "mesh/roster/roster.hpp"
-#include "mesh/theodolite/last_hop.hpp"
 #include "net/address.hpp"
 #include "net/asio_loop.hpp"
 
@@ -481,7 +481,7 @@
   std::set<const frames::Link*> up_;
   std::set<std::shared_ptr<frames::Link>> young_;  // whose Hello has not come
   egress::HopClient hops_;
-  theodolite::LastHop last_hop_;
+  ingress::LastHop last_hop_;
   egress::Outbound outbound_;
   std::unique_ptr<frames::Listener> listener_;
   std::unique_ptr<ControlListener> control_;
--- a/tests/mesh/egress_outbound_test.cpp
+++ b/tests/mesh/egress_outbound_test.cpp
@@ -4,22 +4,22 @@
 
 #include "loopback.hpp"
 #include "mesh/egress/outbound.hpp"
-#include "mesh/theodolite/last_hop.hpp"
+#include "mesh/ingress/last_hop.hpp"
 #include "net/asio_loop.hpp"
 
 namespace fennelhollow::egress {
 namespace {
 
+using ingress::Heard;
+using ingress::Say;
+using ingress::Why;
+using ingress::Word;
 using loopback::Field;
 using loopback::HttpScript;
 using loopback::Raw;
 using loopback::RawPtr;
 using loopback::Turns;
 using loopback::Until;
-using theodolite::Heard;
-using theodolite::Say;
-using theodolite::Why;
-using theodolite::Word;
 
 // A last hop as the test writes it. Its Hello is sent to whoever says his.
 struct FakeHop {
@@ -28,8 +28,7 @@
       : port(loopback::FreePort(io)), listener(io, "127.0.0.1", port, {}, [this, script](auto link) {
           auto hello = std::make_shared<bool>(false);
           link->Start({[this, raw = link.get(), script, hello](std::string_view frame) {
-                         if (std::exchange(*hello, true))
-                           return script(*raw, theodolite::WordOf(frame), frame);
+                         if (std::exchange(*hello, true)) return script(*raw, ingress::WordOf(frame), frame);
                          if (!greets) return;
                          frames::Hello mine;
                          mine.life = life;
@@ -61,19 +60,18 @@
   explicit HopBench(FakeHop::Script script) : hop(io, std::move(script)) {}
   std::shared_ptr<Outcome> Start(bool unsafe, const std::string& address) {
     auto out = std::make_shared<Outcome>();
-    theodolite::Attempt attempt;
+    ingress::Attempt attempt;
     attempt.unsafe = unsafe;
     attempt.server = "s";
-    handle =
-        client.Send(address, attempt,
-                    {[out](theodolite::Head head) {
-                       ++out->heads;
-                       out->body += head.body;
-                       out->ends += head.end;
-                     },
-                     [out](theodolite::Piece piece) { out->body += piece.bytes, out->ends += piece.end; },
-                     [out](Why why) { out->turned = why, ++out->ends; },
-                     [out](bool never_ran, bool) { out->never_ran = never_ran, ++out->ends; }});
+    handle = client.Send(address, attempt,
+                         {[out](ingress::Head head) {
+                            ++out->heads;
+                            out->body += head.body;
+                            out->ends += head.end;
+                          },
+                          [out](ingress::Piece piece) { out->body += piece.bytes, out->ends += piece.end; },
+                          [out](Why why) { out->turned = why, ++out->ends; },
+                          [out](bool never_ran, bool) { out->never_ran = never_ran, ++out->ends; }});
     CHECK(out->ends == 0);  // never from inside the call
     return out;
   }
@@ -95,19 +93,19 @@
   enum { kPassedOn, kNever, kAnotherLife, kSilent, kDiesAgain, kGone };
   const int what = GENERATE(range(0, 6));
   INFO(what);
-  std::optional<theodolite::Ticket> sent, asked;
+  std::optional<ingress::Ticket> sent, asked;
   HopBench* mine = nullptr;
   HopBench bench([&](frames::Link& link, Word word, std::string_view frame) {
     if (word == Word::kAttempt) {
-      sent = Heard<theodolite::Attempt>(frame)->ticket;
+      sent = Heard<ingress::Attempt>(frame)->ticket;
       if (what == kAnotherLife) ++mine->hop.life;
       if (what == kGone) mine->hop.listener.Close();
       return link.Close();
     }
     REQUIRE(word == Word::kAsk);
-    asked = Heard<theodolite::Ask>(frame)->ticket;
+    asked = Heard<ingress::Ask>(frame)->ticket;
     if (what == kDiesAgain) return link.Close();
-    if (what == kPassedOn || what == kNever) link.Send(Say(Word::kTold, theodolite::Told{what == kPassedOn}));
+    if (what == kPassedOn || what == kNever) link.Send(Say(Word::kTold, ingress::Told{what == kPassedOn}));
   });
   mine = &bench;
   const Outcome out = bench.Ask(true);
@@ -128,7 +126,7 @@
 
 TEST_CASE("an unsafe attempt is not asked after once its answer has begun") {
   HopBench bench([](frames::Link& link, Word, std::string_view) {
-    theodolite::Head head;
+    ingress::Head head;
     head.status = 200;
     link.Send(Say(Word::kHead, head));
     link.Send(Say(Word::kHello, frames::Hello{}));  // out of place
@@ -156,7 +154,7 @@
   int attempts = 0;
   HopBench bench([&](frames::Link& link, Word word, std::string_view) {
     if (word != Word::kAttempt || ++attempts == 3) return;
-    theodolite::Head head;
+    ingress::Head head;
     head.end = true;
     link.Send(Say(Word::kHead, head));
   });
@@ -201,7 +199,7 @@
   roster::Server told;
   bool takes = true;
   int dead = 0;
-  theodolite::LastHop last_hop;
+  ingress::LastHop last_hop;
   std::vector<std::shared_ptr<frames::Link>> links;
   frames::Listener listener;
 };
@@ -242,22 +240,22 @@
   // The frame that comes first is such a one.
   void Next(const std::shared_ptr<End>& end, Word word) {
     REQUIRE(Until(io, [&] { return !end->frames.empty(); }));
-    REQUIRE(static_cast<int>(theodolite::WordOf(end->frames[0])) == static_cast<int>(word));
+    REQUIRE(static_cast<int>(ingress::WordOf(end->frames[0])) == static_cast<int>(word));
   }
-  Why Turned(const theodolite::Attempt& attempt) {
+  Why Turned(const ingress::Attempt& attempt) {
     const auto end = Dial();
     end->link->Send(Say(Word::kAttempt, attempt));
     Next(end, Word::kTurned);
-    return static_cast<Why>(Heard<theodolite::Turned>(end->frames[0])->why);
+    return static_cast<Why>(Heard<ingress::Turned>(end->frames[0])->why);
   }
-  bool PassedOn(const theodolite::Ticket& ticket) {
+  bool PassedOn(const ingress::Ticket& ticket) {
     const auto end = Dial();
-    end->link->Send(Say(Word::kAsk, theodolite::Ask{ticket}));
+    end->link->Send(Say(Word::kAsk, ingress::Ask{ticket}));
     Next(end, Word::kTold);
-    return Heard<theodolite::Told>(end->frames[0])->passed_on;
+    return Heard<ingress::Told>(end->frames[0])->passed_on;
   }
-  static theodolite::Attempt Attempt(std::uint64_t number) {
-    theodolite::Attempt out;
+  static ingress::Attempt Attempt(std::uint64_t number) {
+    ingress::Attempt out;
     out.ticket = {5, number};
     out.server = "s";
     out.method = "GET";
@@ -311,7 +309,7 @@
   const auto end = bench.Dial();
   end->link->Send(Say(Word::kAttempt, bench.Attempt(1)));
   bench.Next(end, Word::kHead);
-  const auto head = Heard<theodolite::Head>(end->frames[0]);
+  const auto head = Heard<ingress::Head>(end->frames[0]);
   CHECK(head->status == 200);
   CHECK(head->end);
   CHECK(head->body == "done");
--- a/tests/mesh/theodolite_fence_test.cpp
+++ b/tests/mesh/ingress_fence_test.cpp
@@ -4,9 +4,9 @@
 #include <random>
 #include <set>
 
-#include "mesh/theodolite/fence.hpp"
+#include "mesh/ingress/fence.hpp"
 
-namespace fennelhollow::theodolite {
+namespace fennelhollow::ingress {
 namespace {
 
 using Decision = Fence::Decision;
@@ -263,4 +263,4 @@
 }
 
 }  // namespace
-}  // namespace fennelhollow::theodolite
+}  // namespace fennelhollow::ingress
--- a/tests/mesh/theodolite_server_pool_test.cpp
+++ b/tests/mesh/ingress_server_pool_test.cpp
@@ -2,9 +2,9 @@
 #include <optional>
 
 #include "loopback.hpp"
-#include "mesh/theodolite/server_pool.hpp"
+#include "mesh/ingress/server_pool.hpp"
 
-namespace fennelhollow::theodolite {
+namespace fennelhollow::ingress {
 namespace {
 
 using Failure = ServerPool::Failure;
@@ -295,4 +295,4 @@
 }
 
 }  // namespace
-}  // namespace fennelhollow::theodolite
+}  // namespace fennelhollow::ingress
