--- a/bench/mesh/control_scale.cpp
+++ b/bench/mesh/control_scale.cpp
@@ -98,7 +98,7 @@
         std::make_unique<frames::Listener>(io, "127.0.0.1", port, Link::Limits{},
                                            [this](std::shared_ptr<Link> link) { OnLink(std::move(link)); });
     shared.port[index] = port;
-    std::map<std::string, raingauge::TenantLimit> limits;
+    std::map<std::string, quota::TenantLimit> limits;
     for (int t = 0; t < tenants; ++t) limits["tenant-" + std::to_string(t)] = {1000, 500};
     herald_.SetLimits(loop_.Now(), limits);
     Tick();
@@ -222,7 +222,7 @@
     CountWhole();
   }
   void OnListing(const roster::Listing& listing, std::size_t, std::size_t) override;
-  void OnShares(const std::vector<raingauge::Share>& shares, Micros) override { held_ = shares; }
+  void OnShares(const std::vector<quota::Share>& shares, Micros) override { held_ = shares; }
   void OnCores(const std::vector<std::string>&) override {}
 
  private:
@@ -233,7 +233,7 @@
   const std::size_t index_;
   int slots_ = 8;
   bool listing_ = false, ledger_ = false, counted_ = false;
-  std::vector<raingauge::Share> held_;
+  std::vector<quota::Share> held_;
   std::unique_ptr<Client> client_;
   std::unique_ptr<merlinrun::core::Timer> timer_;
   std::map<std::string, std::shared_ptr<Link>> links_;
@@ -290,7 +290,7 @@
   settings.seeds = all.cores;
   settings.seed = life;
   settings.demand = [this](Micros) {
-    std::vector<raingauge::Demand> out;
+    std::vector<quota::Demand> out;
     for (int t = 0; t < kTenantsAsked; ++t)
       out.push_back({"tenant-" + std::to_string((index_ + static_cast<std::size_t>(t) * 25) %
                                                 static_cast<std::size_t>(tenants)),
--- a/bench/mesh/hop_cost.cpp
+++ b/bench/mesh/hop_cost.cpp
@@ -23,7 +23,7 @@
 #include "mesh/egress/outbound.hpp"
 #include "mesh/frames/link.hpp"
 #include "mesh/ingress/last_hop.hpp"
-#include "mesh/raingauge/quota.hpp"
+#include "mesh/quota/quota.hpp"
 #include "net/asio_loop.hpp"
 
 namespace fennelhollow::bench {
@@ -178,7 +178,7 @@
     asio::io_context io;
     merlinrun::net::AsioLoop loop(io);
     egress::HopClient hops(io, loop, {"machine-1", "127.0.0.1:1", 9, 300, 400});
-    raingauge::Gauge gauge({});
+    quota::Gauge gauge({});
     egress::Outbound outbound(loop, OutboundSettings(), hops, gauge);
     roster::Listing listing = ListingOf(1, 2, each);
     outbound.OnListing(listing, 3, listing.sidecars.size());
@@ -205,7 +205,7 @@
   asio::io_context io;
   merlinrun::net::AsioLoop loop(io);
   egress::HopClient hops(io, loop, {"machine-1", "127.0.0.1:1", 9, 300, 400});
-  raingauge::Gauge gauge({});
+  quota::Gauge gauge({});
   egress::Outbound outbound(loop, OutboundSettings(), hops, gauge);
   outbound.OnListing(ListingOf(hop, stub), 3, kServices * kServersEach);
   outbound.OnTables(TablesOf());
--- a/bench/mesh/order_cost.cpp
+++ b/bench/mesh/order_cost.cpp
@@ -21,7 +21,7 @@
 #include "mesh/configuration/configuration.hpp"
 #include "mesh/consensus/order.hpp"
 #include "mesh/consensus/store.hpp"
-#include "mesh/raingauge/quota.hpp"
+#include "mesh/quota/quota.hpp"
 
 namespace fennelhollow::bench {
 namespace {
@@ -319,8 +319,8 @@
         Spread cpu;
         double calls = 0, shares = 0;
         const double memory = MemoryKb(::getpid(), "VmRSS");
-        raingauge::Cutter cutter({}, 2'000'000);
-        std::map<std::string, raingauge::TenantLimit> limits;
+        quota::Cutter cutter({}, 2'000'000);
+        std::map<std::string, quota::TenantLimit> limits;
         for (std::size_t t = 0; t < tenants; ++t) limits["tenant-" + std::to_string(t)] = {1000, 500};
         Micros now = 1'000'000;
         cutter.OnLimits(now, limits);
@@ -330,7 +330,7 @@
         for (std::size_t s = 0; s < sidecars; ++s) names.push_back("machine-" + std::to_string(1000 + s));
         const auto round = [&] {
           for (std::size_t s = 0; s < sidecars; ++s) {
-            std::vector<raingauge::Demand> demand;
+            std::vector<quota::Demand> demand;
             for (std::size_t t = 0; t < asked; ++t)
               demand.push_back(
                   {"tenant-" + std::to_string((s * 8 + t) % tenants),
--- a/src/mesh/egress/outbound.cpp
+++ b/src/mesh/egress/outbound.cpp
@@ -67,7 +67,7 @@
   std::string service;
   std::unique_ptr<core::Egress> egress;
   std::unique_ptr<core::Exchanges> exchanges;
-  raingauge::Budget budget;
+  quota::Budget budget;
 };
 
 namespace {
@@ -341,7 +341,7 @@
   std::unordered_map<AttemptId, HopClient::Handle> out_;  // 0: its end is about to be told
 };
 
-Outbound::Outbound(core::Loop& loop, Settings settings, HopClient& hops, raingauge::Gauge& gauge)
+Outbound::Outbound(core::Loop& loop, Settings settings, HopClient& hops, quota::Gauge& gauge)
     : loop_(loop), settings_(std::move(settings)), hops_(hops), gauge_(gauge), random_(settings_.seed) {
   int index = 0;
   for (const auto& [zone, region] : settings_.zones) zone_index_[zone] = index++;
@@ -371,7 +371,7 @@
   // Connections to a server are its own sidecar's alone here: a wide window costs links, and balances.
   set.tuning.windows_per_server = kWindowsPerServer;
   set.tuning.out_full = 2 * kNever;
-  auto lane = std::make_unique<Lane>(Lane{service, nullptr, nullptr, raingauge::Budget(settings_.budget)});
+  auto lane = std::make_unique<Lane>(Lane{service, nullptr, nullptr, quota::Budget(settings_.budget)});
   lane->budget.OnSidecars(count_);
   lane->egress = std::make_unique<Egress>(*this, *lane);
   lane->exchanges = std::make_unique<core::Exchanges>(
--- a/src/mesh/egress/outbound.hpp
+++ b/src/mesh/egress/outbound.hpp
@@ -19,7 +19,7 @@
 #include "mesh/egress/hop_client.hpp"
 #include "mesh/egress/http_server.hpp"
 #include "mesh/egress/lookup.hpp"
-#include "mesh/raingauge/quota.hpp"
+#include "mesh/quota/quota.hpp"
 #include "mesh/roster/roster.hpp"
 
 namespace fennelhollow::egress {
@@ -31,7 +31,7 @@
     std::string zone;
     std::map<std::string, std::string> zones;
     std::uint64_t seed = 1;
-    raingauge::Budget::Bounds budget;
+    quota::Budget::Bounds budget;
     double cold_share = 0.5;
     Micros warm_after = 3'000'000;
   };
@@ -44,7 +44,7 @@
   };
 
   // All that it is given must outlive it.
-  Outbound(merlinrun::core::Loop& loop, Settings settings, HopClient& hops, raingauge::Gauge& gauge);
+  Outbound(merlinrun::core::Loop& loop, Settings settings, HopClient& hops, quota::Gauge& gauge);
   ~Outbound();
 
   void OnRequest(const HttpServer::SessionPtr& session, Incoming in);
@@ -82,7 +82,7 @@
   merlinrun::core::Loop& loop_;
   const Settings settings_;
   HopClient& hops_;
-  raingauge::Gauge& gauge_;
+  quota::Gauge& gauge_;
   merlinrun::Random random_;
   Counters counters_;
   std::shared_ptr<const configuration::Tables> tables_;
--- a/src/mesh/node/core.cpp
+++ b/src/mesh/node/core.cpp
@@ -145,8 +145,8 @@
   return {out.begin(), out.end()};
 }
 
-std::map<std::string, raingauge::TenantLimit> LimitsOf(const configuration::Tables& tables) {
-  std::map<std::string, raingauge::TenantLimit> out;
+std::map<std::string, quota::TenantLimit> LimitsOf(const configuration::Tables& tables) {
+  std::map<std::string, quota::TenantLimit> out;
   for (const configuration::Tenant& tenant : tables.tenants())
     out[tenant.name] = {tenant.rate_per_s, tenant.burst};
   return out;
--- a/src/mesh/node/sidecar.cpp
+++ b/src/mesh/node/sidecar.cpp
@@ -22,7 +22,7 @@
 #include "mesh/ingress/last_hop.hpp"
 #include "mesh/node/control_listener.hpp"
 #include "mesh/push/client.hpp"
-#include "mesh/raingauge/quota.hpp"
+#include "mesh/quota/quota.hpp"
 #include "mesh/roster/roster.hpp"
 #include "net/address.hpp"
 #include "net/asio_loop.hpp"
@@ -437,7 +437,7 @@
       return;
     }
     LOG(INFO) << "version " << (*tables)->version() << " is in force, entry " << entry;
-    std::map<std::string, raingauge::TenantLimit> limits;
+    std::map<std::string, quota::TenantLimit> limits;
     for (const auto& tenant : (*tables)->tenants())
       if (tenant.rate_per_s > 0) limits[tenant.name] = {tenant.rate_per_s, tenant.burst};
     gauge_.OnLimits(loop_.Now(), limits);
@@ -456,7 +456,7 @@
     // Not the place by name: those of a service are not to stand side by side.
     outbound_.OnListing(listing, egress::SpreadRank(listing.sidecars, settings_.node_name), count);
   }
-  void OnShares(const std::vector<raingauge::Share>& shares, Micros until) override {
+  void OnShares(const std::vector<quota::Share>& shares, Micros until) override {
     gauge_.OnShares(loop_.Now(), shares, until);
   }
   void OnCores(const std::vector<std::string>& cores) override {
@@ -470,7 +470,7 @@
   const std::string self_;
   roster::Beats beats_;
   std::uint64_t lives_seen_ = 0;
-  raingauge::Gauge gauge_;
+  quota::Gauge gauge_;
   push::Client client_;
   Advice advice_{*this};
   heliograph::View view_;
--- a/src/mesh/push/client.hpp
+++ b/src/mesh/push/client.hpp
@@ -13,7 +13,7 @@
 #include <vector>
 
 #include "mesh/push/words.hpp"
-#include "mesh/raingauge/quota.hpp"
+#include "mesh/quota/quota.hpp"
 #include "mesh/roster/roster.hpp"
 
 namespace fennelhollow::push {
@@ -35,8 +35,8 @@
     std::vector<std::string> seeds;  // internal addresses, ip:port, of cores; never forgotten
     std::uint64_t seed = 1;          // of random numbers
     // Asked at each Tell to the holder; may be null.
-    std::function<std::vector<raingauge::Demand>(Micros now)> demand;
-    std::function<std::vector<raingauge::Share>(Micros now)> held;
+    std::function<std::vector<quota::Demand>(Micros now)> demand;
+    std::function<std::vector<quota::Share>(Micros now)> held;
   };
 
   // Called from inside the client's functions; must not call back into the client.
@@ -50,7 +50,7 @@
     // includes this one even if the listing does not have it yet. The reference lives as long as the client.
     virtual void OnListing(const roster::Listing& listing, std::size_t rank, std::size_t count) = 0;
     // `until`: from when the Tell that asked for them was sent, plus the lease.
-    virtual void OnShares(const std::vector<raingauge::Share>& shares, Micros until) = 0;
+    virtual void OnShares(const std::vector<quota::Share>& shares, Micros until) = 0;
     virtual void OnCores(const std::vector<std::string>& cores) = 0;  // sorted
   };
 
--- a/src/mesh/push/herald.cpp
+++ b/src/mesh/push/herald.cpp
@@ -148,7 +148,7 @@
   for (auto& [id, link] : links_) link.beat_due = true;
 }
 
-void Herald::SetLimits(Micros now, const std::map<std::string, raingauge::TenantLimit>& limits) {
+void Herald::SetLimits(Micros now, const std::map<std::string, quota::TenantLimit>& limits) {
   cutter_.OnLimits(now, limits);
 }
 
--- a/src/mesh/push/herald.hpp
+++ b/src/mesh/push/herald.hpp
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "mesh/push/words.hpp"
-#include "mesh/raingauge/quota.hpp"
+#include "mesh/quota/quota.hpp"
 #include "mesh/roster/roster.hpp"
 
 namespace fennelhollow::push {
@@ -27,7 +27,7 @@
   struct Settings {
     std::string address;      // internal, of this core
     std::uint64_t epoch = 1;  // of its listing, drawn at its start; not 0
-    raingauge::QuotaBounds quota;
+    quota::QuotaBounds quota;
     // Of shares: outlasts a change of holder, which would otherwise refuse most of what is asked meanwhile;
     // the share of a sidecar that has died is locked for so long.
     Micros lease = 10'000'000;
@@ -65,7 +65,7 @@
   // Internal addresses of all cores; who holds the order (empty = unknown); whether this core is the holder
   // or hears it.
   void SetCores(std::vector<std::string> cores, std::string holder, bool settled);
-  void SetLimits(Micros now, const std::map<std::string, raingauge::TenantLimit>& limits);
+  void SetLimits(Micros now, const std::map<std::string, quota::TenantLimit>& limits);
   void SetDuty(Micros now, bool i_am_holder);
 
   // Sidecars that were heard lately (silent_after), whatever core they subscribe to.
@@ -112,7 +112,7 @@
   Sink& sink_;
   Micros started_;
   roster::Registry registry_;
-  raingauge::Cutter cutter_;
+  quota::Cutter cutter_;
   std::map<LinkId, Link> links_;
   std::map<std::pair<std::string, std::uint64_t>, Hearing> heard_;  // by name and life
   std::uint64_t entry_ = 0;
--- a/src/mesh/push/words.hpp
+++ b/src/mesh/push/words.hpp
@@ -7,10 +7,10 @@
 #include <string>
 #include <vector>
 
-#include "mesh/raingauge/quota.hpp"
+#include "mesh/quota/quota.hpp"
 #include "mesh/roster/roster.hpp"
 
-namespace fennelhollow::raingauge {
+namespace fennelhollow::quota {
 template <class Archive>
 void serialize(Archive& a, TenantLimit& l) {
   a(l.rate_per_s, l.burst);
@@ -23,7 +23,7 @@
 void serialize(Archive& a, Share& s) {
   a(s.tenant, s.rate_per_s, s.burst, s.of);
 }
-}  // namespace fennelhollow::raingauge
+}  // namespace fennelhollow::quota
 
 namespace fennelhollow::push {
 
@@ -37,8 +37,8 @@
   std::uint64_t entry = 0;              // number of the ledger entry that is in force here
   std::uint64_t epoch = 0, number = 0;  // of the listing it has; (0, 0): none; (n, 0): needs the whole
   std::uint64_t asked = 0;              // its own count, in the answer's shares
-  std::vector<raingauge::Demand> demand;
-  std::vector<raingauge::Share> held;
+  std::vector<quota::Demand> demand;
+  std::vector<quota::Share> held;
   template <class Archive>
   void serialize(Archive& a) {
     a(me, leaving, lives_too, lives, subscribe, entry, epoch, number, asked, demand, held);
@@ -58,7 +58,7 @@
   bool settled = false;            // this core is the holder, or hears one
   bool partial = false;            // it has only just started: its listing may lack what others will tell yet
   std::uint64_t asked = 0;         // the Tell that the shares answer; 0 = none
-  std::vector<raingauge::Share> shares;  // from the holder alone
+  std::vector<quota::Share> shares;  // from the holder alone
   std::int64_t lease_ms = 0;
   template <class Archive>
   void serialize(Archive& a) {
--- a/src/mesh/raingauge/budget.cpp
+++ b/src/mesh/quota/budget.cpp
@@ -1,8 +1,8 @@
 #include <algorithm>
 
-#include "mesh/raingauge/quota.hpp"
+#include "mesh/quota/quota.hpp"
 
-namespace fennelhollow::raingauge {
+namespace fennelhollow::quota {
 
 namespace {
 
@@ -48,4 +48,4 @@
   further_ += cost;
 }
 
-}  // namespace fennelhollow::raingauge
+}  // namespace fennelhollow::quota
--- a/src/mesh/raingauge/cutter.cpp
+++ b/src/mesh/quota/cutter.cpp
@@ -1,9 +1,9 @@
 #include <cmath>
 
-#include "mesh/raingauge/parts.hpp"
-#include "mesh/raingauge/quota.hpp"
+#include "mesh/quota/parts.hpp"
+#include "mesh/quota/quota.hpp"
 
-namespace fennelhollow::raingauge {
+namespace fennelhollow::quota {
 
 namespace {
 
@@ -287,4 +287,4 @@
   }
 }
 
-}  // namespace fennelhollow::raingauge
+}  // namespace fennelhollow::quota
--- a/src/mesh/raingauge/gauge.cpp
+++ b/src/mesh/quota/gauge.cpp
@@ -1,9 +1,9 @@
 #include <cmath>
 
-#include "mesh/raingauge/parts.hpp"
-#include "mesh/raingauge/quota.hpp"
+#include "mesh/quota/parts.hpp"
+#include "mesh/quota/quota.hpp"
 
-namespace fennelhollow::raingauge {
+namespace fennelhollow::quota {
 
 namespace {
 
@@ -148,4 +148,4 @@
   return held;
 }
 
-}  // namespace fennelhollow::raingauge
+}  // namespace fennelhollow::quota
--- a/src/mesh/raingauge/parts.hpp
+++ b/src/mesh/quota/parts.hpp
@@ -1,13 +1,13 @@
 // What the Gauge and the Cutter have to agree on.
-#ifndef FENNELHOLLOW_MESH_RAINGAUGE_PARTS_HPP_
-#define FENNELHOLLOW_MESH_RAINGAUGE_PARTS_HPP_
+#ifndef FENNELHOLLOW_MESH_QUOTA_PARTS_HPP_
+#define FENNELHOLLOW_MESH_QUOTA_PARTS_HPP_
 
 #include <algorithm>
 #include <cstddef>
 
-#include "mesh/raingauge/quota.hpp"
+#include "mesh/quota/quota.hpp"
 
-namespace fennelhollow::raingauge {
+namespace fennelhollow::quota {
 
 // Kept from the bound: for numbers of sidecars that are told late, and for a process killed at its fullest.
 inline constexpr double kKept = 0.06;
@@ -33,6 +33,6 @@
                     0.0, 1.0);
 }
 
-}  // namespace fennelhollow::raingauge
+}  // namespace fennelhollow::quota
 
-#endif  // FENNELHOLLOW_MESH_RAINGAUGE_PARTS_HPP_
+#endif  // FENNELHOLLOW_MESH_QUOTA_PARTS_HPP_
--- a/src/mesh/raingauge/quota.hpp
+++ b/src/mesh/quota/quota.hpp
@@ -1,7 +1,7 @@
-// raingauge: rate limits of tenants over all sidecars (standard term: distributed rate limiting by leased
+// quota: rate limits of tenants over all sidecars (standard term: distributed rate limiting by leased
 // shares) and the budget of further sends (retry budget). Free of I/O; one thread each.
-#ifndef FENNELHOLLOW_MESH_RAINGAUGE_QUOTA_HPP_
-#define FENNELHOLLOW_MESH_RAINGAUGE_QUOTA_HPP_
+#ifndef FENNELHOLLOW_MESH_QUOTA_QUOTA_HPP_
+#define FENNELHOLLOW_MESH_QUOTA_QUOTA_HPP_
 
 #include <array>
 #include <cstdint>
@@ -15,7 +15,7 @@
 
 #include "merlinrun/balancer.hpp"
 
-namespace fennelhollow::raingauge {
+namespace fennelhollow::quota {
 
 using merlinrun::Micros;
 
@@ -195,6 +195,6 @@
   double requests_ = 0, further_ = 0;
 };
 
-}  // namespace fennelhollow::raingauge
+}  // namespace fennelhollow::quota
 
-#endif  // FENNELHOLLOW_MESH_RAINGAUGE_QUOTA_HPP_
+#endif  // FENNELHOLLOW_MESH_QUOTA_QUOTA_HPP_
--- a/tests/mesh/egress_outbound_test.cpp
+++ b/tests/mesh/egress_outbound_test.cpp
@@ -385,7 +385,7 @@
   std::vector<int> arrived;
   std::string answer;
   std::vector<std::unique_ptr<Machine>> machines;
-  raingauge::Gauge gauge{{}};
+  quota::Gauge gauge{{}};
   HopClient hops{io, loop, {"me", "127.0.0.1:1", 5, 300, 400}};
   std::unique_ptr<Outbound> outbound;
   std::unique_ptr<HttpServer> front;
--- a/tests/mesh/push_test.cpp
+++ b/tests/mesh/push_test.cpp
@@ -49,8 +49,8 @@
     settings.me = {name, ++drawn_, "hop:" + name, "z", "s"};
     settings.seeds = addresses_;
     settings.seed = drawn_;
-    settings.held = [](Micros) { return std::vector<raingauge::Share>{}; };
-    settings.demand = [](Micros) { return std::vector<raingauge::Demand>{{"t", 5, 5}}; };
+    settings.held = [](Micros) { return std::vector<quota::Share>{}; };
+    settings.demand = [](Micros) { return std::vector<quota::Demand>{{"t", 5, 5}}; };
     sidecar->client = std::make_unique<Client>(settings, *sidecar);
     sidecar->client->SetLives(now_, {Life(name, roster::State::kReady)});
     sidecars_[name] = std::move(sidecar);
@@ -118,7 +118,7 @@
       if (fullest > 0 && listing.servers.size() + 1 < fullest) shrunk = true;
       fullest = std::max(fullest, listing.servers.size());
     }
-    void OnShares(const std::vector<raingauge::Share>&, Micros until) override {
+    void OnShares(const std::vector<quota::Share>&, Micros until) override {
       CHECK(until > world->now_);
       CHECK(until <= world->now_ + 2 * kS);
       shares_until = std::max(shares_until, until);
@@ -395,7 +395,7 @@
     void Send(const std::string&, const Tell&) override {}
     void OnLedger(std::uint64_t, const std::string&) override {}
     void OnListing(const roster::Listing&, std::size_t, std::size_t) override {}
-    void OnShares(const std::vector<raingauge::Share>&, Micros) override {}
+    void OnShares(const std::vector<quota::Share>&, Micros) override {}
     void OnCores(const std::vector<std::string>&) override {}
   } sink;
   Client::Settings settings;
@@ -438,7 +438,7 @@
     void Send(const std::string&, const Tell&) override {}
     void OnLedger(std::uint64_t, const std::string&) override {}
     void OnListing(const roster::Listing&, std::size_t, std::size_t) override {}
-    void OnShares(const std::vector<raingauge::Share>&, Micros) override {}
+    void OnShares(const std::vector<quota::Share>&, Micros) override {}
     void OnCores(const std::vector<std::string>&) override {}
   } sink;
   Client::Settings settings;
--- a/tests/mesh/raingauge_test.cpp
+++ b/tests/mesh/quota_test.cpp
@@ -1,12 +1,12 @@
+#include "mesh/quota/quota.hpp"
+
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <functional>
 #include <memory>
 #include <random>
 
-#include "mesh/raingauge/quota.hpp"
-
-namespace fennelhollow::raingauge {
+namespace fennelhollow::quota {
 namespace {
 
 constexpr Micros kMs = 1'000, kSecond = 1'000'000, kLease = 6 * kSecond, kTell = 300 * kMs;
@@ -355,4 +355,4 @@
 }
 
 }  // namespace
-}  // namespace fennelhollow::raingauge
+}  // namespace fennelhollow::quota
