--- a/src/mesh/heliograph/io/datagrams.cpp
+++ b/src/mesh/gossip/io/datagrams.cpp
@@ -1,4 +1,4 @@
-#include "mesh/heliograph/io/datagrams.hpp"
+#include "mesh/gossip/io/datagrams.hpp"
 
 #include <array>
 #include <boost/asio/io_context.hpp>
@@ -8,10 +8,10 @@
 #include <cstdlib>
 #include <utility>
 
-#include "mesh/heliograph/view.hpp"
+#include "mesh/gossip/view.hpp"
 #include "net/address.hpp"
 
-namespace fennelhollow::heliograph {
+namespace fennelhollow::gossip {
 namespace {
 
 namespace asio = merlinrun::net::asio;
@@ -105,4 +105,4 @@
   return impl_->socket.local_endpoint(error).port();
 }
 
-}  // namespace fennelhollow::heliograph
+}  // namespace fennelhollow::gossip
--- a/src/mesh/heliograph/io/datagrams.hpp
+++ b/src/mesh/gossip/io/datagrams.hpp
@@ -1,6 +1,6 @@
-// UDP under a heliograph: one socket, whole datagrams.
-#ifndef FENNELHOLLOW_MESH_HELIOGRAPH_IO_DATAGRAMS_HPP_
-#define FENNELHOLLOW_MESH_HELIOGRAPH_IO_DATAGRAMS_HPP_
+// UDP under a gossip: one socket, whole datagrams.
+#ifndef FENNELHOLLOW_MESH_GOSSIP_IO_DATAGRAMS_HPP_
+#define FENNELHOLLOW_MESH_GOSSIP_IO_DATAGRAMS_HPP_
 
 #include <absl/status/statusor.h>
 
@@ -12,7 +12,7 @@
 
 #include "net/protocol.hpp"
 
-namespace fennelhollow::heliograph {
+namespace fennelhollow::gossip {
 
 // Threading: all of it on the thread of `io`.
 class Datagrams {
@@ -39,6 +39,6 @@
   std::shared_ptr<Impl> impl_;
 };
 
-}  // namespace fennelhollow::heliograph
+}  // namespace fennelhollow::gossip
 
-#endif  // FENNELHOLLOW_MESH_HELIOGRAPH_IO_DATAGRAMS_HPP_
+#endif  // FENNELHOLLOW_MESH_GOSSIP_IO_DATAGRAMS_HPP_
--- a/src/mesh/heliograph/message.cpp
+++ b/src/mesh/gossip/message.cpp
@@ -1,13 +1,13 @@
-#include "mesh/heliograph/message.hpp"
+#include "mesh/gossip/message.hpp"
 
 #include <algorithm>
 #include <charconv>
 
 #include "base/random.hpp"
 #include "mesh/frames/codec.hpp"
-#include "mesh/heliograph/view.hpp"
+#include "mesh/gossip/view.hpp"
 
-namespace fennelhollow::heliograph {
+namespace fennelhollow::gossip {
 namespace {
 
 constexpr std::uint32_t kMagic = 0x464e4731;  // "FNG1"
@@ -76,4 +76,4 @@
   return message;
 }
 
-}  // namespace fennelhollow::heliograph
+}  // namespace fennelhollow::gossip
--- a/src/mesh/heliograph/message.hpp
+++ b/src/mesh/gossip/message.hpp
@@ -1,6 +1,6 @@
 // What heliographs say to one another, in one datagram each.
-#ifndef FENNELHOLLOW_MESH_HELIOGRAPH_MESSAGE_HPP_
-#define FENNELHOLLOW_MESH_HELIOGRAPH_MESSAGE_HPP_
+#ifndef FENNELHOLLOW_MESH_GOSSIP_MESSAGE_HPP_
+#define FENNELHOLLOW_MESH_GOSSIP_MESSAGE_HPP_
 
 #include <absl/status/statusor.h>
 
@@ -9,7 +9,7 @@
 #include <string_view>
 #include <vector>
 
-namespace fennelhollow::heliograph {
+namespace fennelhollow::gossip {
 
 // Ages are in milliseconds: how long ago somebody heard it (of it) first hand.
 struct Sighting {
@@ -45,6 +45,6 @@
 // Whether it is an IPv4 ip:port as datagrams carry it.
 bool IsAddress(std::string_view text);
 
-}  // namespace fennelhollow::heliograph
+}  // namespace fennelhollow::gossip
 
-#endif  // FENNELHOLLOW_MESH_HELIOGRAPH_MESSAGE_HPP_
+#endif  // FENNELHOLLOW_MESH_GOSSIP_MESSAGE_HPP_
--- a/src/mesh/heliograph/view.cpp
+++ b/src/mesh/gossip/view.cpp
@@ -1,10 +1,10 @@
-#include "mesh/heliograph/view.hpp"
+#include "mesh/gossip/view.hpp"
 
 #include <algorithm>
 #include <limits>
 #include <utility>
 
-namespace fennelhollow::heliograph {
+namespace fennelhollow::gossip {
 namespace {
 
 constexpr Micros kSecond = 1'000'000;
@@ -285,4 +285,4 @@
   if (newer) sink_.OnNewer(message.entry);
 }
 
-}  // namespace fennelhollow::heliograph
+}  // namespace fennelhollow::gossip
--- a/src/mesh/heliograph/view.hpp
+++ b/src/mesh/gossip/view.hpp
@@ -1,9 +1,9 @@
-// heliograph: sidecars that know some others, a second way to the cores and a second way for a number
+// gossip: sidecars that know some others, a second way to the cores and a second way for a number
 // (standard term: gossip, peer sampling by partial views as CYCLON does it). What travels here is advice: it
 // decides nothing, and nothing here makes a request fail. Free of I/O; one thread; times are of one steady
 // clock, in microseconds.
-#ifndef FENNELHOLLOW_MESH_HELIOGRAPH_VIEW_HPP_
-#define FENNELHOLLOW_MESH_HELIOGRAPH_VIEW_HPP_
+#ifndef FENNELHOLLOW_MESH_GOSSIP_VIEW_HPP_
+#define FENNELHOLLOW_MESH_GOSSIP_VIEW_HPP_
 
 #include <cstddef>
 #include <cstdint>
@@ -15,9 +15,9 @@
 #include <vector>
 
 #include "base/random.hpp"
-#include "mesh/heliograph/message.hpp"
+#include "mesh/gossip/message.hpp"
 
-namespace fennelhollow::heliograph {
+namespace fennelhollow::gossip {
 
 using merlinrun::Micros;
 
@@ -141,6 +141,6 @@
   Counters counters_;
 };
 
-}  // namespace fennelhollow::heliograph
+}  // namespace fennelhollow::gossip
 
-#endif  // FENNELHOLLOW_MESH_HELIOGRAPH_VIEW_HPP_
+#endif  // FENNELHOLLOW_MESH_GOSSIP_VIEW_HPP_
--- a/src/mesh/node/sidecar.cpp
+++ b/src/mesh/node/sidecar.cpp
@@ -17,8 +17,8 @@
 #include "mesh/egress/outbound.hpp"
 #include "mesh/frames/codec.hpp"
 #include "mesh/frames/link.hpp"
-#include "mesh/heliograph/io/datagrams.hpp"
-#include "mesh/heliograph/view.hpp"
+#include "mesh/gossip/io/datagrams.hpp"
+#include "mesh/gossip/view.hpp"
 #include "mesh/ingress/last_hop.hpp"
 #include "mesh/node/control_listener.hpp"
 #include "mesh/push/client.hpp"
@@ -116,12 +116,12 @@
     }
     // A second way only: without it everything goes on.
     auto datagrams =
-        heliograph::Datagrams::Open(io_, settings_.ip, static_cast<std::uint16_t>(settings_.first_port + 1),
-                                    [this](const std::string& from, std::string_view bytes) {
-                                      const Micros now = loop_.Now();
-                                      view_.SetKnown(now, client_.entry(), client_.Speaking(now));
-                                      view_.OnDatagram(now, from, bytes);
-                                    });
+        gossip::Datagrams::Open(io_, settings_.ip, static_cast<std::uint16_t>(settings_.first_port + 1),
+                                [this](const std::string& from, std::string_view bytes) {
+                                  const Micros now = loop_.Now();
+                                  view_.SetKnown(now, client_.entry(), client_.Speaking(now));
+                                  view_.OnDatagram(now, from, bytes);
+                                });
     if (datagrams.ok())
       datagrams_ = std::move(*datagrams);
     else
@@ -191,7 +191,7 @@
                             {"cancelled", h.cancelled},
                             {"connectionsOpened", last_hop_.pool().opened()},
                             {"strayAnswers", last_hop_.pool().strays()}}},
-                          {"heliograph",
+                          {"gossip",
                            {{"neighbours", view_.neighbours().size()},
                             {"sent", view_.counters().sent},
                             {"read", view_.counters().read},
@@ -238,8 +238,8 @@
     return merlinrun::net::Text(*at);
   }
 
-  // What the heliograph hears is advice to the push. Apart from Impl: both sinks have an OnCores.
-  struct Advice : heliograph::View::Sink {
+  // What the gossip hears is advice to the push. Apart from Impl: both sinks have an OnCores.
+  struct Advice : gossip::View::Sink {
     explicit Advice(Impl& impl) : mine(impl) {}
     void Send(const std::string& address, const std::string& bytes) override {
       if (mine.datagrams_) mine.datagrams_->Send(address, bytes);
@@ -329,7 +329,7 @@
       if (client_.listing().number != introduced_ && now - introduced_at_ >= kIntroduceEvery) {
         introduced_ = client_.listing().number;
         introduced_at_ = now;
-        std::vector<heliograph::View::Introduction> sidecars;
+        std::vector<gossip::View::Introduction> sidecars;
         for (const auto& sidecar : client_.listing().sidecars)
           sidecars.push_back({sidecar.name, Heliograph(sidecar.hop)});
         view_.SetIntroductions(sidecars);
@@ -473,8 +473,8 @@
   quota::Gauge gauge_;
   push::Client client_;
   Advice advice_{*this};
-  heliograph::View view_;
-  std::unique_ptr<heliograph::Datagrams> datagrams_;
+  gossip::View view_;
+  std::unique_ptr<gossip::Datagrams> datagrams_;
   std::uint64_t introduced_ = 0;  // listing number
   Micros introduced_at_ = -kIntroduceEvery;
   std::map<std::string, std::shared_ptr<frames::Link>> links_;
--- a/tests/mesh/heliograph_test.cpp
+++ b/tests/mesh/gossip_test.cpp
@@ -8,10 +8,10 @@
 #include <set>
 
 #include "loopback.hpp"
-#include "mesh/heliograph/io/datagrams.hpp"
-#include "mesh/heliograph/view.hpp"
+#include "mesh/gossip/io/datagrams.hpp"
+#include "mesh/gossip/view.hpp"
 
-namespace fennelhollow::heliograph {
+namespace fennelhollow::gossip {
 namespace {
 
 constexpr Micros kMs = 1000;
@@ -333,4 +333,4 @@
 }
 
 }  // namespace
-}  // namespace fennelhollow::heliograph
+}  // namespace fennelhollow::gossip
