--- a/bench/mesh/control_scale.cpp
+++ b/bench/mesh/control_scale.cpp
@@ -65,7 +65,7 @@
   std::array<std::atomic<std::int64_t>, 65536> micros;  // from the command to a sidecar's having the change
 };
 
-roster::Server ServerOf(std::size_t i, int slots) {
+registry::Server ServerOf(std::size_t i, int slots) {
   const std::string n = std::to_string(1000 + i);
   return {"huvo11a-" + n + "-5f2c91",
           "service-" + std::to_string(i % 56),
@@ -73,7 +73,7 @@
           "zone-" + std::to_string(i % 5),
           "v2026.11.3",
           slots,
-          roster::State::kReady,
+          registry::State::kReady,
           0,
           1,
           "10.20.30.40:7" + n};
@@ -221,7 +221,7 @@
     ledger_ = true;
     CountWhole();
   }
-  void OnListing(const roster::Listing& listing, std::size_t, std::size_t) override;
+  void OnListing(const registry::Listing& listing, std::size_t, std::size_t) override;
   void OnShares(const std::vector<quota::Share>& shares, Micros) override { held_ = shares; }
   void OnCores(const std::vector<std::string>&) override {}
 
@@ -285,7 +285,7 @@
 Hollow::Hollow(Sidecars& all, std::size_t index, std::uint64_t life)
     : all_(all), index_(index), timer_(all.loop.NewTimer()) {
   Client::Settings settings;
-  const roster::Server server = ServerOf(index, slots_);
+  const registry::Server server = ServerOf(index, slots_);
   settings.me = {"machine-" + std::to_string(1000 + index), life, server.hop, server.zone, server.service};
   settings.seeds = all.cores;
   settings.seed = life;
@@ -343,7 +343,7 @@
   if (listing_ && ledger_ && !std::exchange(counted_, true)) ++all_.shared.listed;
 }
 
-void Hollow::OnListing(const roster::Listing& listing, std::size_t, std::size_t) {
+void Hollow::OnListing(const registry::Listing& listing, std::size_t, std::size_t) {
   listing_ |= listing.servers.size() >= all_.count();
   CountWhole();
   const std::uint64_t at = all_.shared.times++;
--- a/bench/mesh/hop_cost.cpp
+++ b/bench/mesh/hop_cost.cpp
@@ -93,14 +93,14 @@
 
 // ---- The sidecars.
 
-roster::Listing ListingOf(std::uint16_t hop, std::uint16_t stub, std::size_t each = kServersEach) {
-  roster::Listing out;
+registry::Listing ListingOf(std::uint16_t hop, std::uint16_t stub, std::size_t each = kServersEach) {
+  registry::Listing out;
   out.epoch = out.number = 1;
   for (std::size_t s = 0; s < kServices; ++s)
     for (std::size_t i = 0; i < each; ++i) {
       const std::string n = std::to_string(100 + s) + "-" + std::to_string(100 + i);
       out.servers.push_back({"server-" + n, "service-" + std::to_string(s), At(stub),
-                             "z" + std::to_string(i % 5), "v1", 64, roster::State::kReady, 0, 1, At(hop)});
+                             "z" + std::to_string(i % 5), "v1", 64, registry::State::kReady, 0, 1, At(hop)});
       out.sidecars.push_back({"machine-" + n, 1 + s * 100 + i, At(hop), "z" + std::to_string(i % 5),
                               "service-" + std::to_string(s)});
     }
@@ -144,10 +144,10 @@
 void RunInbound(std::uint16_t port, std::uint16_t stub) {
   asio::io_context io;
   merlinrun::net::AsioLoop loop(io);
-  std::map<std::string, roster::Server> servers;
+  std::map<std::string, registry::Server> servers;
   for (const auto& server : ListingOf(port, stub).servers) servers[server.id] = server;
   ingress::LastHop hop(io, loop, {7, {}},
-                       {[&](const std::string& id) -> const roster::Server* {
+                       {[&](const std::string& id) -> const registry::Server* {
                           const auto at = servers.find(id);
                           return at == servers.end() ? nullptr : &at->second;
                         },
@@ -180,7 +180,7 @@
     egress::HopClient hops(io, loop, {"machine-1", "127.0.0.1:1", 9, 300, 400});
     quota::Gauge gauge({});
     egress::Outbound outbound(loop, OutboundSettings(), hops, gauge);
-    roster::Listing listing = ListingOf(1, 2, each);
+    registry::Listing listing = ListingOf(1, 2, each);
     outbound.OnListing(listing, 3, listing.sidecars.size());
     const double memory = MemoryKb(::getpid(), "VmRSS");
     outbound.OnTables(TablesOf());
--- a/src/mesh/egress/lookup.cpp
+++ b/src/mesh/egress/lookup.cpp
@@ -113,13 +113,13 @@
   return route.targets.back().service;
 }
 
-std::size_t SpreadRank(const std::vector<roster::Sidecar>& sidecars, std::string_view name) {
+std::size_t SpreadRank(const std::vector<registry::Sidecar>& sidecars, std::string_view name) {
   std::map<std::string_view, std::pair<std::size_t, std::size_t>>
       services;  // all of it, and those met so far
-  for (const roster::Sidecar& sidecar : sidecars) ++services[sidecar.service].first;
-  std::vector<std::pair<double, const roster::Sidecar*>> order;
+  for (const registry::Sidecar& sidecar : sidecars) ++services[sidecar.service].first;
+  std::vector<std::pair<double, const registry::Sidecar*>> order;
   order.reserve(sidecars.size());
-  for (const roster::Sidecar& sidecar : sidecars) {
+  for (const registry::Sidecar& sidecar : sidecars) {
     auto& [all, met] = services[sidecar.service];
     order.emplace_back((static_cast<double>(met++) + 0.5) / static_cast<double>(all), &sidecar);
   }
--- a/src/mesh/egress/outbound.cpp
+++ b/src/mesh/egress/outbound.cpp
@@ -402,14 +402,14 @@
     for (const auto& target : route.targets) LaneOf(target.service);
 }
 
-void Outbound::OnListing(const roster::Listing& listing, std::size_t rank, std::size_t count) {
+void Outbound::OnListing(const registry::Listing& listing, std::size_t rank, std::size_t count) {
   listing_ = listing;
   rank_ = rank;
   count_ = std::max<std::size_t>(count, 1);
   hop_of_.clear();
   std::map<std::string, Micros> started;
   const Micros now = loop_.Now();
-  for (const roster::Server& server : listing_.servers) {
+  for (const registry::Server& server : listing_.servers) {
     hop_of_[server.id] = server.hop;
     const auto known = started_.find(server.id);
     // Told as how long it stays slow from here on; the module counts from its start.
@@ -425,15 +425,15 @@
 
 void Outbound::Feed(Lane& lane) {
   std::vector<merlinrun::ServerInfo> servers;
-  for (const roster::Server& server : listing_.servers) {
-    if (server.service != lane.service || server.state == roster::State::kGone) continue;
+  for (const registry::Server& server : listing_.servers) {
+    if (server.service != lane.service || server.state == registry::State::kGone) continue;
     merlinrun::ServerInfo info;
     info.id = server.id;
     const auto zone = zone_index_.find(server.zone);
     info.zone = zone == zone_index_.end() ? -1 : zone->second;
     info.started = started_[server.id];
-    info.state = server.state == roster::State::kReady ? merlinrun::ServerInfo::State::kHealthy
-                                                       : merlinrun::ServerInfo::State::kDraining;
+    info.state = server.state == registry::State::kReady ? merlinrun::ServerInfo::State::kHealthy
+                                                         : merlinrun::ServerInfo::State::kDraining;
     servers.push_back(info);
   }
   merlinrun::ListUpdate update;
--- a/src/mesh/egress/outbound.hpp
+++ b/src/mesh/egress/outbound.hpp
@@ -20,7 +20,7 @@
 #include "mesh/egress/http_server.hpp"
 #include "mesh/egress/lookup.hpp"
 #include "mesh/quota/quota.hpp"
-#include "mesh/roster/roster.hpp"
+#include "mesh/registry/registry.hpp"
 
 namespace fennelhollow::egress {
 
@@ -52,7 +52,7 @@
 
   // Never an older version than the one before (the caller sees to it).
   void OnTables(std::shared_ptr<const configuration::Tables> tables);
-  void OnListing(const roster::Listing& listing, std::size_t rank, std::size_t count);
+  void OnListing(const registry::Listing& listing, std::size_t rank, std::size_t count);
   // Of the runs at this machine's server, the share that are repeats: their calls count as repeats where they
   // go.
   void SetRepeatsShare(std::function<double()> share) { repeats_share_ = std::move(share); }
@@ -86,7 +86,7 @@
   merlinrun::Random random_;
   Counters counters_;
   std::shared_ptr<const configuration::Tables> tables_;
-  roster::Listing listing_;
+  registry::Listing listing_;
   std::size_t rank_ = 0, count_ = 1;
   std::unordered_map<std::string, std::string> hop_of_;  // server id -> last hop
   std::map<std::string, Micros> started_;                // server id -> when it started, as far as told
--- a/src/mesh/ingress/last_hop.cpp
+++ b/src/mesh/ingress/last_hop.cpp
@@ -152,10 +152,10 @@
   const Held& in = *held;
   held_[ticket] = std::move(held);
   const Micros now = loop_.Now();
-  const roster::Server* server = outside_.find(in.attempt.server);
+  const registry::Server* server = outside_.find(in.attempt.server);
   if (!outside_.takes()) return fence_.OnAsk(now, ticket), TurnAway(ticket, Why::kLeaving);
   if (server == nullptr) return fence_.OnAsk(now, ticket), TurnAway(ticket, Why::kNotHere);
-  if (server->state != roster::State::kReady)
+  if (server->state != registry::State::kReady)
     return fence_.OnAsk(now, ticket), TurnAway(ticket, Why::kDraining);
   const auto decision = fence_.OnAttempt(now, ticket, in.attempt.server, server->slots,
                                          now + in.attempt.due_ms * kMs, now + in.attempt.wait_ms * kMs);
@@ -179,7 +179,7 @@
   const auto it = held_.find(ticket);
   if (it == held_.end()) return fence_.OnDone(loop_.Now(), ticket);
   Held& held = *it->second;
-  const roster::Server* server = outside_.find(held.attempt.server);
+  const registry::Server* server = outside_.find(held.attempt.server);
   const Micros waited = loop_.Now() - held.arrived;
   const std::int64_t left = held.attempt.left_ms - waited / kMs;
   if (server == nullptr || left <= 0) {
--- a/src/mesh/ingress/last_hop.hpp
+++ b/src/mesh/ingress/last_hop.hpp
@@ -15,7 +15,7 @@
 #include "mesh/ingress/fence.hpp"
 #include "mesh/ingress/hop.hpp"
 #include "mesh/ingress/server_pool.hpp"
-#include "mesh/roster/roster.hpp"
+#include "mesh/registry/registry.hpp"
 
 namespace fennelhollow::ingress {
 
@@ -27,7 +27,7 @@
   };
   struct Outside {
     // The life of the server with this id that takes work now, or null.
-    std::function<const roster::Server*(const std::string& id)> find;
+    std::function<const registry::Server*(const std::string& id)> find;
     // A server could not be reached at all: nothing listens there.
     std::function<void(const std::string& id)> dead;
     // False: nothing new is passed on (this process is about to end).
--- a/src/mesh/node/sidecar.cpp
+++ b/src/mesh/node/sidecar.cpp
@@ -23,7 +23,7 @@
 #include "mesh/node/control_listener.hpp"
 #include "mesh/push/client.hpp"
 #include "mesh/quota/quota.hpp"
-#include "mesh/roster/roster.hpp"
+#include "mesh/registry/registry.hpp"
 #include "net/address.hpp"
 #include "net/asio_loop.hpp"
 
@@ -284,8 +284,8 @@
   void OnLives(Micros now) {
     if (beats_.changes() != lives_seen_) {
       lives_seen_ = beats_.changes();
-      for (const roster::Server& server : beats_.Lives(now))
-        if (server.state != roster::State::kReady) last_hop_.OnServerGone(server.id);
+      for (const registry::Server& server : beats_.Lives(now))
+        if (server.state != registry::State::kReady) last_hop_.OnServerGone(server.id);
     }
     client_.SetLives(now, beats_.Lives(now));
   }
@@ -451,7 +451,7 @@
     outbound_.OnTables(*tables);
   }
 
-  void OnListing(const roster::Listing& listing, std::size_t, std::size_t count) override {
+  void OnListing(const registry::Listing& listing, std::size_t, std::size_t count) override {
     gauge_.OnSidecars(loop_.Now(), count);
     // Not the place by name: those of a service are not to stand side by side.
     outbound_.OnListing(listing, egress::SpreadRank(listing.sidecars, settings_.node_name), count);
@@ -468,7 +468,7 @@
   settings::Settings settings_;
   const std::uint64_t life_;
   const std::string self_;
-  roster::Beats beats_;
+  registry::Beats beats_;
   std::uint64_t lives_seen_ = 0;
   quota::Gauge gauge_;
   push::Client client_;
--- a/src/mesh/push/client.cpp
+++ b/src/mesh/push/client.cpp
@@ -27,12 +27,13 @@
 constexpr std::size_t kMostAsks = 64;
 
 // In more than what changes with each beat.
-bool Differ(const std::vector<roster::Server>& a, const std::vector<roster::Server>& b) {
-  return !std::equal(a.begin(), a.end(), b.begin(), b.end(), [](roster::Server x, const roster::Server& y) {
-    x.cold_remaining_ms = y.cold_remaining_ms;
-    x.sequence = y.sequence;
-    return x == y;
-  });
+bool Differ(const std::vector<registry::Server>& a, const std::vector<registry::Server>& b) {
+  return !std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                     [](registry::Server x, const registry::Server& y) {
+                       x.cold_remaining_ms = y.cold_remaining_ms;
+                       x.sequence = y.sequence;
+                       return x == y;
+                     });
 }
 
 }  // namespace
@@ -307,7 +308,7 @@
     if (believed) need_whole_ = false;
   }
   for (const auto& change : news.changes) {
-    if (!roster::Apply(listing_, change)) {
+    if (!registry::Apply(listing_, change)) {
       if (!need_whole_) LOG(INFO) << "push: a gap in the listing, asks for the whole";
       need_whole_ = true;
     }
@@ -316,7 +317,7 @@
     const auto& sidecars = listing_.sidecars;
     const auto at =
         std::lower_bound(sidecars.begin(), sidecars.end(), settings_.me.name,
-                         [](const roster::Sidecar& s, const std::string& n) { return s.name < n; });
+                         [](const registry::Sidecar& s, const std::string& n) { return s.name < n; });
     const bool listed = at != sidecars.end() && at->name == settings_.me.name;
     sink_.OnListing(listing_, static_cast<std::size_t>(at - sidecars.begin()),
                     sidecars.size() + (listed ? 0 : 1));
@@ -363,7 +364,7 @@
   TakeCores(now, address, news);
 }
 
-void Client::SetLives(Micros now, std::vector<roster::Server> lives) {
+void Client::SetLives(Micros now, std::vector<registry::Server> lives) {
   const bool differ = Differ(lives_, lives);
   lives_ = std::move(lives);
   lives_at_ = now;
--- a/src/mesh/push/client.hpp
+++ b/src/mesh/push/client.hpp
@@ -14,7 +14,7 @@
 
 #include "mesh/push/words.hpp"
 #include "mesh/quota/quota.hpp"
-#include "mesh/roster/roster.hpp"
+#include "mesh/registry/registry.hpp"
 
 namespace fennelhollow::push {
 
@@ -31,7 +31,7 @@
 class Client {
  public:
   struct Settings {
-    roster::Sidecar me;
+    registry::Sidecar me;
     std::vector<std::string> seeds;  // internal addresses, ip:port, of cores; never forgotten
     std::uint64_t seed = 1;          // of random numbers
     // Asked at each Tell to the holder; may be null.
@@ -48,7 +48,7 @@
     virtual void OnLedger(std::uint64_t entry, const std::string& ledger) = 0;
     // What is applied has changed. `rank`: the place of this sidecar's name in listing.sidecars; `count`
     // includes this one even if the listing does not have it yet. The reference lives as long as the client.
-    virtual void OnListing(const roster::Listing& listing, std::size_t rank, std::size_t count) = 0;
+    virtual void OnListing(const registry::Listing& listing, std::size_t rank, std::size_t count) = 0;
     // `until`: from when the Tell that asked for them was sent, plus the lease.
     virtual void OnShares(const std::vector<quota::Share>& shares, Micros until) = 0;
     virtual void OnCores(const std::vector<std::string>& cores) = 0;  // sorted
@@ -72,9 +72,9 @@
   void OnLinkUp(Micros now, const std::string& address);
   void OnLinkDown(Micros now, const std::string& address);
   void OnNews(Micros now, const std::string& address, const News& news);
-  // The lives of the server beside it (roster::Beats::Lives). All cores are told at once if it differs in
+  // The lives of the server beside it (registry::Beats::Lives). All cores are told at once if it differs in
   // more than cold time and sequence from what was told.
-  void SetLives(Micros now, std::vector<roster::Server> lives);
+  void SetLives(Micros now, std::vector<registry::Server> lives);
   // Every 50 to 100 ms.
   void OnTick(Micros now);
   // This sidecar is about to end: all are told at once, and with each later Tell.
@@ -86,7 +86,7 @@
   // kNever if none did.
   Micros HeardAt() const { return heard_at_; }
   std::uint64_t entry() const { return entry_; }
-  const roster::Listing& listing() const { return listing_; }
+  const registry::Listing& listing() const { return listing_; }
   const std::vector<std::string>& cores() const { return cores_; }
   const std::string& subscribed() const { return subscribed_; }  // address; empty = none
   const std::string& holder() const { return holder_; }          // as most cores that are heard say
@@ -137,11 +137,11 @@
   Micros spread_after_ = 0;
   Micros first_heard_ = kNever;  // while not subscribed
   std::string holder_;
-  std::vector<roster::Server> lives_;
+  std::vector<registry::Server> lives_;
   Micros lives_at_ = 0;
   bool leaving_ = false;
   std::uint64_t entry_ = 0;
-  roster::Listing listing_;
+  registry::Listing listing_;
   bool need_whole_ = false;
   Micros heard_at_ = kNever;
   Micros nudged_ = kNever;
--- a/src/mesh/push/events.cpp
+++ b/src/mesh/push/events.cpp
@@ -12,13 +12,13 @@
 
 constexpr std::uint64_t kEpochBits = (std::uint64_t{1} << 53) - 1;
 
-const char* Name(roster::State state) {
+const char* Name(registry::State state) {
   switch (state) {
-    case roster::State::kReady:
+    case registry::State::kReady:
       return "ready";
-    case roster::State::kDraining:
+    case registry::State::kDraining:
       return "draining";
-    case roster::State::kGone:
+    case registry::State::kGone:
       break;
   }
   return "gone";
@@ -92,12 +92,12 @@
   return out + "]}";
 }
 
-void ListingWatch::Look(Micros now, const roster::Listing& listing, Events& events) {
+void ListingWatch::Look(Micros now, const registry::Listing& listing, Events& events) {
   if (listing.number == number_) return;
   number_ = listing.number;
 
   std::map<std::string, std::uint64_t> sidecars;
-  for (const roster::Sidecar& sidecar : listing.sidecars) {
+  for (const registry::Sidecar& sidecar : listing.sidecars) {
     const auto before = sidecars_.find(sidecar.name);
     if (before == sidecars_.end() || before->second != sidecar.life)  // another life has joined anew
       events.Add(now, SidecarEvent{sidecar.name, true});
@@ -105,7 +105,7 @@
   }
 
   std::map<std::string, Seen> servers;
-  for (const roster::Server& server : listing.servers) {
+  for (const registry::Server& server : listing.servers) {
     Seen seen{server.service, server.hop, server.state, {}};
     const auto before = servers_.find(server.id);
     const bool known = before != servers_.end();
@@ -115,16 +115,16 @@
       seen.sidecar = std::move(before->second.sidecar);
     } else {
       const auto beside = std::find_if(listing.sidecars.begin(), listing.sidecars.end(),
-                                       [&](const roster::Sidecar& s) { return s.hop == server.hop; });
+                                       [&](const registry::Sidecar& s) { return s.hop == server.hop; });
       seen.sidecar = beside == listing.sidecars.end() ? server.hop : beside->name;
-      if (known || seen.state != roster::State::kGone)
+      if (known || seen.state != registry::State::kGone)
         events.Add(now, ServerEvent{server.id, seen.service, seen.state, seen.sidecar});
     }
     servers.emplace(server.id, std::move(seen));
   }
   for (const auto& [id, seen] : servers_) {
-    if (seen.state != roster::State::kGone && !servers.contains(id))
-      events.Add(now, ServerEvent{id, seen.service, roster::State::kGone, seen.sidecar});
+    if (seen.state != registry::State::kGone && !servers.contains(id))
+      events.Add(now, ServerEvent{id, seen.service, registry::State::kGone, seen.sidecar});
   }
   for (const auto& [name, life] : sidecars_) {
     if (!sidecars.contains(name)) events.Add(now, SidecarEvent{name, false});
--- a/src/mesh/push/events.hpp
+++ b/src/mesh/push/events.hpp
@@ -10,7 +10,7 @@
 #include <variant>
 #include <vector>
 
-#include "mesh/roster/roster.hpp"
+#include "mesh/registry/registry.hpp"
 
 namespace fennelhollow::push {
 
@@ -31,7 +31,7 @@
 };
 struct ServerEvent {
   std::string id, service;
-  roster::State state = roster::State::kReady;
+  registry::State state = registry::State::kReady;
   std::string sidecar;  // beside it: its name, or its internal address if the name is not known
 };
 struct SidecarEvent {
@@ -80,12 +80,12 @@
 class ListingWatch {
  public:
   // Costs a comparison of numbers if nothing has changed.
-  void Look(Micros now, const roster::Listing& listing, Events& events);
+  void Look(Micros now, const registry::Listing& listing, Events& events);
 
  private:
   struct Seen {
     std::string service, hop;
-    roster::State state = roster::State::kReady;
+    registry::State state = registry::State::kReady;
     std::string sidecar;  // as it was told
   };
   std::uint64_t number_ = 0;
--- a/src/mesh/push/herald.cpp
+++ b/src/mesh/push/herald.cpp
@@ -212,7 +212,7 @@
       news.ledger_too = true;
       news.ledger = ledger_;
     }
-    std::optional<roster::Change> change;
+    std::optional<registry::Change> change;
     if (!needs.whole && needs.from < number) change = registry_.Since(settings_.epoch, needs.from);
     if (change) {
       news.changes.push_back(std::move(*change));
--- a/src/mesh/push/herald.hpp
+++ b/src/mesh/push/herald.hpp
@@ -12,7 +12,7 @@
 
 #include "mesh/push/words.hpp"
 #include "mesh/quota/quota.hpp"
-#include "mesh/roster/roster.hpp"
+#include "mesh/registry/registry.hpp"
 
 namespace fennelhollow::push {
 
@@ -74,7 +74,7 @@
                            std::uint64_t entry) const;  // of these: that entry, or a newer one, is in force
   std::size_t Subscribers() const;
   std::uint64_t entry() const { return entry_; }
-  const roster::Listing& listing() const { return registry_.listing(); }
+  const registry::Listing& listing() const { return registry_.listing(); }
   bool ListSettled(Micros now) const { return registry_.Settled(now, started_, settings_.settle); }
 
  private:
@@ -111,7 +111,7 @@
   Settings settings_;
   Sink& sink_;
   Micros started_;
-  roster::Registry registry_;
+  registry::Registry registry_;
   quota::Cutter cutter_;
   std::map<LinkId, Link> links_;
   std::map<std::pair<std::string, std::uint64_t>, Hearing> heard_;  // by name and life
--- a/src/mesh/push/words.hpp
+++ b/src/mesh/push/words.hpp
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "mesh/quota/quota.hpp"
-#include "mesh/roster/roster.hpp"
+#include "mesh/registry/registry.hpp"
 
 namespace fennelhollow::quota {
 template <class Archive>
@@ -29,10 +29,10 @@
 
 // Sidecar to core, every `kTellEvery` and at once when something changed.
 struct Tell {
-  roster::Sidecar me;
+  registry::Sidecar me;
   bool leaving = false;
   bool lives_too = true;                // false: the lives are as told last on this link
-  std::vector<roster::Server> lives;    // of the server beside it
+  std::vector<registry::Server> lives;  // of the server beside it
   bool subscribe = false;               // this core is the one whose news it wants
   std::uint64_t entry = 0;              // number of the ledger entry that is in force here
   std::uint64_t epoch = 0, number = 0;  // of the listing it has; (0, 0): none; (n, 0): needs the whole
@@ -51,8 +51,8 @@
   bool ledger_too = false;
   std::string ledger;  // configuration::Ledger::Write, with ledger_too
   bool whole = false;
-  roster::Listing listing;  // with whole
-  std::vector<roster::Change> changes;
+  registry::Listing listing;  // with whole
+  std::vector<registry::Change> changes;
   std::vector<std::string> cores;  // internal addresses of all cores
   std::string holder;              // of the order; empty = unknown
   bool settled = false;            // this core is the holder, or hears one
--- a/src/mesh/roster/beats.cpp
+++ b/src/mesh/registry/beats.cpp
@@ -2,9 +2,9 @@
 #include <limits>
 #include <nlohmann/json.hpp>
 
-#include "mesh/roster/roster.hpp"
+#include "mesh/registry/registry.hpp"
 
-namespace fennelhollow::roster {
+namespace fennelhollow::registry {
 namespace {
 
 constexpr Micros kTellGone = 10'000'000;
@@ -170,4 +170,4 @@
   return at == lives_.end() ? nullptr : &at->second.server;
 }
 
-}  // namespace fennelhollow::roster
+}  // namespace fennelhollow::registry
--- a/src/mesh/roster/registry.cpp
+++ b/src/mesh/registry/registry.cpp
@@ -1,9 +1,9 @@
+#include "mesh/registry/registry.hpp"
+
 #include <algorithm>
 #include <cstdlib>
 
-#include "mesh/roster/roster.hpp"
-
-namespace fennelhollow::roster {
+namespace fennelhollow::registry {
 namespace {
 
 // A told cold time that differs by less from what was to be expected is the same.
@@ -300,4 +300,4 @@
   return true;
 }
 
-}  // namespace fennelhollow::roster
+}  // namespace fennelhollow::registry
--- a/src/mesh/roster/roster.hpp
+++ b/src/mesh/registry/registry.hpp
@@ -1,7 +1,7 @@
 // roster: which servers and sidecars there are (standard term: service registry), built from tellers alone.
 // Free of I/O.
-#ifndef FENNELHOLLOW_MESH_ROSTER_ROSTER_HPP_
-#define FENNELHOLLOW_MESH_ROSTER_ROSTER_HPP_
+#ifndef FENNELHOLLOW_MESH_REGISTRY_REGISTRY_HPP_
+#define FENNELHOLLOW_MESH_REGISTRY_REGISTRY_HPP_
 
 #include <absl/status/status.h>
 
@@ -16,7 +16,7 @@
 
 #include "merlinrun/balancer.hpp"
 
-namespace fennelhollow::roster {
+namespace fennelhollow::registry {
 
 using merlinrun::Micros;
 
@@ -183,6 +183,6 @@
 // begins before `listing` follows too, and one that ends before it changes nothing.
 bool Apply(Listing& listing, const Change& change);
 
-}  // namespace fennelhollow::roster
+}  // namespace fennelhollow::registry
 
-#endif  // FENNELHOLLOW_MESH_ROSTER_ROSTER_HPP_
+#endif  // FENNELHOLLOW_MESH_REGISTRY_REGISTRY_HPP_
--- a/tests/mesh/egress_lookup_test.cpp
+++ b/tests/mesh/egress_lookup_test.cpp
@@ -183,7 +183,7 @@
 
 // Names put the sidecars of a service side by side, as machines are named by zone and added by service.
 TEST_CASE("the sidecars of each service are spread evenly over the numbers, each with one of its own") {
-  std::vector<roster::Sidecar> sidecars;
+  std::vector<registry::Sidecar> sidecars;
   for (int i = 0; i < 84; ++i) {
     char name[16];
     std::snprintf(name, sizeof name, "sidecar-%02d", i);
--- a/tests/mesh/egress_outbound_test.cpp
+++ b/tests/mesh/egress_outbound_test.cpp
@@ -196,7 +196,7 @@
   }
   HttpScript server;
   std::uint16_t port;
-  roster::Server told;
+  registry::Server told;
   bool takes = true;
   int dead = 0;
   ingress::LastHop last_hop;
@@ -283,7 +283,7 @@
     CHECK(bench.Turned(wanted) == Why::kNotHere);
   }
   SECTION("the server is draining") {
-    bench.machine.told.state = roster::State::kDraining;
+    bench.machine.told.state = registry::State::kDraining;
     CHECK(bench.Turned(wanted) == Why::kDraining);
   }
   SECTION("its time is over") {
@@ -296,7 +296,7 @@
     CHECK(bench.machine.dead == 1);
   }
   bench.machine.takes = true;
-  bench.machine.told.state = roster::State::kReady;
+  bench.machine.told.state = registry::State::kReady;
   wanted.server = "s";
   wanted.left_ms = 10'000;
   bench.Turned(wanted);  // the same ticket again
@@ -327,7 +327,7 @@
   // `nth`: of all that have arrived at servers, from 1.
   using Script = std::function<void(std::size_t nth, Raw&, const std::string& request)>;
   World(int servers, Script script, int attempts = 2) : port(loopback::FreePort(io)) {
-    roster::Listing listing;
+    registry::Listing listing;
     listing.number = 1;
     for (int i = 0; i < servers; ++i) {
       machines.push_back(std::make_unique<Machine>(io, loop, "s" + std::to_string(i),
--- a/tests/mesh/push_events_test.cpp
+++ b/tests/mesh/push_events_test.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 using nlohmann::json;
-using roster::State;
+using registry::State;
 
 json ReadOf(const Events& events, std::uint64_t epoch, std::uint64_t since) {
   return json::parse(events.Read(epoch, since));
@@ -71,7 +71,7 @@
 TEST_CASE("a listing is told as what changes in it") {
   Events events(1, 0);
   ListingWatch watch;
-  roster::Listing listing;
+  registry::Listing listing;
   std::uint64_t since = 1;
   const auto look = [&] {
     ++listing.number;
@@ -88,7 +88,7 @@
     return out;
   };
   const auto server = [](std::string id, State state, std::string hop) {
-    roster::Server out;
+    registry::Server out;
     out.id = id;
     out.service = "shop";
     out.state = state;
--- a/tests/mesh/push_test.cpp
+++ b/tests/mesh/push_test.cpp
@@ -52,14 +52,14 @@
     settings.held = [](Micros) { return std::vector<quota::Share>{}; };
     settings.demand = [](Micros) { return std::vector<quota::Demand>{{"t", 5, 5}}; };
     sidecar->client = std::make_unique<Client>(settings, *sidecar);
-    sidecar->client->SetLives(now_, {Life(name, roster::State::kReady)});
+    sidecar->client->SetLives(now_, {Life(name, registry::State::kReady)});
     sidecars_[name] = std::move(sidecar);
   }
   void StopSidecar(const std::string& name) {
     for (const auto& a : addresses_) Cut(*sidecars_.at(name), a);
     sidecars_.erase(name);
   }
-  static roster::Server Life(const std::string& name, roster::State state) {
+  static registry::Server Life(const std::string& name, registry::State state) {
     return {"server-" + name, "s", "at:" + name, "z", "v1", 4, state, 0, 1, "hop:" + name};
   }
 
@@ -111,7 +111,7 @@
       CHECK(ledger == "ledger " + std::to_string(number));
       entry = number;
     }
-    void OnListing(const roster::Listing& listing, std::size_t at, std::size_t of) override {
+    void OnListing(const registry::Listing& listing, std::size_t at, std::size_t of) override {
       rank = at;
       count = of;
       ++listings;
@@ -267,10 +267,10 @@
   world.Decide();
   world.RunFor(5 * kS);
   auto& client = *world.sidecars_.at("side-102")->client;
-  client.SetLives(world.now_, {World::Life("side-102", roster::State::kDraining)});
+  client.SetLives(world.now_, {World::Life("side-102", registry::State::kDraining)});
   world.RunFor(120 * kMs);
   for (const auto& [name, sidecar] : world.sidecars_) {
-    CHECK(sidecar->client->listing().servers.at(2).state == roster::State::kDraining);
+    CHECK(sidecar->client->listing().servers.at(2).state == registry::State::kDraining);
   }
   client.Leave(world.now_);
   world.RunFor(120 * kMs);
@@ -376,13 +376,13 @@
   world.lose_one_in_ = 3;
   for (int i = 0; i < 20; ++i) {
     const std::string name = "side-10" + std::to_string(i % 6);
-    const auto state = i % 4 == 3 ? roster::State::kGone : roster::State::kReady;
+    const auto state = i % 4 == 3 ? registry::State::kGone : registry::State::kReady;
     world.sidecars_.at(name)->client->SetLives(world.now_, {World::Life(name, state)});
     world.Decide();
     world.RunFor(60 * kMs);
   }
   for (auto& [name, sidecar] : world.sidecars_) {
-    sidecar->client->SetLives(world.now_, {World::Life(name, roster::State::kReady)});
+    sidecar->client->SetLives(world.now_, {World::Life(name, registry::State::kReady)});
   }
   world.lose_one_in_ = 0;
   world.RunFor(5 * kS);
@@ -394,7 +394,7 @@
   struct Null : Client::Sink {
     void Send(const std::string&, const Tell&) override {}
     void OnLedger(std::uint64_t, const std::string&) override {}
-    void OnListing(const roster::Listing&, std::size_t, std::size_t) override {}
+    void OnListing(const registry::Listing&, std::size_t, std::size_t) override {}
     void OnShares(const std::vector<quota::Share>&, Micros) override {}
     void OnCores(const std::vector<std::string>&) override {}
   } sink;
@@ -437,7 +437,7 @@
   struct Null : Client::Sink {
     void Send(const std::string&, const Tell&) override {}
     void OnLedger(std::uint64_t, const std::string&) override {}
-    void OnListing(const roster::Listing&, std::size_t, std::size_t) override {}
+    void OnListing(const registry::Listing&, std::size_t, std::size_t) override {}
     void OnShares(const std::vector<quota::Share>&, Micros) override {}
     void OnCores(const std::vector<std::string>&) override {}
   } sink;
@@ -544,7 +544,7 @@
           world.Decide();
           break;
         case 6: {
-          const auto state = world.random_() % 2 == 0 ? roster::State::kGone : roster::State::kReady;
+          const auto state = world.random_() % 2 == 0 ? registry::State::kGone : registry::State::kReady;
           world.sidecars_.at(name)->client->SetLives(world.now_, {World::Life(name, state)});
           break;
         }
@@ -561,7 +561,7 @@
     world.RunFor(6 * kS);
     world.Decide();
     for (auto& [name, sidecar] : world.sidecars_) {
-      sidecar->client->SetLives(world.now_, {World::Life(name, roster::State::kReady)});
+      sidecar->client->SetLives(world.now_, {World::Life(name, registry::State::kReady)});
     }
     world.RunFor(kS);
     INFO("seed " << seed);
--- a/tests/mesh/roster_test.cpp
+++ b/tests/mesh/registry_test.cpp
@@ -1,9 +1,9 @@
-#include "mesh/roster/roster.hpp"
+#include "mesh/registry/registry.hpp"
 
 #include <catch2/catch.hpp>
 #include <random>
 
-namespace fennelhollow::roster {
+namespace fennelhollow::registry {
 namespace {
 
 constexpr Micros kMs = 1000;
@@ -273,4 +273,4 @@
 }
 
 }  // namespace
-}  // namespace fennelhollow::roster
+}  // namespace fennelhollow::registry
