--- a/bench/mesh/control_scale.cpp
+++ b/bench/mesh/control_scale.cpp
@@ -1,6 +1,6 @@
 // What control costs by the number of sidecars: a herald (which holds the order, and to which all subscribe),
 // a second core (to which all tell, but none subscribes), and N hollow sidecars (push's client, no
-// traffic), over frames::Link on loopback. Three processes, so that processor time and memory are the
+// traffic), over transport::Link on loopback. Three processes, so that processor time and memory are the
 // kernel's account of each.
 //   mesh_control_scale [t=TENANTS] [N ...]    t=100 10 100 400 1000 without
 #include <glog/logging.h>
@@ -16,21 +16,21 @@
 #include <utility>
 
 #include "measure.hpp"
-#include "mesh/frames/codec.hpp"
-#include "mesh/frames/link.hpp"
 #include "mesh/push/client.hpp"
 #include "mesh/push/herald.hpp"
+#include "mesh/transport/codec.hpp"
+#include "mesh/transport/link.hpp"
 #include "net/asio_loop.hpp"
 
 namespace fennelhollow::bench {
 namespace {
 
 namespace asio = merlinrun::net::asio;
-using frames::Link;
 using push::Client;
 using push::Herald;
 using push::News;
 using push::Tell;
+using transport::Link;
 
 constexpr Micros kMs = 1000;
 constexpr Micros kCoreTick = 25 * kMs;  // as node's
@@ -94,9 +94,9 @@
     merlinrun::net::Tcp::acceptor probe(io, {asio::ip::make_address("127.0.0.1"), 0});
     const auto port = probe.local_endpoint().port();
     probe.close();
-    listener_ =
-        std::make_unique<frames::Listener>(io, "127.0.0.1", port, Link::Limits{},
-                                           [this](std::shared_ptr<Link> link) { OnLink(std::move(link)); });
+    listener_ = std::make_unique<transport::Listener>(
+        io, "127.0.0.1", port, Link::Limits{},
+        [this](std::shared_ptr<Link> link) { OnLink(std::move(link)); });
     shared.port[index] = port;
     std::map<std::string, quota::TenantLimit> limits;
     for (int t = 0; t < tenants; ++t) limits["tenant-" + std::to_string(t)] = {1000, 500};
@@ -119,7 +119,7 @@
 
   void Send(Herald::LinkId link, const News& news) override { SendAll({link}, news); }
   void SendAll(const std::vector<Herald::LinkId>& links, const News& news) override {
-    const std::string frame = frames::Pack(news);
+    const std::string frame = transport::Pack(news);
     for (const auto id : links)
       if (const auto it = links_.find(id); it != links_.end()) it->second->Send(frame);
     counts_.frames_out += links.size();
@@ -171,7 +171,7 @@
   void OnFrame(Herald::LinkId id, std::string_view frame) {
     ++counts_.frames_in;
     counts_.bytes_in += frame.size() + 4;
-    const auto tell = frames::Unpack<Tell>(frame);
+    const auto tell = transport::Unpack<Tell>(frame);
     CHECK(tell.ok());
     herald_.OnTell(loop_.Now(), id, *tell);
     if (pending_ == 0) return;
@@ -193,7 +193,7 @@
   const int index_;
   Herald herald_;
   std::unique_ptr<merlinrun::core::Timer> tick_;
-  std::unique_ptr<frames::Listener> listener_;
+  std::unique_ptr<transport::Listener> listener_;
   Herald::LinkId last_ = 0;
   std::map<Herald::LinkId, std::shared_ptr<Link>> links_;
   std::uint64_t pending_ = 0;
@@ -215,7 +215,7 @@
     Tick();
   }
   void Send(const std::string& address, const Tell& tell) override {
-    if (const auto it = links_.find(address); it != links_.end()) it->second->Send(frames::Pack(tell));
+    if (const auto it = links_.find(address); it != links_.end()) it->second->Send(transport::Pack(tell));
   }
   void OnLedger(std::uint64_t, const std::string&) override {
     ledger_ = true;
@@ -316,11 +316,11 @@
 void Hollow::Dial(const std::string& address) {
   const auto port = static_cast<std::uint16_t>(std::atoi(address.c_str() + address.rfind(':') + 1));
   const auto link =
-      Link::Dial(all_.io, {fennelhollow::frames::asio::ip::address_v4::loopback(), port}, 500, {});
+      Link::Dial(all_.io, {fennelhollow::transport::asio::ip::address_v4::loopback(), port}, 500, {});
   links_[address] = link;
   Link::Events events;
   events.on_frame = [this, address](std::string_view frame) {
-    const auto news = frames::Unpack<News>(frame);
+    const auto news = transport::Unpack<News>(frame);
     CHECK(news.ok());
     client_->OnNews(all_.loop.Now(), address, *news);
   };
@@ -333,10 +333,10 @@
     if (up_.insert(raw).second) client_->OnLinkUp(all_.loop.Now(), address);
   };
   link->Start(std::move(events));
-  frames::Hello hello;
-  hello.purpose = frames::Purpose::kControl;
+  transport::Hello hello;
+  hello.purpose = transport::Purpose::kControl;
   hello.from = "machine-" + std::to_string(1000 + index_);
-  link->Send(frames::Pack(hello));
+  link->Send(transport::Pack(hello));
 }
 
 void Hollow::CountWhole() {
--- a/bench/mesh/hop_cost.cpp
+++ b/bench/mesh/hop_cost.cpp
@@ -21,9 +21,9 @@
 #include "mesh/egress/hop_client.hpp"
 #include "mesh/egress/http_server.hpp"
 #include "mesh/egress/outbound.hpp"
-#include "mesh/frames/link.hpp"
 #include "mesh/ingress/last_hop.hpp"
 #include "mesh/quota/quota.hpp"
+#include "mesh/transport/link.hpp"
 #include "net/asio_loop.hpp"
 
 namespace fennelhollow::bench {
@@ -152,9 +152,9 @@
                           return at == servers.end() ? nullptr : &at->second;
                         },
                         [](const std::string&) {}, [] { return true; }});
-  frames::Listener listener(io, "127.0.0.1", port, {}, [&](std::shared_ptr<frames::Link> link) {
-    frames::Link::Events events;
-    events.on_frame = [&hop, weak = std::weak_ptr<frames::Link>(link)](std::string_view) {  // the Hello
+  transport::Listener listener(io, "127.0.0.1", port, {}, [&](std::shared_ptr<transport::Link> link) {
+    transport::Link::Events events;
+    events.on_frame = [&hop, weak = std::weak_ptr<transport::Link>(link)](std::string_view) {  // the Hello
       if (const auto mine = weak.lock()) hop.Serve(mine);
     };
     // Held until its Hello has come.
--- a/src/mesh/configuration/ledger.cpp
+++ b/src/mesh/configuration/ledger.cpp
@@ -7,8 +7,8 @@
 #include "base/random.hpp"
 #include "mesh/configuration/configuration.hpp"
 #include "mesh/configuration/form.hpp"
-#include "mesh/frames/codec.hpp"
 #include "mesh/settings/schema.hpp"
+#include "mesh/transport/codec.hpp"
 
 namespace fennelhollow::configuration {
 namespace {
@@ -117,18 +117,18 @@
 }
 
 std::string Ledger::Write() const {
-  std::string bytes = frames::Pack(State{kMagic, newest_.version_, newest_.text_, taken_});
-  return bytes + frames::Pack(HashByXor(bytes));
+  std::string bytes = transport::Pack(State{kMagic, newest_.version_, newest_.text_, taken_});
+  return bytes + transport::Pack(HashByXor(bytes));
 }
 
 absl::StatusOr<Ledger> Ledger::Read(std::string_view written) {
   // The sum comes first: of other bytes the archive would believe the lengths, and ask for as much memory.
-  static const std::size_t sum_bytes = frames::Pack(std::uint64_t{0}).size();
+  static const std::size_t sum_bytes = transport::Pack(std::uint64_t{0}).size();
   if (written.size() < sum_bytes) return absl::DataLossError("a ledger is cut short");
   const std::string_view bytes = written.substr(0, written.size() - sum_bytes);
-  const auto sum = frames::Unpack<std::uint64_t>(written.substr(bytes.size()));
+  const auto sum = transport::Unpack<std::uint64_t>(written.substr(bytes.size()));
   if (!sum.ok() || *sum != HashByXor(bytes)) return absl::DataLossError("a ledger's sum is wrong");
-  auto state = frames::Unpack<State>(bytes);
+  auto state = transport::Unpack<State>(bytes);
   if (!state.ok() || state->magic != kMagic || state->version < 0 || state->taken.size() > kTaken) {
     return absl::DataLossError("a ledger can't be read");
   }
--- a/src/mesh/consensus/holding.cpp
+++ b/src/mesh/consensus/holding.cpp
@@ -131,7 +131,7 @@
 
 void Order::Impl::SendBeats() {
   beat_at_ = now_;
-  const std::string beat = frames::Pack(HolderMessage(Kind::kBeat));
+  const std::string beat = transport::Pack(HolderMessage(Kind::kBeat));
   for (const auto& [member, peer] : peers_) sink_.Send(member, beat);
 }
 
--- a/src/mesh/consensus/message.hpp
+++ b/src/mesh/consensus/message.hpp
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "mesh/consensus/order.hpp"
-#include "mesh/frames/codec.hpp"
+#include "mesh/transport/codec.hpp"
 
 namespace fennelhollow::consensus {
 
--- a/src/mesh/consensus/order.cpp
+++ b/src/mesh/consensus/order.cpp
@@ -103,12 +103,12 @@
 }
 
 void Order::Impl::Send(const MemberId& to, const Message& message) {
-  if (to != settings_.self) sink_.Send(to, frames::Pack(message));
+  if (to != settings_.self) sink_.Send(to, transport::Pack(message));
 }
 
 void Order::Impl::OnMessage(Micros now, const MemberId& from, const std::string& bytes) {
   now_ = std::max(now_, now);
-  const auto read = frames::Unpack<Message>(bytes);
+  const auto read = transport::Unpack<Message>(bytes);
   if (!read.ok() || from == settings_.self || read->entry.size() > 1 ||
       (read->entry.size() == 1 && !Wellformed(read->entry[0]))) {
     ++unreadable_;
--- a/src/mesh/consensus/store.cpp
+++ b/src/mesh/consensus/store.cpp
@@ -210,7 +210,7 @@
       status = record.status();
       if (record.ok() && record->first > impl->number) {
         // Readable, too: a record of another format is none.
-        if (frames::Unpack<Durable>(record->second).ok()) {
+        if (transport::Unpack<Durable>(record->second).ok()) {
           impl->number = record->first;
           impl->newest = i;
         } else {
@@ -241,7 +241,7 @@
   if (impl_->newest < 0) return std::optional<Durable>();
   const auto record = impl_->slots[static_cast<std::size_t>(impl_->newest)].Read();
   if (!record.ok()) return record.status();
-  auto durable = frames::Unpack<Durable>(record->second);
+  auto durable = transport::Unpack<Durable>(record->second);
   if (!durable.ok()) return durable.status();
   return std::optional<Durable>(*std::move(durable));
 }
@@ -249,7 +249,7 @@
 absl::Status Store::Write(const Durable& durable) {
   const int next = impl_->newest == 0 ? 1 : 0;
   Slot& slot = impl_->slots[static_cast<std::size_t>(next)];
-  const std::string body = frames::Pack(durable);
+  const std::string body = transport::Pack(durable);
   absl::Status status =
       slot.open() ? slot.Write(impl_->number + 1, body) : absl::UnavailableError("slot closed");
   if (!status.ok()) {
--- a/src/mesh/egress/hop_client.cpp
+++ b/src/mesh/egress/hop_client.cpp
@@ -8,8 +8,8 @@
 namespace fennelhollow::egress {
 namespace {
 
-using frames::Tcp;
 using ingress::Word;
+using transport::Tcp;
 constexpr Micros kMs = 1000;
 constexpr Micros kIdle = 15'000'000;
 constexpr std::size_t kMostIdle = 48;  // to an address
@@ -18,7 +18,7 @@
 }  // namespace
 
 struct HopClient::Line {
-  std::shared_ptr<frames::Link> link;
+  std::shared_ptr<transport::Link> link;
   std::string hop;
   std::uint64_t life = 0;  // of the last hop's process; 0: its Hello has not come
   Handle handle = 0;       // the attempt that it carries or waits to carry
@@ -51,19 +51,19 @@
   ++dialled_;
   auto line = std::make_shared<Line>();
   line->hop = hop;
-  line->link = frames::Link::Dial(io_, merlinrun::net::ParseAddress(hop).value_or(Tcp::endpoint()),
-                                  settings_.dial_ms, {});
-  frames::Link::Events events;
+  line->link = transport::Link::Dial(io_, merlinrun::net::ParseAddress(hop).value_or(Tcp::endpoint()),
+                                     settings_.dial_ms, {});
+  transport::Link::Events events;
   events.on_frame = [this, weak = std::weak_ptr<Line>(line)](std::string_view frame) {
     if (const auto mine = weak.lock()) OnFrame(mine, frame);
   };
   // Holds the line, so that its end is told whoever else has let go of it.
   events.on_closed = [this, line] { OnClosed(line); };
   line->link->Start(std::move(events));
-  line->link->Send(frames::Pack(frames::Hello{.purpose = frames::Purpose::kHop,
-                                              .from = settings_.name,
-                                              .address = settings_.address,
-                                              .life = settings_.life}));
+  line->link->Send(transport::Pack(transport::Hello{.purpose = transport::Purpose::kHop,
+                                                    .from = settings_.name,
+                                                    .address = settings_.address,
+                                                    .life = settings_.life}));
   return line;
 }
 
@@ -134,7 +134,7 @@
   };
   const Word word = ingress::WordOf(frame);
   if (word == Word::kHello) {
-    const auto hello = ingress::Heard<frames::Hello>(frame);
+    const auto hello = ingress::Heard<transport::Hello>(frame);
     if (!hello.ok() || hello->life == 0 || line->life != 0) return bad();
     line->life = hello->life;
     if (line->asks != 0) {
--- a/src/mesh/egress/hop_client.hpp
+++ b/src/mesh/egress/hop_client.hpp
@@ -11,8 +11,8 @@
 #include <string>
 
 #include "core/loop.hpp"
-#include "mesh/frames/link.hpp"
 #include "mesh/ingress/hop.hpp"
+#include "mesh/transport/link.hpp"
 
 namespace fennelhollow::egress {
 
--- a/src/mesh/egress/http_server.cpp
+++ b/src/mesh/egress/http_server.cpp
@@ -9,8 +9,8 @@
 #include <chrono>
 #include <optional>
 
-#include "mesh/frames/hop_by_hop.hpp"
-#include "mesh/frames/read_buffer.hpp"
+#include "mesh/transport/hop_by_hop.hpp"
+#include "mesh/transport/read_buffer.hpp"
 #include "net/validate.hpp"
 
 namespace fennelhollow::egress {
@@ -32,7 +32,7 @@
 using merlinrun::net::View;
 
 bool EndsHere(beast::string_view name) {
-  return frames::IsHopByHop(name) || beast::iequals(name, "proxy-authorization") ||
+  return transport::IsHopByHop(name) || beast::iequals(name, "proxy-authorization") ||
          beast::iequals(name, "expect") || beast::iequals(name, "http2-settings");
 }
 
@@ -153,13 +153,13 @@
 
   void OnReadable() {
     ErrorCode error;
-    const std::size_t n = socket_.read_some(asio::buffer(frames::ReadBuffer()), error);
+    const std::size_t n = socket_.read_some(asio::buffer(transport::ReadBuffer()), error);
     if (error == asio::error::would_block || error == asio::error::try_again) return Watch();
     if (error || n == 0) return Gone();
     if (state_ == State::kLingering) return Watch();
     if (in_.empty() && state_ == State::kReading && !begun_)
       since_ = Clock::now(), begun_ = true, SetBusy(true);
-    in_.append(frames::ReadBuffer().data(), n);
+    in_.append(transport::ReadBuffer().data(), n);
     if (state_ == State::kReading) Parse();
     Watch();
   }
@@ -321,7 +321,7 @@
     }
     out_.clear();
     written_ = 0;
-    if (out_.capacity() > frames::kReadAtOnce) std::string().swap(out_);
+    if (out_.capacity() > transport::kReadAtOnce) std::string().swap(out_);
     if (state_ == State::kWriting) return Next();
     if (drained) {
       const auto call = drained;
--- a/src/mesh/gossip/message.cpp
+++ b/src/mesh/gossip/message.cpp
@@ -4,8 +4,8 @@
 #include <charconv>
 
 #include "base/random.hpp"
-#include "mesh/frames/codec.hpp"
 #include "mesh/gossip/view.hpp"
+#include "mesh/transport/codec.hpp"
 
 namespace fennelhollow::gossip {
 namespace {
@@ -54,19 +54,19 @@
 
 std::string Write(const Message& message) {
   Envelope envelope;
-  envelope.body = frames::Pack(message);
+  envelope.body = transport::Pack(message);
   envelope.checksum = merlinrun::HashOf(envelope.body);
-  return frames::Pack(envelope);
+  return transport::Pack(envelope);
 }
 
 absl::StatusOr<Message> Read(std::string_view bytes) {
   if (bytes.size() > kMostDatagram) return absl::DataLossError("too long a datagram");
-  const auto envelope = frames::Unpack<Envelope>(bytes);
+  const auto envelope = transport::Unpack<Envelope>(bytes);
   if (!envelope.ok()) return envelope.status();
   if (envelope->magic != kMagic || envelope->version != kVersion ||
       envelope->checksum != merlinrun::HashOf(envelope->body))
     return absl::DataLossError("not a datagram of this version, or changed on the way");
-  auto message = frames::Unpack<Message>(envelope->body);
+  auto message = transport::Unpack<Message>(envelope->body);
   if (!message.ok()) return message;
   if ((message->kind != Kind::kAsk && message->kind != Kind::kAnswer) || message->name.size() > kMostName ||
       message->sidecars.size() > kExchanged || message->cores.size() > kMostCoresTold ||
--- a/src/mesh/ingress/hop.hpp
+++ b/src/mesh/ingress/hop.hpp
@@ -14,7 +14,7 @@
 #include <utility>
 #include <vector>
 
-#include "mesh/frames/codec.hpp"
+#include "mesh/transport/codec.hpp"
 
 namespace fennelhollow::ingress {
 
@@ -115,7 +115,7 @@
 template <class T>
 std::string Say(Word word, const T& value) {
   std::string out(1, static_cast<char>(word));
-  out += frames::Pack(value);
+  out += transport::Pack(value);
   return out;
 }
 inline std::string Say(Word word) { return std::string(1, static_cast<char>(word)); }
@@ -124,7 +124,7 @@
 }
 template <class T>
 absl::StatusOr<T> Heard(std::string_view frame) {
-  return frames::Unpack<T>(frame.substr(1));
+  return transport::Unpack<T>(frame.substr(1));
 }
 
 }  // namespace fennelhollow::ingress
--- a/src/mesh/ingress/last_hop.cpp
+++ b/src/mesh/ingress/last_hop.cpp
@@ -17,7 +17,7 @@
 
 // A link from an outbound sidecar, with at most one attempt at a time.
 struct LastHop::Session {
-  std::shared_ptr<frames::Link> link;
+  std::shared_ptr<transport::Link> link;
   Ticket ticket;
   bool busy = false;
   bool gathering = false;
@@ -50,14 +50,15 @@
   for (const SessionPtr& session : sessions_) session->link->Close();
 }
 
-void LastHop::Serve(std::shared_ptr<frames::Link> link) {
+void LastHop::Serve(std::shared_ptr<transport::Link> link) {
   auto session = std::make_shared<Session>();
   session->link = std::move(link);
   sessions_.insert(session);
-  session->link->Send(Say(
-      Word::kHello,
-      frames::Hello{.purpose = frames::Purpose::kHop, .from = {}, .address = {}, .life = settings_.life}));
-  frames::Link::Events events;
+  session->link->Send(
+      Say(Word::kHello,
+          transport::Hello{
+              .purpose = transport::Purpose::kHop, .from = {}, .address = {}, .life = settings_.life}));
+  transport::Link::Events events;
   events.on_frame = [this, weak = std::weak_ptr<Session>(session)](std::string_view frame) {
     if (const auto mine = weak.lock()) OnFrame(mine, frame);
   };
@@ -220,7 +221,7 @@
     if (!mine.head_out) {
       mine.head.body += bytes;
       const bool whole = mine.head.length >= 0 && mine.come >= static_cast<std::size_t>(mine.head.length);
-      if (whole || mine.head.body.size() < frames::kMostFrame / 64)
+      if (whole || mine.head.body.size() < transport::kMostFrame / 64)
         return;  // the end follows, or more does soon
       mine.head_out = true;
       mine.session->link->Send(Say(Word::kHead, mine.head));
--- a/src/mesh/ingress/last_hop.hpp
+++ b/src/mesh/ingress/last_hop.hpp
@@ -11,11 +11,11 @@
 #include <string>
 
 #include "core/loop.hpp"
-#include "mesh/frames/link.hpp"
 #include "mesh/ingress/fence.hpp"
 #include "mesh/ingress/hop.hpp"
 #include "mesh/ingress/server_pool.hpp"
 #include "mesh/registry/registry.hpp"
+#include "mesh/transport/link.hpp"
 
 namespace fennelhollow::ingress {
 
@@ -42,7 +42,7 @@
   ~LastHop();
 
   // Takes a link whose Hello said kHop.
-  void Serve(std::shared_ptr<frames::Link> link);
+  void Serve(std::shared_ptr<transport::Link> link);
   // A life of the server takes no more work: what waits for it is turned away.
   void OnServerGone(const std::string& id);
   std::size_t under_way() const { return held_.size(); }
--- a/src/mesh/ingress/server_pool.cpp
+++ b/src/mesh/ingress/server_pool.cpp
@@ -13,8 +13,8 @@
 #include <optional>
 #include <utility>
 
-#include "mesh/frames/hop_by_hop.hpp"
-#include "mesh/frames/read_buffer.hpp"
+#include "mesh/transport/hop_by_hop.hpp"
+#include "mesh/transport/read_buffer.hpp"
 #include "net/address.hpp"
 
 namespace fennelhollow::ingress {
@@ -36,7 +36,7 @@
 constexpr int kMostStrays = 4;
 
 bool EndsHere(beast::string_view name) {
-  return frames::IsHopByHop(name) || beast::iequals(name, "proxy-authenticate");
+  return transport::IsHopByHop(name) || beast::iequals(name, "proxy-authenticate");
 }
 
 }  // namespace
@@ -188,18 +188,18 @@
   void OnReadable() {
     for (int turn = 0; turn < 4; ++turn) {
       ErrorCode error;
-      const std::size_t n = socket_.read_some(asio::buffer(frames::ReadBuffer()), error);
+      const std::size_t n = socket_.read_some(asio::buffer(transport::ReadBuffer()), error);
       if (error == asio::error::would_block || error == asio::error::try_again) break;
       if (error || n == 0) return Gone();
       if (rests_) {  // a second answer that comes late: the connection has no use any more
         ++pool_.strays_;
         return Drop();
       }
-      in_.append(frames::ReadBuffer().data(), n);
+      in_.append(transport::ReadBuffer().data(), n);
       const Handle before = handle_;
       Parse();
       if (closed_ || handle_ != before || paused_) return;
-      if (n < frames::kReadAtOnce) break;
+      if (n < transport::kReadAtOnce) break;
     }
     Watch();
   }
--- a/src/mesh/node/core.cpp
+++ b/src/mesh/node/core.cpp
@@ -20,8 +20,6 @@
 #include "mesh/configuration/configuration.hpp"
 #include "mesh/consensus/order.hpp"
 #include "mesh/consensus/store.hpp"
-#include "mesh/frames/codec.hpp"
-#include "mesh/frames/link.hpp"
 #include "mesh/node/changes.hpp"
 #include "mesh/node/command.hpp"
 #include "mesh/node/control_listener.hpp"
@@ -29,6 +27,8 @@
 #include "mesh/push/events.hpp"
 #include "mesh/push/herald.hpp"
 #include "mesh/push/words.hpp"
+#include "mesh/transport/codec.hpp"
+#include "mesh/transport/link.hpp"
 #include "net/address.hpp"
 #include "net/asio_loop.hpp"
 
@@ -37,8 +37,8 @@
 namespace asio = merlinrun::net::asio;
 using consensus::MemberId;
 using consensus::Outcome;
-using frames::Link;
 using merlinrun::net::Tcp;
+using transport::Link;
 
 namespace {
 
@@ -65,7 +65,7 @@
 constexpr std::size_t kMostToPeer = std::size_t{8} * 1024 * 1024;
 constexpr std::size_t kMostEventWaiters = 32;
 // A call has to fit into a frame, and so has the ledger after it.
-constexpr std::size_t kMostCall = frames::kMostFrame - std::size_t{512} * 1024;
+constexpr std::size_t kMostCall = transport::kMostFrame - std::size_t{512} * 1024;
 
 // The first byte of a frame between cores.
 enum class CoreWord : char { kOrder = 0, kCall = 1, kAnswer = 2 };
@@ -95,7 +95,7 @@
 
 template <class T>
 std::string Frame(CoreWord word, const T& value) {
-  return static_cast<char>(word) + frames::Pack(value);
+  return static_cast<char>(word) + transport::Pack(value);
 }
 
 // What only the disk's thread touches.
@@ -200,7 +200,7 @@
   struct Incoming {
     std::shared_ptr<Link> link;
     Micros since = 0;
-    std::optional<frames::Hello> hello;
+    std::optional<transport::Hello> hello;
   };
   // An operator's call, or one that another core passed on.
   struct Call {
@@ -334,7 +334,7 @@
   std::unique_ptr<merlinrun::core::Timer> tick_, disk_retry_;
   std::shared_ptr<Disk> disk_ = std::make_shared<Disk>();
   std::unique_ptr<Worker> disk_thread_, checks_;
-  std::unique_ptr<frames::Listener> listener_;
+  std::unique_ptr<transport::Listener> listener_;
   std::unique_ptr<ControlListener> control_;
   std::unique_ptr<consensus::Order> order_;
   std::deque<std::function<void()>> events_;  // of the order; drained after each call into it
@@ -371,9 +371,9 @@
   try {
     disk_thread_ = std::make_unique<Worker>(io_);
     checks_ = std::make_unique<Worker>(io_);
-    listener_ =
-        std::make_unique<frames::Listener>(io_, settings_.ip, settings_.first_port, Link::Limits{},
-                                           [this](const std::shared_ptr<Link>& link) { OnAccepted(link); });
+    listener_ = std::make_unique<transport::Listener>(
+        io_, settings_.ip, settings_.first_port, Link::Limits{},
+        [this](const std::shared_ptr<Link>& link) { OnAccepted(link); });
     const auto address = settings_.listen.find("controlPlane");
     if (address != settings_.listen.end()) {
       const auto endpoint = merlinrun::net::ParseAddress(address->second.Text(), true);
@@ -551,7 +551,7 @@
 // ---- links
 
 bool Core::Impl::SendTo(const MemberId& to, std::string_view frame) {
-  if (to == self_ || frame.size() > frames::kMostFrame) return false;
+  if (to == self_ || frame.size() > transport::kMostFrame) return false;
   const Micros now = loop_.Now();
   auto it = peers_.find(to);
   if (it == peers_.end()) {
@@ -583,8 +583,8 @@
   peer.was_up = false;
   peer.link = Link::Dial(io_, *address, kDialMs, Link::Limits{});
   peer.link->Start({[](std::string_view) {}, [this, to] { OnPeerClosed(to); }, nullptr});
-  peer.link->Send(frames::Pack(frames::Hello{
-      .purpose = frames::Purpose::kCore, .from = settings_.node_name, .address = self_, .life = life_}));
+  peer.link->Send(transport::Pack(transport::Hello{
+      .purpose = transport::Purpose::kCore, .from = settings_.node_name, .address = self_, .life = life_}));
 }
 
 void Core::Impl::OnPeerClosed(const MemberId& to) {
@@ -624,7 +624,7 @@
 }
 
 void Core::Impl::SendAll(const std::vector<push::Herald::LinkId>& links, const push::News& news) {
-  const std::string frame = frames::Pack(news);
+  const std::string frame = transport::Pack(news);
   for (const push::Herald::LinkId link : links) {
     const auto it = incoming_.find(link);
     if (it != incoming_.end()) it->second.link->Send(frame);
@@ -645,7 +645,8 @@
   const Incoming gone = std::move(it->second);
   incoming_.erase(it);
   gone.link->Close();
-  if (gone.hello && gone.hello->purpose == frames::Purpose::kControl) herald_.OnLinkDown(loop_.Now(), count);
+  if (gone.hello && gone.hello->purpose == transport::Purpose::kControl)
+    herald_.OnLinkDown(loop_.Now(), count);
 }
 
 void Core::Impl::OnFrame(std::uint64_t from, std::string_view frame) {
@@ -653,11 +654,11 @@
   if (it == incoming_.end()) return;
   const std::shared_ptr<Link> held = it->second.link;  // it may be closed from in here
   if (!it->second.hello) return OnHello(from, frame);
-  if (it->second.hello->purpose == frames::Purpose::kCore) {
+  if (it->second.hello->purpose == transport::Purpose::kCore) {
     const MemberId member = it->second.hello->address;
     return OnCoreFrame(member, frame);
   }
-  auto tell = frames::Unpack<push::Tell>(frame);
+  auto tell = transport::Unpack<push::Tell>(frame);
   if (!tell.ok()) {
     ++counters_.bad_frames;
     return CloseIncoming(from);
@@ -667,11 +668,11 @@
 }
 
 void Core::Impl::OnHello(std::uint64_t from, std::string_view frame) {
-  auto hello = frames::Unpack<frames::Hello>(frame);
-  const bool good = hello.ok() && frames::Understood(*hello);
+  auto hello = transport::Unpack<transport::Hello>(frame);
+  const bool good = hello.ok() && transport::Understood(*hello);
   const bool wanted =
-      good && (hello->purpose == frames::Purpose::kControl ||
-               (hello->purpose == frames::Purpose::kCore && merlinrun::net::ParseAddress(hello->address)));
+      good && (hello->purpose == transport::Purpose::kControl ||
+               (hello->purpose == transport::Purpose::kCore && merlinrun::net::ParseAddress(hello->address)));
   if (!wanted) {
     ++(good ? counters_.refused_links : counters_.bad_frames);
     return CloseIncoming(from);
@@ -698,11 +699,11 @@
     case CoreWord::kOrder:
       return Drive([&] { order_->OnMessage(loop_.Now(), from, std::string(rest)); });
     case CoreWord::kCall:
-      if (auto call = frames::Unpack<ForwardedCall>(rest); call.ok())
+      if (auto call = transport::Unpack<ForwardedCall>(rest); call.ok())
         return OnForwarded(from, *std::move(call));
       break;
     case CoreWord::kAnswer:
-      if (auto answer = frames::Unpack<ForwardedAnswer>(rest); answer.ok())
+      if (auto answer = transport::Unpack<ForwardedAnswer>(rest); answer.ok())
         return OnAnswer(from, *std::move(answer));
       break;
   }
--- a/src/mesh/node/sidecar.cpp
+++ b/src/mesh/node/sidecar.cpp
@@ -15,8 +15,6 @@
 #include "mesh/egress/hop_client.hpp"
 #include "mesh/egress/http_server.hpp"
 #include "mesh/egress/outbound.hpp"
-#include "mesh/frames/codec.hpp"
-#include "mesh/frames/link.hpp"
 #include "mesh/gossip/io/datagrams.hpp"
 #include "mesh/gossip/view.hpp"
 #include "mesh/ingress/last_hop.hpp"
@@ -24,6 +22,8 @@
 #include "mesh/push/client.hpp"
 #include "mesh/quota/quota.hpp"
 #include "mesh/registry/registry.hpp"
+#include "mesh/transport/codec.hpp"
+#include "mesh/transport/link.hpp"
 #include "net/address.hpp"
 #include "net/asio_loop.hpp"
 
@@ -84,9 +84,9 @@
   absl::Status Start() {
     try {
       const auto& listen = settings_.listen;
-      listener_ = std::make_unique<frames::Listener>(
-          io_, settings_.ip, settings_.first_port, frames::Link::Limits{},
-          [this](const std::shared_ptr<frames::Link>& link) { OnLink(link); });
+      listener_ = std::make_unique<transport::Listener>(
+          io_, settings_.ip, settings_.first_port, transport::Link::Limits{},
+          [this](const std::shared_ptr<transport::Link>& link) { OnLink(link); });
       if (const auto at = listen.find("controlPlane"); at != listen.end())
         control_ = std::make_unique<ControlListener>(
             io_, merlinrun::net::Tcp::endpoint(asio::ip::make_address(at->second.ip), at->second.port),
@@ -298,22 +298,22 @@
 
   // ---- Links from other sidecars ----
 
-  void OnLink(const std::shared_ptr<frames::Link>& link) {
+  void OnLink(const std::shared_ptr<transport::Link>& link) {
     if (young_.size() >= 256) return link->Close();
     young_.insert(link);
-    frames::Link::Events events;
-    events.on_frame = [this, weak = std::weak_ptr<frames::Link>(link)](std::string_view frame) {
+    transport::Link::Events events;
+    events.on_frame = [this, weak = std::weak_ptr<transport::Link>(link)](std::string_view frame) {
       const auto mine = weak.lock();
       if (mine == nullptr) return;
       young_.erase(mine);
-      const auto hello = frames::Unpack<frames::Hello>(frame);
-      if (!hello.ok() || !frames::Understood(*hello) || hello->purpose != frames::Purpose::kHop) {
+      const auto hello = transport::Unpack<transport::Hello>(frame);
+      if (!hello.ok() || !transport::Understood(*hello) || hello->purpose != transport::Purpose::kHop) {
         ++bad_links_;
         return mine->Close();
       }
       last_hop_.Serve(mine);
     };
-    events.on_closed = [this, weak = std::weak_ptr<frames::Link>(link)] { young_.erase(weak.lock()); };
+    events.on_closed = [this, weak = std::weak_ptr<transport::Link>(link)] { young_.erase(weak.lock()); };
     link->Start(std::move(events));
   }
 
@@ -386,25 +386,25 @@
   void Dial(const std::string& address) {
     const auto to = merlinrun::net::ParseAddress(address);
     if (!to) return;
-    auto link = frames::Link::Dial(io_, *to, kDialMs, {});
+    auto link = transport::Link::Dial(io_, *to, kDialMs, {});
     links_[address] = link;
-    frames::Link::Events events;
+    transport::Link::Events events;
     events.on_frame = [this, address](std::string_view frame) {
-      const auto news = frames::Unpack<push::News>(frame);
+      const auto news = transport::Unpack<push::News>(frame);
       if (!news.ok()) {
         ++bad_news_;
         return;
       }
       client_.OnNews(loop_.Now(), address, *news);
     };
-    events.on_closed = [this, address, weak = std::weak_ptr<frames::Link>(link)] {
+    events.on_closed = [this, address, weak = std::weak_ptr<transport::Link>(link)] {
       const auto it = links_.find(address);
       if (it == links_.end() || it->second != weak.lock()) return;
       up_.erase(it->second.get());
       links_.erase(it);
       client_.OnLinkDown(loop_.Now(), address);
     };
-    events.on_drained = [this, address, weak = std::weak_ptr<frames::Link>(link)] {
+    events.on_drained = [this, address, weak = std::weak_ptr<transport::Link>(link)] {
       // Its Hello is out: it is up.
       const auto mine = weak.lock();
       const auto it = links_.find(address);
@@ -414,13 +414,15 @@
     };
     link->Start(std::move(events));
     up_.erase(link.get());
-    link->Send(frames::Pack(frames::Hello{
-        .purpose = frames::Purpose::kControl, .from = settings_.node_name, .address = self_, .life = life_}));
+    link->Send(transport::Pack(transport::Hello{.purpose = transport::Purpose::kControl,
+                                                .from = settings_.node_name,
+                                                .address = self_,
+                                                .life = life_}));
   }
 
   void Send(const std::string& address, const push::Tell& tell) override {
     const auto it = links_.find(address);
-    if (it != links_.end()) it->second->Send(frames::Pack(tell));
+    if (it != links_.end()) it->second->Send(transport::Pack(tell));
   }
 
   void OnLedger(std::uint64_t entry, const std::string& bytes) override {
@@ -477,13 +479,13 @@
   std::unique_ptr<gossip::Datagrams> datagrams_;
   std::uint64_t introduced_ = 0;  // listing number
   Micros introduced_at_ = -kIntroduceEvery;
-  std::map<std::string, std::shared_ptr<frames::Link>> links_;
-  std::set<const frames::Link*> up_;
-  std::set<std::shared_ptr<frames::Link>> young_;  // whose Hello has not come
+  std::map<std::string, std::shared_ptr<transport::Link>> links_;
+  std::set<const transport::Link*> up_;
+  std::set<std::shared_ptr<transport::Link>> young_;  // whose Hello has not come
   egress::HopClient hops_;
   ingress::LastHop last_hop_;
   egress::Outbound outbound_;
-  std::unique_ptr<frames::Listener> listener_;
+  std::unique_ptr<transport::Listener> listener_;
   std::unique_ptr<ControlListener> control_;
   std::unique_ptr<HttpServer> front_, readiness_;
   std::unique_ptr<merlinrun::core::Timer> tick_;
--- a/src/mesh/frames/codec.hpp
+++ b/src/mesh/transport/codec.hpp
@@ -1,6 +1,6 @@
 // The codec between own processes: cereal, and one plain error for what can't be read.
-#ifndef FENNELHOLLOW_MESH_FRAMES_CODEC_HPP_
-#define FENNELHOLLOW_MESH_FRAMES_CODEC_HPP_
+#ifndef FENNELHOLLOW_MESH_TRANSPORT_CODEC_HPP_
+#define FENNELHOLLOW_MESH_TRANSPORT_CODEC_HPP_
 
 #include <absl/status/statusor.h>
 
@@ -19,7 +19,7 @@
 #include <type_traits>
 #include <vector>
 
-namespace fennelhollow::frames {
+namespace fennelhollow::transport {
 
 // The first frame on every link, from who dialled; one listener takes all kinds of links.
 enum class Purpose : std::uint8_t { kHop = 1, kControl = 2, kCore = 3 };
@@ -145,12 +145,12 @@
   return value;
 }
 
-}  // namespace fennelhollow::frames
+}  // namespace fennelhollow::transport
 
 // What writes for it; cereal asks when it loads enumerations.
 template <>
-struct cereal::traits::detail::get_output_from_input<fennelhollow::frames::Reader> {
+struct cereal::traits::detail::get_output_from_input<fennelhollow::transport::Reader> {
   using type = cereal::PortableBinaryOutputArchive;
 };
 
-#endif  // FENNELHOLLOW_MESH_FRAMES_CODEC_HPP_
+#endif  // FENNELHOLLOW_MESH_TRANSPORT_CODEC_HPP_
--- a/src/mesh/frames/hop_by_hop.hpp
+++ b/src/mesh/transport/hop_by_hop.hpp
@@ -1,12 +1,12 @@
 // Header fields that concern one connection and are not passed on (RFC 9110, 7.6.1), and a body's framing.
-#ifndef FENNELHOLLOW_MESH_FRAMES_HOP_BY_HOP_HPP_
-#define FENNELHOLLOW_MESH_FRAMES_HOP_BY_HOP_HPP_
+#ifndef FENNELHOLLOW_MESH_TRANSPORT_HOP_BY_HOP_HPP_
+#define FENNELHOLLOW_MESH_TRANSPORT_HOP_BY_HOP_HPP_
 
 #include <algorithm>
 #include <array>
 #include <boost/beast/core/string.hpp>
 
-namespace fennelhollow::frames {
+namespace fennelhollow::transport {
 
 // Those of requests and answers alike; each side has some of its own besides.
 inline bool IsHopByHop(boost::beast::string_view name) {
@@ -17,6 +17,6 @@
                      [&](const char* own) { return boost::beast::iequals(name, own); });
 }
 
-}  // namespace fennelhollow::frames
+}  // namespace fennelhollow::transport
 
-#endif  // FENNELHOLLOW_MESH_FRAMES_HOP_BY_HOP_HPP_
+#endif  // FENNELHOLLOW_MESH_TRANSPORT_HOP_BY_HOP_HPP_
--- a/src/mesh/frames/link.cpp
+++ b/src/mesh/transport/link.cpp
@@ -1,4 +1,4 @@
-#include "mesh/frames/link.hpp"
+#include "mesh/transport/link.hpp"
 
 #include <netinet/tcp.h>
 
@@ -9,9 +9,9 @@
 #include <chrono>
 #include <utility>
 
-#include "mesh/frames/read_buffer.hpp"
+#include "mesh/transport/read_buffer.hpp"
 
-namespace fennelhollow::frames {
+namespace fennelhollow::transport {
 namespace {
 
 constexpr std::size_t kLength = 4;
@@ -299,4 +299,4 @@
   impl_->acceptor.close(ignored);
 }
 
-}  // namespace fennelhollow::frames
+}  // namespace fennelhollow::transport
--- a/src/mesh/frames/link.hpp
+++ b/src/mesh/transport/link.hpp
@@ -1,6 +1,6 @@
 // frames: held connections between the system's own processes (standard term: message framing over TCP).
-#ifndef FENNELHOLLOW_MESH_FRAMES_LINK_HPP_
-#define FENNELHOLLOW_MESH_FRAMES_LINK_HPP_
+#ifndef FENNELHOLLOW_MESH_TRANSPORT_LINK_HPP_
+#define FENNELHOLLOW_MESH_TRANSPORT_LINK_HPP_
 
 #include <absl/status/status.h>
 
@@ -12,7 +12,7 @@
 
 #include "net/protocol.hpp"
 
-namespace fennelhollow::frames {
+namespace fennelhollow::transport {
 
 namespace asio = merlinrun::net::asio;
 using merlinrun::net::ErrorCode;
@@ -82,6 +82,6 @@
   std::shared_ptr<Impl> impl_;
 };
 
-}  // namespace fennelhollow::frames
+}  // namespace fennelhollow::transport
 
-#endif  // FENNELHOLLOW_MESH_FRAMES_LINK_HPP_
+#endif  // FENNELHOLLOW_MESH_TRANSPORT_LINK_HPP_
--- a/src/mesh/frames/read_buffer.hpp
+++ b/src/mesh/transport/read_buffer.hpp
@@ -1,11 +1,11 @@
 // What sockets are read into before it is known whose it is.
-#ifndef FENNELHOLLOW_MESH_FRAMES_READ_BUFFER_HPP_
-#define FENNELHOLLOW_MESH_FRAMES_READ_BUFFER_HPP_
+#ifndef FENNELHOLLOW_MESH_TRANSPORT_READ_BUFFER_HPP_
+#define FENNELHOLLOW_MESH_TRANSPORT_READ_BUFFER_HPP_
 
 #include <array>
 #include <cstddef>
 
-namespace fennelhollow::frames {
+namespace fennelhollow::transport {
 
 inline constexpr std::size_t kReadAtOnce = std::size_t{64} * 1024;
 
@@ -16,6 +16,6 @@
   return buffer;
 }
 
-}  // namespace fennelhollow::frames
+}  // namespace fennelhollow::transport
 
-#endif  // FENNELHOLLOW_MESH_FRAMES_READ_BUFFER_HPP_
+#endif  // FENNELHOLLOW_MESH_TRANSPORT_READ_BUFFER_HPP_
--- a/tests/mesh/egress_outbound_test.cpp
+++ b/tests/mesh/egress_outbound_test.cpp
@@ -23,14 +23,14 @@
 
 // A last hop as the test writes it. Its Hello is sent to whoever says his.
 struct FakeHop {
-  using Script = std::function<void(frames::Link&, Word, std::string_view)>;
+  using Script = std::function<void(transport::Link&, Word, std::string_view)>;
   FakeHop(asio::io_context& io, Script script)
       : port(loopback::FreePort(io)), listener(io, "127.0.0.1", port, {}, [this, script](auto link) {
           auto hello = std::make_shared<bool>(false);
           link->Start({[this, raw = link.get(), script, hello](std::string_view frame) {
                          if (std::exchange(*hello, true)) return script(*raw, ingress::WordOf(frame), frame);
                          if (!greets) return;
-                         frames::Hello mine;
+                         transport::Hello mine;
                          mine.life = life;
                          raw->Send(Say(Word::kHello, mine));
                        },
@@ -45,8 +45,8 @@
   std::uint64_t life = 77;
   bool greets = true;
   std::uint16_t port;
-  std::vector<std::shared_ptr<frames::Link>> links;
-  frames::Listener listener;
+  std::vector<std::shared_ptr<transport::Link>> links;
+  transport::Listener listener;
 };
 
 struct Outcome {
@@ -95,7 +95,7 @@
   INFO(what);
   std::optional<ingress::Ticket> sent, asked;
   HopBench* mine = nullptr;
-  HopBench bench([&](frames::Link& link, Word word, std::string_view frame) {
+  HopBench bench([&](transport::Link& link, Word word, std::string_view frame) {
     if (word == Word::kAttempt) {
       sent = Heard<ingress::Attempt>(frame)->ticket;
       if (what == kAnotherLife) ++mine->hop.life;
@@ -119,17 +119,17 @@
 }
 
 TEST_CASE("a safe attempt whose link dies is over at once") {
-  HopBench bench([](frames::Link& link, Word, std::string_view) { link.Close(); });
+  HopBench bench([](transport::Link& link, Word, std::string_view) { link.Close(); });
   CHECK(bench.Ask(false).never_ran == false);
   CHECK(bench.client.asked() == 0);
 }
 
 TEST_CASE("an unsafe attempt is not asked after once its answer has begun") {
-  HopBench bench([](frames::Link& link, Word, std::string_view) {
+  HopBench bench([](transport::Link& link, Word, std::string_view) {
     ingress::Head head;
     head.status = 200;
     link.Send(Say(Word::kHead, head));
-    link.Send(Say(Word::kHello, frames::Hello{}));  // out of place
+    link.Send(Say(Word::kHello, transport::Hello{}));  // out of place
   });
   const auto out = bench.Start(true, bench.hop.address());
   REQUIRE(Until(bench.io, [&] { return out->ends > 0; }));
@@ -138,7 +138,7 @@
 }
 
 TEST_CASE("an attempt that has not left is turned away: nobody listens, or says no Hello") {
-  HopBench bench([](frames::Link&, Word, std::string_view) {});
+  HopBench bench([](transport::Link&, Word, std::string_view) {});
   auto out = bench.Start(true, "127.0.0.1:" + std::to_string(loopback::FreePort(bench.io)));
   REQUIRE(Until(bench.io, [&] { return out->ends > 0; }));
   CHECK(out->turned == Why::kUnreachable);
@@ -152,7 +152,7 @@
 
 TEST_CASE("a link is used again, but not one whose attempt was given up") {
   int attempts = 0;
-  HopBench bench([&](frames::Link& link, Word word, std::string_view) {
+  HopBench bench([&](transport::Link& link, Word word, std::string_view) {
     if (word != Word::kAttempt || ++attempts == 3) return;
     ingress::Head head;
     head.end = true;
@@ -178,11 +178,11 @@
         last_hop(io, loop, {port, {}},
                  {[this](const std::string& wanted) { return wanted == told.id ? &told : nullptr; },
                   [this](const std::string&) { ++dead; }, [this] { return takes; }}),
-        listener(io, "127.0.0.1", port, {}, [this](std::shared_ptr<frames::Link> link) {
-          frames::Link* raw = link.get();
+        listener(io, "127.0.0.1", port, {}, [this](std::shared_ptr<transport::Link> link) {
+          transport::Link* raw = link.get();
           links.push_back(std::move(link));
           raw->Start({[this, raw](std::string_view frame) {
-                        REQUIRE(frames::Unpack<frames::Hello>(frame).ok());
+                        REQUIRE(transport::Unpack<transport::Hello>(frame).ok());
                         last_hop.Serve(raw->shared_from_this());
                       },
                       [] {},
@@ -200,8 +200,8 @@
   bool takes = true;
   int dead = 0;
   ingress::LastHop last_hop;
-  std::vector<std::shared_ptr<frames::Link>> links;
-  frames::Listener listener;
+  std::vector<std::shared_ptr<transport::Link>> links;
+  transport::Listener listener;
 };
 
 void Answer(Raw& raw, const std::string& request, const std::string& status, const std::string& more = "",
@@ -219,7 +219,7 @@
   Machine machine{io, loop, "s",
                   [](Raw& raw, const std::string& request) { Answer(raw, request, "200 OK"); }};
   struct End {
-    std::shared_ptr<frames::Link> link;
+    std::shared_ptr<transport::Link> link;
     std::vector<std::string> frames;
   };
   std::vector<std::shared_ptr<End>> ends;
@@ -229,11 +229,11 @@
   std::shared_ptr<End> Dial() {
     auto end = std::make_shared<End>();
     ends.push_back(end);
-    end->link = frames::Link::Dial(io, {asio::ip::address_v4::loopback(), machine.port}, 1000, {});
+    end->link = transport::Link::Dial(io, {asio::ip::address_v4::loopback(), machine.port}, 1000, {});
     end->link->Start({[raw = end.get()](std::string_view f) { raw->frames.emplace_back(f); }, [] {}, {}});
-    end->link->Send(frames::Pack(frames::Hello{}));
+    end->link->Send(transport::Pack(transport::Hello{}));
     Next(end, Word::kHello);
-    REQUIRE(Heard<frames::Hello>(end->frames[0])->life == machine.port);
+    REQUIRE(Heard<transport::Hello>(end->frames[0])->life == machine.port);
     end->frames.clear();
     return end;
   }
--- a/tests/mesh/frames_link_test.cpp
+++ b/tests/mesh/transport_link_test.cpp
@@ -5,8 +5,8 @@
 #include <random>
 
 #include "loopback.hpp"
-#include "mesh/frames/codec.hpp"
-#include "mesh/frames/link.hpp"
+#include "mesh/transport/codec.hpp"
+#include "mesh/transport/link.hpp"
 
 namespace {
 std::size_t g_largest = 0, g_sum = 0;  // room that was asked for
@@ -26,7 +26,7 @@
 [[gnu::noinline]] void operator delete(void* p, const std::nothrow_t&) noexcept { std::free(p); }
 [[gnu::noinline]] void operator delete(void* p, std::size_t) noexcept { std::free(p); }
 
-namespace fennelhollow::frames {
+namespace fennelhollow::transport {
 namespace {
 
 using loopback::Raw;
@@ -286,4 +286,4 @@
 }
 
 }  // namespace
-}  // namespace fennelhollow::frames
+}  // namespace fennelhollow::transport
