--- a/bench/mesh/order_cost.cpp
+++ b/bench/mesh/order_cost.cpp
@@ -242,7 +242,7 @@
             {"attempts", 2}}}};
 }
 
-void MeasureAlmanac() {
+void MeasureConfiguration() {
   using nlohmann::json;
   std::printf(
       "configuration: routes (56 services, 30 tenants) | ledger KB | Decide of a Modify of one route, "
@@ -368,7 +368,7 @@
   google::InitGoogleLogging(argv[0]);
   const std::string what = argc > 1 ? argv[1] : "";
   if (what.empty() || what == "order") MeasureOrder(), MeasureStore();
-  if (what.empty() || what == "configuration") MeasureAlmanac();
+  if (what.empty() || what == "configuration") MeasureConfiguration();
   if (what.empty() || what == "cutter") MeasureCutter();
   return 0;
 }
--- a/src/mesh/gossip/message.hpp
+++ b/src/mesh/gossip/message.hpp
@@ -1,4 +1,4 @@
-// What heliographs say to one another, in one datagram each.
+// What the views of sidecars say to one another, in one datagram each.
 #ifndef FENNELHOLLOW_MESH_GOSSIP_MESSAGE_HPP_
 #define FENNELHOLLOW_MESH_GOSSIP_MESSAGE_HPP_
 
--- a/src/mesh/node/sidecar.cpp
+++ b/src/mesh/node/sidecar.cpp
@@ -66,7 +66,7 @@
         gauge_(
             {settings.bounds.quota_window_s, settings.bounds.quota_overshoot, settings.bounds.quota_slack}),
         client_(ClientSettings(), *this),
-        view_({settings.node_name, Heliograph(self_), life ^ 0x4e11}, advice_),
+        view_({settings.node_name, GossipAddress(self_), life ^ 0x4e11}, advice_),
         hops_(io, loop_, {settings.node_name, self_, life, 300, 400}),
         last_hop_(io, loop_, {life, {}},
                   {[this](const std::string& id) { return beats_.Find(id); },
@@ -231,7 +231,7 @@
   }
 
   // Where the sidecar at this internal address takes datagrams.
-  static std::string Heliograph(const std::string& internal) {
+  static std::string GossipAddress(const std::string& internal) {
     auto at = merlinrun::net::ParseAddress(internal);
     if (!at) return {};
     at->port(static_cast<std::uint16_t>(at->port() + 1));
@@ -331,7 +331,7 @@
         introduced_at_ = now;
         std::vector<gossip::View::Introduction> sidecars;
         for (const auto& sidecar : client_.listing().sidecars)
-          sidecars.push_back({sidecar.name, Heliograph(sidecar.hop)});
+          sidecars.push_back({sidecar.name, GossipAddress(sidecar.hop)});
         view_.SetIntroductions(sidecars);
       }
       view_.SetKnown(now, client_.entry(), client_.Speaking(now));
--- a/tests/mesh/consensus_order_test.cpp
+++ b/tests/mesh/consensus_order_test.cpp
@@ -18,7 +18,7 @@
 
 constexpr Micros kMs = 1000;
 constexpr Micros kSecond = 1'000'000;
-const bool quiet = (FLAGS_minloglevel = std::getenv("BAROGRAPH_LOG") != nullptr ? 0 : 3, true);
+const bool quiet = (FLAGS_minloglevel = std::getenv("CONSENSUS_LOG") != nullptr ? 0 : 3, true);
 
 struct World;
 
@@ -521,9 +521,9 @@
 
 TEST_CASE("bad days: one order, nothing lost, progress after the last fault") {
   const int count = GENERATE(3, 4, 5);
-  const char* from = std::getenv("BAROGRAPH_SEED");  // a longer hunt
+  const char* from = std::getenv("CONSENSUS_SEED");  // a longer hunt
   const std::uint64_t first = from != nullptr ? std::strtoull(from, nullptr, 10) : 1;
-  const char* days = std::getenv("BAROGRAPH_DAYS");
+  const char* days = std::getenv("CONSENSUS_DAYS");
   const std::uint64_t most = days != nullptr ? std::strtoull(days, nullptr, 10) : 150;
   for (std::uint64_t seed = first; seed < first + most; ++seed)
     BadDay(count, seed * 10 + static_cast<unsigned>(count));
--- a/tests/mesh/consensus_store_test.cpp
+++ b/tests/mesh/consensus_store_test.cpp
@@ -19,7 +19,7 @@
 constexpr std::size_t kMost = std::size_t{16} << 20;
 
 struct Folder {
-  Folder() : path(fs::temp_directory_path() / ("barograph_" + std::to_string(getpid()))) {
+  Folder() : path(fs::temp_directory_path() / ("consensus_" + std::to_string(getpid()))) {
     fs::remove_all(path);
   }
   ~Folder() { fs::remove_all(path); }
