--- a/bench/mesh/order_cost.cpp
+++ b/bench/mesh/order_cost.cpp
@@ -19,7 +19,7 @@
 
 #include "measure.hpp"
 #include "mesh/configuration/configuration.hpp"
-#include "mesh/consensus/order.hpp"
+#include "mesh/consensus/replica.hpp"
 #include "mesh/consensus/store.hpp"
 #include "mesh/quota/quota.hpp"
 
@@ -43,42 +43,42 @@
 
 struct World;
 struct Member final : Sink {
-  Member(World& w, MemberId name, int r) : world(w), id(std::move(name)), region(r) {}
-  void Send(const MemberId& to, std::string message) override;
+  Member(World& w, ReplicaId name, int r) : world(w), id(std::move(name)), region(r) {}
+  void Send(const ReplicaId& to, std::string message) override;
   void Write(const Durable& durable, std::uint64_t token) override;
   void Deliver(const Entry& entry) override;
   void Done(std::uint64_t call, Outcome outcome) override;
-  void OnHolder(const MemberId&, std::uint64_t) override {}
+  void OnLeader(const ReplicaId&, std::uint64_t) override {}
   World& world;
-  const MemberId id;
+  const ReplicaId id;
   const int region;
-  std::unique_ptr<Order> order;
+  std::unique_ptr<Replica> replica;
   std::uint64_t delivered = 0;
 };
 
 struct World {
   explicit World(int count) {
-    std::vector<MemberId> ids;
+    std::vector<ReplicaId> ids;
     for (int i = 0; i < count; ++i) ids.push_back("10.0.0." + std::to_string(i + 1) + ":7000");
     // The majority in one region: of 3 two, of 5 three, of 7 four.
     for (int i = 0; i < count; ++i)
       members[ids[static_cast<std::size_t>(i)]] =
           std::make_unique<Member>(*this, ids[static_cast<std::size_t>(i)], i < count / 2 + 1 ? 0 : 1);
     for (auto& [id, m] : members) {
-      OrderSettings s;
+      ReplicaSettings s;
       s.self = id;
-      s.life = ++life;
+      s.incarnation = ++life;
       s.seed = life;
       s.founders = s.contacts = ids;
       s.first_start = true;
       s.most_voters = static_cast<std::size_t>(count);
-      m->order = std::make_unique<Order>(s, now, *m);
+      m->replica = std::make_unique<Replica>(s, now, *m);
       Tick(*m);
     }
   }
   void Tick(Member& m) {
     At(now + 25 * kMs, [this, &m] {
-      m.order->OnTick(now);
+      m.replica->OnTick(now);
       Tick(m);
     });
   }
@@ -95,7 +95,7 @@
   }
   Member* Holder() {
     for (auto& [id, m] : members)
-      if (m->order->holds()) return m.get();
+      if (m->replica->leads()) return m.get();
     return nullptr;
   }
   struct Event {
@@ -104,24 +104,24 @@
     std::function<void()> what;
     bool operator<(const Event& o) const { return std::tie(o.when, o.sequence) < std::tie(when, sequence); }
   };
-  std::map<MemberId, std::unique_ptr<Member>> members;
+  std::map<ReplicaId, std::unique_ptr<Member>> members;
   std::priority_queue<Event> events;
   Micros now = 1'000'000;
   std::uint64_t sequence = 0, life = 0, messages = 0, bytes = 0, settled = 0, writes = 0;
 };
 
-void Member::Send(const MemberId& to, std::string message) {
+void Member::Send(const ReplicaId& to, std::string message) {
   ++world.messages;
   world.bytes += message.size() + 5;  // a frame's length and its word
   Member& other = *world.members.at(to);
   const Micros way = other.region == region ? kMs / 2 : 30 * kMs;
   world.At(world.now + way, [this, &other, text = std::make_shared<std::string>(std::move(message))] {
-    other.order->OnMessage(world.now, id, *text);
+    other.replica->OnMessage(world.now, id, *text);
   });
 }
 void Member::Write(const Durable&, std::uint64_t token) {
   ++world.writes;
-  world.At(world.now + kMs / 2, [this, token] { order->OnWritten(world.now, token, true); });
+  world.At(world.now + kMs / 2, [this, token] { replica->OnWritten(world.now, token, true); });
 }
 void Member::Deliver(const Entry& entry) { delivered = entry.number; }
 void Member::Done(std::uint64_t, Outcome outcome) { world.settled += outcome == Outcome::kDone ? 1 : 0; }
@@ -155,10 +155,10 @@
         for (int i = 0; i < kChanges; ++i) {
           Member* holder = world.Holder();
           const std::string state(kb * 1000, static_cast<char>('a' + i % 26));
-          const std::uint64_t want = world.settled + 1, number = holder->order->newest().number;
+          const std::uint64_t want = world.settled + 1, number = holder->replica->newest().number;
           const Micros began = world.now;
           before = Processor();
-          holder->order->Propose(world.now, static_cast<std::uint64_t>(i + 1), number, state);
+          holder->replica->Propose(world.now, static_cast<std::uint64_t>(i + 1), number, state);
           if (!world.Until([&] { return world.settled >= want; }, 5'000'000)) {
             std::printf("  %d members, %zu KB: change %d is not settled\n", count, kb, i);
             return;
--- a/src/mesh/consensus/membership.cpp
+++ b/src/mesh/consensus/membership.cpp
@@ -7,74 +7,74 @@
 
 namespace fennelhollow::consensus {
 
-bool Order::Impl::IsMember(const MemberId& member) const {
-  const auto& members = mind_.accepted.members;
+bool Replica::Impl::IsVoterId(const ReplicaId& member) const {
+  const auto& members = durable_.accepted.voters;
   return std::find(members.begin(), members.end(), member) != members.end();
 }
 
-void Order::Impl::AddLearner(const MemberId& member) {
-  if (peers_.count(member) > 0 || (!IsMember(member) && Learners().size() >= kMostLearners)) return;
+void Replica::Impl::AddLearner(const ReplicaId& member) {
+  if (peers_.count(member) > 0 || (!IsVoterId(member) && Learners().size() >= kMostLearners)) return;
   peers_[member].heard = now_;
-  SendBeat(member);
+  SendHeartbeat(member);
 }
 
-void Order::Impl::OnJoin(const MemberId& from, const Message&) {
-  if (role_ == Role::kHolder) {
+void Replica::Impl::OnJoin(const ReplicaId& from, const Message&) {
+  if (role_ == Role::kLeader) {
     AddLearner(from);
     return;
   }
-  Message view = Begin(Kind::kView);
-  if (!HearsHolder()) view.holder.clear();
+  Message view = Begin(Kind::kContacts);
+  if (!HearsLeader()) view.leader.clear();
   view.others = known();
   Send(from, view);
 }
 
-void Order::Impl::OnView(const Message& m) {
-  if (role_ == Role::kHolder || HearsHolder()) return;
+void Replica::Impl::OnContacts(const Message& m) {
+  if (role_ == Role::kLeader || HearsLeader()) return;
   Learn(m.others);
-  if (m.holder.empty() || m.holder == settings_.self) return;
-  Learn({m.holder});
-  Send(m.holder, Begin(Kind::kJoin));
+  if (m.leader.empty() || m.leader == settings_.self) return;
+  Learn({m.leader});
+  Send(m.leader, Begin(Kind::kJoin));
 }
 
-void Order::Impl::SendJoins() {
+void Replica::Impl::SendJoins() {
   next_join_ = now_ + kJoinEvery;
-  for (const MemberId& member : Others()) Send(member, Begin(Kind::kJoin));
+  for (const ReplicaId& member : Others()) Send(member, Begin(Kind::kJoin));
 }
 
-bool Order::Impl::CaughtUp(const Peer& peer) const {
-  return peer.answered && now_ - peer.heard < settings_.patience && peer.acked == StampOf(newest_);
+bool Replica::Impl::CaughtUp(const Peer& peer) const {
+  return peer.answered && now_ - peer.heard < settings_.election_timeout && peer.acked == IdOf(newest_);
 }
 
-void Order::Impl::TickMembership() {
-  if (role_ == Role::kHolder) {
+void Replica::Impl::TickMembership() {
+  if (role_ == Role::kLeader) {
     std::erase_if(peers_, [&](const auto& item) {
-      const auto& before = mind_.accepted.before;
-      return now_ - item.second.heard > kLearnerGone && !IsMember(item.first) &&
+      const auto& before = durable_.accepted.previous_voters;
+      return now_ - item.second.heard > kLearnerGone && !IsVoterId(item.first) &&
              std::find(before.begin(), before.end(), item.first) == before.end();
     });
-    ChangeMembers();
+    ChangeVoters();
     return;
   }
-  if (now_ < next_join_ || HearsHolder()) return;
+  if (now_ < next_join_ || HearsLeader()) return;
   // A voter asks those of its own view first; they may all have been replaced meanwhile.
-  if (IsVoter(mind_.accepted, settings_.self, mind_.store) && now_ < lost_since_ + kJoinAfter) return;
+  if (IsVoter(durable_.accepted, settings_.self, durable_.store) && now_ < lost_since_ + kJoinAfter) return;
   SendJoins();
 }
 
-void Order::Impl::ChangeMembers() {
-  if (!holds() || under_way_ || leaving_) return;
-  std::map<MemberId, std::uint64_t> voters;
-  for (std::size_t i = 0; i < newest_.members.size(); ++i) voters[newest_.members[i]] = newest_.stores[i];
-  if (!newest_.before.empty()) {  // the change is settled: from here on the new voters alone count
-    PutMembers(voters);
+void Replica::Impl::ChangeVoters() {
+  if (!leads() || under_way_ || leaving_) return;
+  std::map<ReplicaId, std::uint64_t> voters;
+  for (std::size_t i = 0; i < newest_.voters.size(); ++i) voters[newest_.voters[i]] = newest_.voter_stores[i];
+  if (!newest_.previous_voters.empty()) {  // the change is committed: from here on the new voters alone count
+    ReplicateVoters(voters);
     return;
   }
-  std::vector<MemberId> learners;
+  std::vector<ReplicaId> learners;
   for (const auto& [member, peer] : peers_) {
     if (CaughtUp(peer) && voters.count(member) == 0) learners.push_back(member);
   }
-  MemberId silent;
+  ReplicaId silent;
   Micros silent_for = 0;
   for (auto& [member, store] : voters) {
     if (member == settings_.self) continue;
@@ -83,7 +83,7 @@
     if (CaughtUp(it->second) && it->second.store != store) {  // came back without its disk
       LOG(INFO) << "consensus: " << member << " votes with a new disk";
       store = it->second.store;
-      PutMembers(voters);
+      ReplicateVoters(voters);
       return;
     }
     if (now_ - it->second.heard > silent_for) {
@@ -96,7 +96,7 @@
     LOG(INFO) << "consensus: " << learners[0] << " votes in the place of " << silent;
     voters.erase(silent);
     voters[learners[0]] = peers_[learners[0]].store;
-    PutMembers(voters);
+    ReplicateVoters(voters);
     return;
   }
   // Even numbers bear no more losses than the odd ones below them: passed through only on the way to the next
@@ -105,34 +105,34 @@
   if (learners.size() >= wanted && count + wanted <= settings_.most_voters) {
     LOG(INFO) << "consensus: " << learners[0] << " becomes a voter";
     voters[learners[0]] = peers_[learners[0]].store;
-    PutMembers(voters);
+    ReplicateVoters(voters);
     return;
   }
   if (count > 3 && silent_for >= kRemoveAfter * settings_.replace_after) {
     LOG(INFO) << "consensus: " << silent << " votes no longer";
     voters.erase(silent);
-    PutMembers(voters);
+    ReplicateVoters(voters);
   }
 }
 
-void Order::Impl::PutMembers(const std::map<MemberId, std::uint64_t>& voters) {
+void Replica::Impl::ReplicateVoters(const std::map<ReplicaId, std::uint64_t>& voters) {
   Entry entry = newest_;
-  entry.epoch = epoch_;
+  entry.term = term_;
   ++entry.number;
-  entry.before.clear();
-  entry.before_stores.clear();
-  entry.members.clear();
-  entry.stores.clear();
+  entry.previous_voters.clear();
+  entry.previous_stores.clear();
+  entry.voters.clear();
+  entry.voter_stores.clear();
   for (const auto& [member, store] : voters) {
-    entry.members.push_back(member);
-    entry.stores.push_back(store);
+    entry.voters.push_back(member);
+    entry.voter_stores.push_back(store);
     if (member != settings_.self && peers_.count(member) == 0) peers_[member].heard = now_;
   }
-  if (entry.members != newest_.members || entry.stores != newest_.stores) {
-    entry.before = newest_.members;
-    entry.before_stores = newest_.stores;
+  if (entry.voters != newest_.voters || entry.voter_stores != newest_.voter_stores) {
+    entry.previous_voters = newest_.voters;
+    entry.previous_stores = newest_.voter_stores;
   }
-  Put(std::move(entry));
+  Replicate(std::move(entry));
 }
 
 }  // namespace fennelhollow::consensus
--- /dev/null
+++ b/src/mesh/consensus/replica.hpp
@@ -0,0 +1,122 @@
+// A replicated register by consensus (Paxos with whole entries; a configuration of voters as in
+// viewstamped replication). Free of I/O: fed with messages, ends of writes and ticks; what it wants done goes
+// to its Sink.
+//
+// What is ordered is whole: every entry is the whole replicated state (a configuration is small), so a member
+// needs the newest entry alone and there is no log to trim.
+//
+// Threading: one thread. Time: steady microseconds. No call of the Sink may call back into Order.
+#ifndef FENNELHOLLOW_MESH_CONSENSUS_REPLICA_HPP_
+#define FENNELHOLLOW_MESH_CONSENSUS_REPLICA_HPP_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "merlinrun/balancer.hpp"
+
+namespace fennelhollow::consensus {
+
+using merlinrun::Micros;
+using ReplicaId = std::string;  // "ip:port" of the member's internal address; the same over all its lives
+
+// A voter is a member with the disk that it votes from. One whose disk was lost has forgotten what it
+// promised: it is another voter, and counts only once it was given the place of the old one (a change of
+// members).
+struct Entry {
+  std::uint64_t term = 0;                   // of the leader that replicated it
+  std::uint64_t number = 0;                 // 0 = none yet; one more with each change of state or members
+  std::vector<ReplicaId> voters;            // sorted
+  std::vector<std::uint64_t> voter_stores;  // Durable::store of each of `voters`
+  // The voters before, if this entry changes them: a majority of both has to have it (joint consensus).
+  std::vector<ReplicaId> previous_voters;
+  std::vector<std::uint64_t> previous_stores;
+  std::string state;
+};
+
+// What a member keeps on its disk.
+struct Durable {
+  std::uint64_t store = 0;  // names this disk's content; 0 = a founder's first, else drawn when it was begun
+  std::uint64_t promised = 0;  // takes nothing from older terms
+  Entry accepted;
+};
+
+// Bytes of the largest state that is taken.
+inline constexpr std::size_t kMostState = std::size_t{4} * 1024 * 1024;
+
+// What came of Propose or Confirm.
+enum class Outcome {
+  kDone,  // committed: on the disks of a majority (Propose), or the state is the newest there is (Confirm)
+  kNotLeader,  // another replica leads, or none; nothing was begun
+  kUnclear,    // leadership was lost on the way: it may still come into force
+};
+
+class Sink {
+ public:
+  virtual ~Sink() = default;
+  // A message for another member (any process with that internal address), as bytes; may be lost.
+  virtual void Send(const ReplicaId& to, std::string message) = 0;
+  // Write this to disk and sync; then OnWritten(token, ok). One is out at a time.
+  virtual void Write(const Durable& durable, std::uint64_t token) = 0;
+  // A newer entry is committed. Strictly rising numbers within a life.
+  virtual void Deliver(const Entry& entry) = 0;
+  virtual void Done(std::uint64_t call, Outcome outcome) = 0;
+  // The leader is another one from now on; empty: unknown.
+  virtual void OnLeader(const ReplicaId& leader, std::uint64_t term) = 0;
+};
+
+struct ReplicaSettings {
+  ReplicaId self;
+  std::uint64_t incarnation = 0;  // random, drawn anew at each start
+  std::uint64_t seed = 1;
+  std::vector<ReplicaId> founders;  // sorted; only looked at with first_start and no store
+  bool first_start = false;
+  std::optional<Durable> stored;    // what the disk had; absent: empty or not to be trusted = has forgotten
+  std::vector<ReplicaId> contacts;  // whom to ask first for a view when it is in none
+  std::size_t most_voters = 5;
+  Micros heartbeat = 150'000;  // of a leader
+  Micros election_timeout =
+      600'000;  // without a leader's heartbeat before a change of view; drawn from 1 to 2 times this
+  Micros replace_after = 4'000'000;  // a voter silent for so long gives its place to a learner that is heard
+};
+
+class Replica {
+ public:
+  Replica(const ReplicaSettings& settings, Micros now, Sink& sink);
+  ~Replica();
+
+  void OnMessage(Micros now, const ReplicaId& from, const std::string& message);
+  void OnWritten(Micros now, std::uint64_t token, bool ok);
+  void OnTick(Micros now);  // every 20 to 50 ms
+  // More to ask; those of the settings file now.
+  void SetContacts(std::vector<ReplicaId> contacts);
+
+  // Replicates `state` on top of entry `on_top_of`; fails with kNotLeader if another is newest or under
+  // way (also a change of members, which is an entry too: read newest() again), or if the state is too large.
+  // Done may come before this returns; kUnclear after 4 s at the latest.
+  void Propose(Micros now, std::uint64_t call, std::uint64_t on_top_of, std::string state);
+  // That what newest() gives is the newest committed state: asks a majority. Done within 1 s, perhaps before
+  // this returns.
+  void Confirm(Micros now, std::uint64_t call);
+  // Ends this member's duty, naming a successor if there is one that has all (SIGTERM, a disk that is bad).
+  void TransferLeadership(Micros now);
+
+  bool leads() const;               // is the leader, and has committed an entry of its own term
+  const ReplicaId& leader() const;  // as far as known; empty = unknown
+  std::uint64_t term() const;
+  const Entry& newest() const;           // committed
+  bool busy() const;                     // a proposal is under way
+  std::vector<ReplicaId> known() const;  // all members and learners that it knows of
+  std::uint64_t unreadable() const;      // messages that were dropped, as they couldn't be read
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace fennelhollow::consensus
+
+#endif  // FENNELHOLLOW_MESH_CONSENSUS_REPLICA_HPP_
--- a/src/mesh/consensus/store.hpp
+++ b/src/mesh/consensus/store.hpp
@@ -9,7 +9,7 @@
 #include <optional>
 #include <string>
 
-#include "mesh/consensus/order.hpp"
+#include "mesh/consensus/replica.hpp"
 
 namespace fennelhollow::consensus {
 
--- a/src/mesh/node/changes.cpp
+++ b/src/mesh/node/changes.cpp
@@ -91,7 +91,7 @@
       ++counters_.unclear;
       AnswerFirst(TryAgain("the order was lost on the way; repeat the call unchanged"));
       return Work(now);
-    case Outcome::kNotHolder:
+    case Outcome::kNotLeader:
       first.stage = Stage::kWaiting;
       // Another entry is under way, a change of members say: if that has not come yet, the tick tries again.
       if (!host_.Holds() || first.on_top_of != host_.NewestNumber()) Work(now);
--- a/src/mesh/node/changes.hpp
+++ b/src/mesh/node/changes.hpp
@@ -12,7 +12,7 @@
 #include <vector>
 
 #include "mesh/configuration/configuration.hpp"
-#include "mesh/consensus/order.hpp"
+#include "mesh/consensus/replica.hpp"
 #include "mesh/node/command.hpp"
 
 namespace fennelhollow::node {
@@ -29,7 +29,7 @@
       const = 0;  // its configuration as operators read it; empty: there is none yet
   // Decides on top of the newest entry; ends in OnVerdict. False: no room now.
   virtual bool Decide(std::uint64_t call, bool modify, std::shared_ptr<const std::string> body) = 0;
-  // As consensus::Order has them; both end in OnOutcome.
+  // As consensus::Replica has them; both end in OnOutcome.
   virtual void Propose(std::uint64_t call, std::uint64_t on_top_of, std::string state) = 0;
   virtual void Confirm(std::uint64_t call) = 0;
   // All sidecars that were heard lately have the entry in force.
--- a/src/mesh/node/core.cpp
+++ b/src/mesh/node/core.cpp
@@ -18,7 +18,7 @@
 #include <vector>
 
 #include "mesh/configuration/configuration.hpp"
-#include "mesh/consensus/order.hpp"
+#include "mesh/consensus/replica.hpp"
 #include "mesh/consensus/store.hpp"
 #include "mesh/node/changes.hpp"
 #include "mesh/node/command.hpp"
@@ -35,8 +35,8 @@
 namespace fennelhollow::node {
 
 namespace asio = merlinrun::net::asio;
-using consensus::MemberId;
 using consensus::Outcome;
+using consensus::ReplicaId;
 using merlinrun::net::Tcp;
 using transport::Link;
 
@@ -139,9 +139,9 @@
   return static_cast<std::size_t>(std::clamp(told, 16 * kMb, 192 * kMb));
 }
 
-std::vector<MemberId> Members(const settings::Settings& settings) {
+std::vector<ReplicaId> Members(const settings::Settings& settings) {
   const std::vector<std::string> seeds = settings.SeedInternals();
-  const std::set<MemberId> out(seeds.begin(), seeds.end());
+  const std::set<ReplicaId> out(seeds.begin(), seeds.end());
   return {out.begin(), out.end()};
 }
 
@@ -218,7 +218,7 @@
     Call call;
   };
   struct Forward {
-    MemberId to;
+    ReplicaId to;
     Micros until = 0;
     Call call;
   };
@@ -235,7 +235,7 @@
 
   // consensus::Sink: none of these may come back into the order, so what would is done after its function has
   // returned.
-  void Send(const MemberId& to, std::string message) override {
+  void Send(const ReplicaId& to, std::string message) override {
     message.insert(message.begin(), static_cast<char>(CoreWord::kOrder));
     SendTo(to, message);
   }
@@ -246,7 +246,7 @@
   void Done(std::uint64_t call, Outcome outcome) override {
     events_.emplace_back([this, call, outcome] { changes_.OnOutcome(loop_.Now(), call, outcome); });
   }
-  void OnHolder(const MemberId& holder, std::uint64_t epoch) override {
+  void OnLeader(const ReplicaId& holder, std::uint64_t epoch) override {
     feed_.Add(loop_.Now(), push::HolderEvent{holder, epoch});
     if (!holder.empty()) events_.emplace_back([this, holder] { ForwardAgain(holder, true); });
   }
@@ -257,18 +257,18 @@
   void Close(push::Herald::LinkId link) override;
 
   // ChangesHost
-  bool Holds() const override { return order_ && order_->holds(); }
+  bool Holds() const override { return replica_ && replica_->leads(); }
   std::uint64_t NewestNumber() const override { return entry_.number; }
   std::string NewestText() const override {
     return ledger_->newest().version() > 0 ? ledger_->newest().text() : std::string();
   }
   bool Decide(std::uint64_t call, bool modify, std::shared_ptr<const std::string> body) override;
   void Propose(std::uint64_t call, std::uint64_t on_top_of, std::string state) override {
-    order_->Propose(loop_.Now(), call, on_top_of, std::move(state));
+    replica_->Propose(loop_.Now(), call, on_top_of, std::move(state));
     DrainLater();
   }
   void Confirm(std::uint64_t call) override {
-    order_->Confirm(loop_.Now(), call);
+    replica_->Confirm(loop_.Now(), call);
     DrainLater();
   }
   bool InForce(std::uint64_t number) const override {
@@ -280,7 +280,7 @@
   // them before it returns, and Changes isn't to hear of that before it has returned itself.
   template <class F>
   void Drive(F f) {
-    if (!order_) return;
+    if (!replica_) return;
     f();
     Drain();
   }
@@ -302,24 +302,24 @@
   void OnDutyMaybe();
   void OnTick();
 
-  bool SendTo(const MemberId& to, std::string_view frame);
-  void Dial(const MemberId& to, Peer& peer);
-  void OnPeerClosed(const MemberId& to);
+  bool SendTo(const ReplicaId& to, std::string_view frame);
+  void Dial(const ReplicaId& to, Peer& peer);
+  void OnPeerClosed(const ReplicaId& to);
   void OnAccepted(const std::shared_ptr<Link>& link);
   void OnFrame(std::uint64_t from, std::string_view frame);
   void OnHello(std::uint64_t from, std::string_view frame);
-  void OnCoreFrame(const MemberId& from, std::string_view frame);
+  void OnCoreFrame(const ReplicaId& from, std::string_view frame);
   void CloseIncoming(std::uint64_t count);
 
   void OnCommand(Command command, ControlListener::Reply reply);
   void OnCall(CallKind kind, std::string body, ControlListener::Reply reply);
-  void OnForwarded(const MemberId& from, ForwardedCall call);
-  void OnAnswer(const MemberId& from, ForwardedAnswer answer);
+  void OnForwarded(const ReplicaId& from, ForwardedCall call);
+  void OnAnswer(const ReplicaId& from, ForwardedAnswer answer);
   void Dispatch(Call call);
   void Park(Call call, Micros retry_at);
   // Calls that were passed on to `member` (or to all but it) have to be passed on anew: the same call again
   // is the same change, whether the first came through or not.
-  void ForwardAgain(const MemberId& member, bool all_others);
+  void ForwardAgain(const ReplicaId& member, bool all_others);
   void Unpark();
   void OnReadEvents(const ReadEvents& call, ControlListener::Reply reply);
   void AnswerWaiters();
@@ -329,14 +329,14 @@
   merlinrun::net::AsioLoop loop_;
   settings::Settings settings_;
   const std::uint64_t life_;
-  const MemberId self_;
+  const ReplicaId self_;
   std::shared_ptr<int> alive_ = std::make_shared<int>();
   std::unique_ptr<merlinrun::core::Timer> tick_, disk_retry_;
   std::shared_ptr<Disk> disk_ = std::make_shared<Disk>();
   std::unique_ptr<Worker> disk_thread_, checks_;
   std::unique_ptr<transport::Listener> listener_;
   std::unique_ptr<ControlListener> control_;
-  std::unique_ptr<consensus::Order> order_;
+  std::unique_ptr<consensus::Replica> replica_;
   std::deque<std::function<void()>> events_;  // of the order; drained after each call into it
   bool draining_ = false;
   bool disk_bad_ = false;
@@ -351,7 +351,7 @@
   std::shared_ptr<const configuration::Ledger> ledger_ = std::make_shared<const configuration::Ledger>();
   bool held_ = false;
 
-  std::map<MemberId, Peer> peers_;
+  std::map<ReplicaId, Peer> peers_;
   std::map<std::uint64_t, Incoming> incoming_;
   std::uint64_t incoming_count_ = 0;
 
@@ -421,19 +421,19 @@
   }
   disk_bad_ = false;
   if (opened.lost) LOG(ERROR) << "the store can't be trusted: this member has forgotten";
-  consensus::OrderSettings order;
-  order.self = self_;
-  order.life = life_;
-  order.seed = life_ ^ 0x9e3779b97f4a7c15U;
-  order.founders = Members(settings_);
+  consensus::ReplicaSettings replica;
+  replica.self = self_;
+  replica.incarnation = life_;
+  replica.seed = life_ ^ 0x9e3779b97f4a7c15U;
+  replica.founders = Members(settings_);
   // A founder starts from nothing; a member that had a store and lost it may have promised something.
-  order.first_start = settings_.first_start && !opened.lost;
-  order.stored = std::move(opened.stored);
-  order.contacts = order.founders;
+  replica.first_start = settings_.first_start && !opened.lost;
+  replica.stored = std::move(opened.stored);
+  replica.contacts = replica.founders;
   LOG(INFO) << "core " << self_ << " starts, life " << life_ << ", "
-            << (order.stored ? absl::StrCat("entry ", order.stored->accepted.number, " stored")
-                             : std::string(order.first_start ? "a founder" : "nothing stored"));
-  order_ = std::make_unique<consensus::Order>(order, loop_.Now(), *this);
+            << (replica.stored ? absl::StrCat("entry ", replica.stored->accepted.number, " stored")
+                               : std::string(replica.first_start ? "a founder" : "nothing stored"));
+  replica_ = std::make_unique<consensus::Replica>(replica, loop_.Now(), *this);
   if (stopping_) return EndIfStopped();
   Drain();
 }
@@ -448,8 +448,8 @@
       LOG(WARNING) << "the disk "
                    << (disk_bad_ ? absl::StrCat("fails: ", status->ToString()) : "is well again");
     }
-    Drive([&] { order_->OnWritten(loop_.Now(), token, status->ok()); });
-    if (!status->ok() && Holds()) Drive([&] { order_->HandOver(loop_.Now()); });
+    Drive([&] { replica_->OnWritten(loop_.Now(), token, status->ok()); });
+    if (!status->ok() && Holds()) Drive([&] { replica_->TransferLeadership(loop_.Now()); });
   };
   const bool queued =
       disk_thread_->Run([disk = disk_, status, durable] { *status = disk->store->Write(durable); }, done);
@@ -480,14 +480,14 @@
 }
 
 void Core::Impl::OnDeliver(const consensus::Entry& entry) {
-  std::vector<MemberId> in, out;
-  std::set_difference(entry.members.begin(), entry.members.end(), entry_.members.begin(),
-                      entry_.members.end(), std::back_inserter(in));
-  std::set_difference(entry_.members.begin(), entry_.members.end(), entry.members.begin(),
-                      entry.members.end(), std::back_inserter(out));
-  for (const MemberId& member : in) LOG(INFO) << "member in: " << member << ", entry " << entry.number;
-  for (const MemberId& member : out) LOG(INFO) << "member out: " << member << ", entry " << entry.number;
-  if (!in.empty() || !out.empty()) feed_.Add(loop_.Now(), push::VotersEvent{entry.members, entry.number});
+  std::vector<ReplicaId> in, out;
+  std::set_difference(entry.voters.begin(), entry.voters.end(), entry_.voters.begin(), entry_.voters.end(),
+                      std::back_inserter(in));
+  std::set_difference(entry_.voters.begin(), entry_.voters.end(), entry.voters.begin(), entry.voters.end(),
+                      std::back_inserter(out));
+  for (const ReplicaId& member : in) LOG(INFO) << "member in: " << member << ", entry " << entry.number;
+  for (const ReplicaId& member : out) LOG(INFO) << "member out: " << member << ", entry " << entry.number;
+  if (!in.empty() || !out.empty()) feed_.Add(loop_.Now(), push::VotersEvent{entry.voters, entry.number});
   if (entry.state != state_) {
     auto ledger = configuration::Ledger::Read(entry.state);
     if (!ledger.ok()) {  // what this core keeps is as good as it gets
@@ -496,14 +496,14 @@
     }
     ledger_ = std::make_shared<const configuration::Ledger>(*std::move(ledger));
     state_ = entry.state;
-    LOG(INFO) << "entry " << entry.number << " settled, version " << ledger_->newest().version();
+    LOG(INFO) << "entry " << entry.number << " committed, version " << ledger_->newest().version();
     feed_.Add(loop_.Now(), push::ConfigurationEvent{ledger_->newest().version(), entry.number});
     const auto tables = configuration::Tables::Of(ledger_->newest());
     if (tables.ok()) herald_.SetLimits(loop_.Now(), LimitsOf(**tables));
   }
-  entry_.epoch = entry.epoch;
+  entry_.term = entry.term;
   entry_.number = entry.number;
-  entry_.members = entry.members;
+  entry_.voters = entry.voters;
   if (!state_.empty()) herald_.SetLedger(loop_.Now(), entry.number, state_);
 }
 
@@ -521,12 +521,12 @@
 
 void Core::Impl::OnTick() {
   const Micros now = loop_.Now();
-  Drive([&] { order_->OnTick(now); });
+  Drive([&] { replica_->OnTick(now); });
   changes_.OnTick(now);
   herald_.OnTick(now);
   watch_.Look(now, herald_.listing(), feed_);
   AnswerWaiters();
-  if (order_) herald_.SetCores(order_->known(), order_->holder(), !order_->holder().empty());
+  if (replica_) herald_.SetCores(replica_->known(), replica_->leader(), !replica_->leader().empty());
   for (auto it = forwards_.begin(); it != forwards_.end();) {
     if (now < it->second.until) {
       ++it;
@@ -542,7 +542,7 @@
     if (!incoming.hello && now >= incoming.since + kHelloWithin) silent.push_back(count);
   }
   for (const std::uint64_t count : silent) CloseIncoming(count);
-  const bool reason = !order_ || order_->holder().empty() || order_->busy() || !changes_.empty() ||
+  const bool reason = !replica_ || replica_->leader().empty() || replica_->busy() || !changes_.empty() ||
                       !parked_.empty() || !forwards_.empty() || herald_.Subscribers() > 0 || stopping_;
   tick_->Start(reason ? kTickBusy : kTickCalm, [this] { OnTick(); });
   if (stopping_) EndIfStopped();
@@ -550,7 +550,7 @@
 
 // ---- links
 
-bool Core::Impl::SendTo(const MemberId& to, std::string_view frame) {
+bool Core::Impl::SendTo(const ReplicaId& to, std::string_view frame) {
   if (to == self_ || frame.size() > transport::kMostFrame) return false;
   const Micros now = loop_.Now();
   auto it = peers_.find(to);
@@ -576,7 +576,7 @@
   return peer.link->Send(frame);
 }
 
-void Core::Impl::Dial(const MemberId& to, Peer& peer) {
+void Core::Impl::Dial(const ReplicaId& to, Peer& peer) {
   const auto address = merlinrun::net::ParseAddress(to);
   if (!address) return;
   ++counters_.dials;
@@ -587,7 +587,7 @@
       .purpose = transport::Purpose::kCore, .from = settings_.node_name, .address = self_, .life = life_}));
 }
 
-void Core::Impl::OnPeerClosed(const MemberId& to) {
+void Core::Impl::OnPeerClosed(const ReplicaId& to) {
   const auto it = peers_.find(to);
   if (it == peers_.end()) return;
   Peer& peer = it->second;
@@ -598,7 +598,7 @@
   ForwardAgain(to, false);
 }
 
-void Core::Impl::ForwardAgain(const MemberId& member, bool all_others) {
+void Core::Impl::ForwardAgain(const ReplicaId& member, bool all_others) {
   std::vector<Call> again;
   for (auto it = forwards_.begin(); it != forwards_.end();) {
     if ((it->second.to == member) == all_others) {
@@ -655,7 +655,7 @@
   const std::shared_ptr<Link> held = it->second.link;  // it may be closed from in here
   if (!it->second.hello) return OnHello(from, frame);
   if (it->second.hello->purpose == transport::Purpose::kCore) {
-    const MemberId member = it->second.hello->address;
+    const ReplicaId member = it->second.hello->address;
     return OnCoreFrame(member, frame);
   }
   auto tell = transport::Unpack<push::Tell>(frame);
@@ -689,7 +689,7 @@
   incoming_[from].hello = *std::move(hello);
 }
 
-void Core::Impl::OnCoreFrame(const MemberId& from, std::string_view frame) {
+void Core::Impl::OnCoreFrame(const ReplicaId& from, std::string_view frame) {
   if (frame.empty()) {
     ++counters_.bad_frames;
     return;
@@ -697,7 +697,7 @@
   const std::string_view rest = frame.substr(1);
   switch (static_cast<CoreWord>(frame.front())) {
     case CoreWord::kOrder:
-      return Drive([&] { order_->OnMessage(loop_.Now(), from, std::string(rest)); });
+      return Drive([&] { replica_->OnMessage(loop_.Now(), from, std::string(rest)); });
     case CoreWord::kCall:
       if (auto call = transport::Unpack<ForwardedCall>(rest); call.ok())
         return OnForwarded(from, *std::move(call));
@@ -753,7 +753,7 @@
   Dispatch(std::move(call));
 }
 
-void Core::Impl::OnForwarded(const MemberId& from, ForwardedCall forwarded) {
+void Core::Impl::OnForwarded(const ReplicaId& from, ForwardedCall forwarded) {
   ++counters_.forwarded_here;
   Call call;
   call.forwarded = true;
@@ -777,7 +777,7 @@
   Dispatch(std::move(call));
 }
 
-void Core::Impl::OnAnswer(const MemberId& from, ForwardedAnswer answer) {
+void Core::Impl::OnAnswer(const ReplicaId& from, ForwardedAnswer answer) {
   const auto it = forwards_.find(answer.count);
   if (it == forwards_.end() || it->second.to != from) return;  // too late
   Call call = std::move(it->second.call);
@@ -807,7 +807,7 @@
     return changes_.Submit(now, deadline, kind == CallKind::kModify, body, std::move(done));
   }
   if (call.forwarded) return call.done(std::nullopt);
-  const MemberId holder = order_ ? order_->holder() : MemberId();
+  const ReplicaId holder = replica_ ? replica_->leader() : ReplicaId();
   if (holder.empty() || holder == self_) return Park(std::move(call), now + kRetry);
   Forward forward{holder, std::min(now + kForwarded, call.deadline), std::move(call)};
   ForwardedCall out;
@@ -873,7 +873,7 @@
 
 void Core::Impl::OnSettings(const settings::Settings& settings) {
   settings_.seeds = settings.seeds;
-  if (order_) order_->SetContacts(Members(settings_));
+  if (replica_) replica_->SetContacts(Members(settings_));
 }
 
 void Core::Impl::Stop(std::function<void()> done) {
@@ -882,7 +882,7 @@
   stopping_ = true;
   stopped_ = std::move(done);
   stop_by_ = loop_.Now() + kStopWithin;
-  Drive([&] { order_->HandOver(loop_.Now()); });
+  Drive([&] { replica_->TransferLeadership(loop_.Now()); });
   AnswerWaiters();
   control_stopped_ = !control_;
   if (control_) control_->Stop([this] { control_stopped_ = true; });
@@ -904,14 +904,14 @@
 
 std::string Core::Impl::StatusText() const {
   nlohmann::json out;
-  out["role"] = Holds() ? "holder" : order_ ? "member" : "starting";
+  out["role"] = Holds() ? "holder" : replica_ ? "member" : "starting";
   out["self"] = self_;
   out["life"] = life_;
-  out["epoch"] = order_ ? order_->epoch() : 0;
-  out["holder"] = order_ ? order_->holder() : "";
+  out["epoch"] = replica_ ? replica_->term() : 0;
+  out["holder"] = replica_ ? replica_->leader() : "";
   out["entry"] = entry_.number;
   out["version"] = ledger_->newest().version();
-  out["voters"] = entry_.members;
+  out["voters"] = entry_.voters;
   out["sidecarsHeard"] = herald_.Heard(loop_.Now());
   out["diskBad"] = disk_bad_;
   out["stopping"] = stopping_;
--- a/tests/mesh/consensus_order_test.cpp
+++ b/tests/mesh/consensus_replica_test.cpp
@@ -9,7 +9,7 @@
 #include <set>
 
 #include "base/random.hpp"
-#include "mesh/consensus/order.hpp"
+#include "mesh/consensus/replica.hpp"
 
 namespace {
 
@@ -23,24 +23,24 @@
 struct World;
 
 struct Member final : Sink {
-  Member(World& w, MemberId name) : world(w), id(std::move(name)) {}
-  void Send(const MemberId& to, std::string message) override;
+  Member(World& w, ReplicaId name) : world(w), id(std::move(name)) {}
+  void Send(const ReplicaId& to, std::string message) override;
   void Write(const Durable& durable, std::uint64_t token) override;
   void Deliver(const Entry& entry) override;
   void Done(std::uint64_t call, Outcome outcome) override;
-  void OnHolder(const MemberId& holder, std::uint64_t) override { heard_holder = holder; }
+  void OnLeader(const ReplicaId& leader, std::uint64_t) override { heard_leader = leader; }
 
   World& world;
-  MemberId id;
-  std::unique_ptr<Order> order;  // null: its process doesn't run
-  std::uint64_t life = 0;
+  ReplicaId id;
+  std::unique_ptr<Replica> replica;  // null: its process doesn't run
+  std::uint64_t incarnation = 0;
   std::optional<Durable> disk;
   Micros write_takes = kMs / 2;
   Micros stalled_until = 0;
   bool failing = false;
   Micros frozen_until = 0;
-  std::uint64_t delivered = 0;  // in this life
-  MemberId heard_holder;
+  std::uint64_t delivered = 0;  // in this incarnation
+  ReplicaId heard_leader;
 };
 
 struct World {
@@ -51,17 +51,18 @@
       members[ids.back()] = std::make_unique<Member>(*this, ids.back());
     }
     founders.assign(ids.begin(), ids.begin() + founder_count);
-    for (const MemberId& id : ids) Start(id, true);
+    for (const ReplicaId& id : ids) Start(id, true);
   }
 
   void At(Micros when, std::function<void()> what) { events.push({when, ++sequence, std::move(what)}); }
 
-  // Something that happens to one life of a member; a frozen one sees it when it wakes.
-  void AtMember(Micros when, const MemberId& id, std::uint64_t life, std::function<void(Member&)> what) {
-    At(when, [this, id, life, what] {
+  // Something that happens to one incarnation of a member; a frozen one sees it when it wakes.
+  void AtMember(Micros when, const ReplicaId& id, std::uint64_t incarnation,
+                std::function<void(Member&)> what) {
+    At(when, [this, id, incarnation, what] {
       Member& m = *members[id];
-      if (!m.order || (life != 0 && m.life != life)) return;
-      if (now < m.frozen_until) return AtMember(m.frozen_until, id, life, what);
+      if (!m.replica || (incarnation != 0 && m.incarnation != incarnation)) return;
+      if (now < m.frozen_until) return AtMember(m.frozen_until, id, incarnation, what);
       what(m);
     });
   }
@@ -84,98 +85,99 @@
     return condition();
   }
 
-  void Start(const MemberId& id, bool first) {
+  void Start(const ReplicaId& id, bool first) {
     Member& m = *members[id];
-    m.life = ++lives;
+    m.incarnation = ++incarnations;
     m.delivered = 0;
-    OrderSettings s;
+    ReplicaSettings s;
     s.self = id;
-    s.life = m.life;
+    s.incarnation = m.incarnation;
     s.seed = random.Next();
     s.founders = founders;
     s.first_start = first;
     s.stored = m.disk;
     s.contacts = founders;
     s.replace_after = replace_after;
-    m.order = std::make_unique<Order>(s, now, m);
-    Tick(id, m.life);
+    m.replica = std::make_unique<Replica>(s, now, m);
+    Tick(id, m.incarnation);
   }
-  void Tick(const MemberId& id, std::uint64_t life) {
-    AtMember(now + 25 * kMs, id, life, [this, id, life](Member& m) {
-      m.order->OnTick(now);
-      Tick(id, life);
+  void Tick(const ReplicaId& id, std::uint64_t incarnation) {
+    AtMember(now + 25 * kMs, id, incarnation, [this, id, incarnation](Member& m) {
+      m.replica->OnTick(now);
+      Tick(id, incarnation);
     });
   }
-  void Kill(const MemberId& id) { members[id]->order.reset(); }
-  void Wipe(const MemberId& id) {
+  void Kill(const ReplicaId& id) { members[id]->replica.reset(); }
+  void Wipe(const ReplicaId& id) {
     Kill(id);
     members[id]->disk.reset();
   }
-  void Cut(const std::set<MemberId>& side) {
-    for (const MemberId& a : ids) {
-      for (const MemberId& b : ids) {
+  void Cut(const std::set<ReplicaId>& side) {
+    for (const ReplicaId& a : ids) {
+      for (const ReplicaId& b : ids) {
         if (side.count(a) != side.count(b)) cut.insert({a, b});
       }
     }
   }
 
-  Member* Holder() {
+  Member* Leader() {
     Member* best = nullptr;
     for (auto& [id, m] : members) {
-      if (m->order && m->order->holds() && (!best || m->order->epoch() > best->order->epoch()))
+      if (m->replica && m->replica->leads() && (!best || m->replica->term() > best->replica->term()))
         best = m.get();
     }
     return best;
   }
   Member* Other(const Member* than) {  // a voter
     for (auto& [id, m] : members) {
-      if (m.get() != than && m->order && IsVoter(id)) return m.get();
+      if (m.get() != than && m->replica && IsVoter(id)) return m.get();
     }
     return nullptr;
   }
-  bool IsVoter(const MemberId& id) {
-    Member* holder = Holder();
-    if (!holder) return false;
-    const Entry& e = holder->order->newest();
-    for (std::size_t i = 0; i < e.members.size(); ++i) {
-      if (e.members[i] == id) return members[id]->disk && members[id]->disk->store == e.stores[i];
+  bool IsVoter(const ReplicaId& id) {
+    Member* leader = Leader();
+    if (!leader) return false;
+    const Entry& e = leader->replica->newest();
+    for (std::size_t i = 0; i < e.voters.size(); ++i) {
+      if (e.voters[i] == id) return members[id]->disk && members[id]->disk->store == e.voter_stores[i];
     }
     return false;
   }
   bool AllVoters() {  // have their disks, and no change is under way
-    Member* holder = Holder();
-    if (!holder || holder->order->busy() || !holder->order->newest().before.empty()) return false;
-    const auto& voters = holder->order->newest().members;
-    return std::all_of(voters.begin(), voters.end(), [&](const MemberId& id) { return IsVoter(id); });
+    Member* leader = Leader();
+    if (!leader || leader->replica->busy() || !leader->replica->newest().previous_voters.empty())
+      return false;
+    const auto& voters = leader->replica->newest().voters;
+    return std::all_of(voters.begin(), voters.end(), [&](const ReplicaId& id) { return IsVoter(id); });
   }
-  std::size_t VoterCount() { return Holder() ? Holder()->order->newest().members.size() : 0; }
+  std::size_t VoterCount() { return Leader() ? Leader()->replica->newest().voters.size() : 0; }
 
   std::uint64_t Propose(Member& m) {
     const std::uint64_t call = ++calls;
-    proposed[call] = {m.order->newest().number,
+    proposed[call] = {m.replica->newest().number,
                       "s" + std::to_string(call) + std::string(call % 7 * 100, 'x')};
-    m.order->Propose(now, call, proposed[call].first, proposed[call].second);
+    m.replica->Propose(now, call, proposed[call].first, proposed[call].second);
     return call;
   }
   std::uint64_t Confirm(Member& m) {
     confirming[++calls] = highest_done;
-    m.order->Confirm(now, calls);
+    m.replica->Confirm(now, calls);
     return calls;
   }
   bool IsDone(std::uint64_t call) { return outcomes.count(call) > 0 && outcomes[call] == Outcome::kDone; }
-  // A change settled, tried again and again at whoever holds.
+  // A change committed, tried again and again at whoever holds.
   bool Progress(Micros within) {
     const std::uint64_t before = highest_done;
     for (const Micros end = now + within; now < end && highest_done == before; Run(50 * kMs)) {
-      if (Member* m = Holder(); m && now >= m->frozen_until) Propose(*m);
+      if (Member* m = Leader(); m && now >= m->frozen_until) Propose(*m);
     }
     return highest_done > before;
   }
   bool AllAgree() {
-    Member* holder = Holder();
-    if (!holder) return false;
+    Member* leader = Leader();
+    if (!leader) return false;
     for (auto& [id, m] : members) {
-      if (!m->order || m->order->newest().number != holder->order->newest().number) return false;
+      if (!m->replica || m->replica->newest().number != leader->replica->newest().number) return false;
     }
     return true;
   }
@@ -189,23 +191,23 @@
   Random random;
   Micros replace_after;
   Micros now = kSecond;
-  std::uint64_t sequence = 0, lives = 0, calls = 0;
+  std::uint64_t sequence = 0, incarnations = 0, calls = 0;
   std::priority_queue<Event> events;
-  std::vector<MemberId> ids, founders;
-  std::map<MemberId, std::unique_ptr<Member>> members;
-  std::set<std::pair<MemberId, MemberId>> cut;
+  std::vector<ReplicaId> ids, founders;
+  std::map<ReplicaId, std::unique_ptr<Member>> members;
+  std::set<std::pair<ReplicaId, ReplicaId>> cut;
   double loss = 0, twice = 0;
   Micros delay = kMs, late = 0;
   // What the checks need.
-  std::map<std::uint64_t, std::pair<std::vector<MemberId>, std::string>> settled;  // by number
-  std::map<std::uint64_t, std::pair<std::uint64_t, std::string>> proposed;         // call: on top of, state
-  std::map<std::uint64_t, std::uint64_t> confirming;  // call: highest done at its start
+  std::map<std::uint64_t, std::pair<std::vector<ReplicaId>, std::string>> committed;  // by number
+  std::map<std::uint64_t, std::pair<std::uint64_t, std::string>> proposed;  // call: on top of, state
+  std::map<std::uint64_t, std::uint64_t> confirming;                        // call: highest done at its start
   std::map<std::uint64_t, Outcome> outcomes;
   std::map<std::uint64_t, std::string> done;  // by number
   std::uint64_t highest_done = 0;
 };
 
-void Member::Send(const MemberId& to, std::string message) {
+void Member::Send(const ReplicaId& to, std::string message) {
   REQUIRE(to != id);
   const int copies = world.random.Unit() < world.twice ? 2 : 1;
   for (int i = 0; i < copies; ++i) {
@@ -213,7 +215,7 @@
     Micros takes = 200 + world.random.Upto(world.delay);
     if (world.random.Unit() < 0.05) takes += world.random.Upto(world.late);
     world.AtMember(world.now + takes, to, 0, [this, message, from = id](Member& m) {
-      if (world.cut.count({from, m.id}) == 0) m.order->OnMessage(world.now, from, message);
+      if (world.cut.count({from, m.id}) == 0) m.replica->OnMessage(world.now, from, message);
     });
   }
 }
@@ -222,20 +224,20 @@
   const Micros end = std::max(world.now, stalled_until) + write_takes + world.random.Upto(write_takes);
   // The disk is written by the end, whether the process still runs or not; or is not, if it died.
   const bool lost = world.random.Unit() < 0.5;
-  world.At(end, [this, durable, token, lost, its_life = life] {
-    const bool same = order && life == its_life;
-    if ((same && !failing) || (life == its_life && !lost && order)) disk = durable;
+  world.At(end, [this, durable, token, lost, its_incarnation = incarnation] {
+    const bool same = replica && incarnation == its_incarnation;
+    if ((same && !failing) || (incarnation == its_incarnation && !lost && replica)) disk = durable;
     if (!same) return;
-    world.AtMember(world.now, id, its_life,
-                   [this, token, ok = !failing](Member& m) { m.order->OnWritten(world.now, token, ok); });
+    world.AtMember(world.now, id, its_incarnation,
+                   [this, token, ok = !failing](Member& m) { m.replica->OnWritten(world.now, token, ok); });
   });
 }
 
 void Member::Deliver(const Entry& entry) {
   REQUIRE(entry.number > delivered);
   delivered = entry.number;
-  const auto [it, fresh] = world.settled.emplace(entry.number, std::pair(entry.members, entry.state));
-  if (!fresh) REQUIRE(it->second == std::pair(entry.members, entry.state));
+  const auto [it, fresh] = world.committed.emplace(entry.number, std::pair(entry.voters, entry.state));
+  if (!fresh) REQUIRE(it->second == std::pair(entry.voters, entry.state));
 }
 
 void Member::Done(std::uint64_t call, Outcome outcome) {
@@ -245,35 +247,35 @@
     const std::uint64_t number = it->second.first + 1;
     REQUIRE(world.done.emplace(number, it->second.second).second);
     world.highest_done = std::max(world.highest_done, number);
-    REQUIRE(order->newest().state == it->second.second);
+    REQUIRE(replica->newest().state == it->second.second);
   } else {
-    REQUIRE(order->newest().number >= world.confirming[call]);
+    REQUIRE(replica->newest().number >= world.confirming[call]);
   }
 }
 
-TEST_CASE("founders on a calm day take turns in one order, and a holder stands within 1.5 s") {
+TEST_CASE("founders on a calm day take turns in one order, and a leader stands within 1.5 s") {
   World w(3, 3, 1);
-  REQUIRE(w.RunTill([&] { return w.Holder() != nullptr; }, 1500 * kMs));
+  REQUIRE(w.RunTill([&] { return w.Leader() != nullptr; }, 1500 * kMs));
   REQUIRE(w.Progress(kSecond));
   for (int i = 0; i < 20; ++i) {
-    const std::uint64_t call = w.Propose(*w.Holder());
+    const std::uint64_t call = w.Propose(*w.Leader());
     REQUIRE(w.RunTill([&] { return w.IsDone(call); }, 50 * kMs));
-    const std::uint64_t read = w.Confirm(*w.Holder());
+    const std::uint64_t read = w.Confirm(*w.Leader());
     REQUIRE(w.RunTill([&] { return w.IsDone(read); }, 50 * kMs));
   }
   const std::uint64_t stale = ++w.calls;
   w.proposed[stale] = {1, "stale"};
-  w.Holder()->order->Propose(w.now, stale, 1, "stale");
-  REQUIRE(w.outcomes[stale] == Outcome::kNotHolder);
+  w.Leader()->replica->Propose(w.now, stale, 1, "stale");
+  REQUIRE(w.outcomes[stale] == Outcome::kNotLeader);
   w.Run(kSecond);
   REQUIRE(w.AllAgree());
-  for (auto& [id, m] : w.members) REQUIRE(m->heard_holder == w.Holder()->id);
+  for (auto& [id, m] : w.members) REQUIRE(m->heard_leader == w.Leader()->id);
   // All dark and back.
-  for (const MemberId& id : w.ids) w.Kill(id);
+  for (const ReplicaId& id : w.ids) w.Kill(id);
   w.Run(100 * kMs);
-  for (const MemberId& id : w.ids) w.Start(id, false);
-  REQUIRE(w.RunTill([&] { return w.Holder() != nullptr; }, 1500 * kMs));
-  REQUIRE(w.Holder()->order->newest().state == w.done[w.highest_done]);
+  for (const ReplicaId& id : w.ids) w.Start(id, false);
+  REQUIRE(w.RunTill([&] { return w.Leader() != nullptr; }, 1500 * kMs));
+  REQUIRE(w.Leader()->replica->newest().state == w.done[w.highest_done]);
 }
 
 // Some hundreds of bad days. Agreement, one kDone a number and no old read are checked in Deliver and Done.
@@ -286,9 +288,9 @@
   w.Run(100 * kMs +
         w.random.Upto(3 * kSecond));  // founders that lose power before their first write are none
   for (auto& [id, m] : w.members) m->write_takes = w.random.Unit() < 0.5 ? kMs / 2 : 20 * kMs;
-  const auto restart = [&](const MemberId& id) {
+  const auto restart = [&](const ReplicaId& id) {
     w.At(w.now + 50 * kMs + w.random.Upto(1500 * kMs), [&w, id] {
-      if (!w.members[id]->order) w.Start(id, false);
+      if (!w.members[id]->replica) w.Start(id, false);
     });
   };
   const Micros end = w.now + 8 * kSecond;
@@ -296,7 +298,7 @@
   while (w.now < end) {
     w.Run(1 + w.random.Upto(40 * kMs));
     Member& client = *w.members[w.ids[w.random.Below(w.ids.size())]];
-    if (client.order && client.order->holds() && w.now >= client.frozen_until) {
+    if (client.replica && client.replica->leads() && w.now >= client.frozen_until) {
       w.random.Unit() < 0.5 ? w.Propose(client) : w.Confirm(client);
     }
     if (w.now < next_fault) continue;
@@ -324,7 +326,7 @@
         break;
       case 6:  // all lose power, one of them its disk too
         if (w.AllVoters()) w.Wipe(m.id);
-        for (const MemberId& id : w.ids) {
+        for (const ReplicaId& id : w.ids) {
           w.Kill(id);
           restart(id);
         }
@@ -339,7 +341,7 @@
         m.frozen_until = w.now + w.random.Upto(3 * kSecond);
         break;
       default:
-        if (m.order) m.order->HandOver(w.now);
+        if (m.replica) m.replica->TransferLeadership(w.now);
     }
   }
   const bool dark = w.random.Unit() < 0.3;
@@ -350,21 +352,21 @@
     m->failing = false;
     m->stalled_until = m->frozen_until = 0;
     if (dark) w.Kill(id);
-    if (!m->order) w.Start(id, false);
+    if (!m->replica) w.Start(id, false);
   }
   REQUIRE(w.Progress(5 * kSecond));
   REQUIRE(w.RunTill([&] { return w.VoterCount() >= 3 && w.AllAgree() && w.VoterCount() % 2 == 1; },
                     20 * kSecond));
   for (const auto& [number, state] : w.done) {
-    const auto it = w.settled.find(number);
-    REQUIRE((it != w.settled.end() && it->second.second == state));
+    const auto it = w.committed.find(number);
+    REQUIRE((it != w.committed.end() && it->second.second == state));
   }
-  REQUIRE(w.Holder()->order->newest().number >= w.highest_done);
+  REQUIRE(w.Leader()->replica->newest().number >= w.highest_done);
 }
 
-struct Calm : World {  // with a holder, and all as voters or learners that have everything
+struct Calm : World {  // with a leader, and all as voters or learners that have everything
   explicit Calm(int count, Micros replace = 4 * kSecond) : World(count, 3, 7, replace) {
-    REQUIRE(RunTill([&] { return Holder() != nullptr; }, 1500 * kMs));
+    REQUIRE(RunTill([&] { return Leader() != nullptr; }, 1500 * kMs));
     REQUIRE(Progress(kSecond));
     REQUIRE(RunTill([&] { return AllAgree() && AllVoters(); }, 3 * kSecond));
   }
@@ -375,7 +377,7 @@
   Calm w(5);
   REQUIRE(w.RunTill([&] { return w.VoterCount() == 5; }, kSecond));
   // One that stays dark goes, and has a place again when it returns.
-  Member* dark = w.Other(w.Holder());
+  Member* dark = w.Other(w.Leader());
   w.Kill(dark->id);
   REQUIRE(w.RunTill([&] { return w.VoterCount() == 4; }, 15 * kSecond));
   w.Start(dark->id, false);
@@ -384,7 +386,7 @@
 
 TEST_CASE("a voter that stays dark gives its place to a learner, and is a learner when it returns") {
   Calm w(4);
-  Member* dark = w.Other(w.Holder());
+  Member* dark = w.Other(w.Leader());
   w.Kill(dark->id);
   REQUIRE(w.RunTill([&] { return w.VoterCount() == 3 && !w.IsVoter(dark->id); }, 6 * kSecond));
   REQUIRE(w.Progress(kSecond));
@@ -395,24 +397,24 @@
 
 TEST_CASE("one that has lost its disk votes for nothing until a majority without it gives it its place") {
   Calm w(3);
-  Member* holder = w.Holder();
-  Member* wiped = w.Other(holder);
+  Member* leader = w.Leader();
+  Member* wiped = w.Other(leader);
   const std::uint64_t last = w.highest_done;
-  for (const MemberId& id : w.ids) w.Kill(id);
+  for (const ReplicaId& id : w.ids) w.Kill(id);
   w.Wipe(wiped->id);
   w.Start(wiped->id, false);
-  w.Start(holder->id, false);
+  w.Start(leader->id, false);
   w.Run(10 * kSecond);
-  REQUIRE(w.Holder() == nullptr);
+  REQUIRE(w.Leader() == nullptr);
   REQUIRE(!wiped->disk.has_value());
-  for (const MemberId& id : w.ids) {
-    if (!w.members[id]->order) w.Start(id, false);
+  for (const ReplicaId& id : w.ids) {
+    if (!w.members[id]->replica) w.Start(id, false);
   }
   REQUIRE(w.Progress(2 * kSecond));
   REQUIRE(w.RunTill([&] { return w.IsVoter(wiped->id); }, kSecond));
-  REQUIRE(w.settled[last].second == w.done[last]);
+  REQUIRE(w.committed[last].second == w.done[last]);
   // It counts again: another one may go.
-  for (const MemberId& id : w.ids) {
+  for (const ReplicaId& id : w.ids) {
     if (id == wiped->id) continue;
     w.Run(kSecond);
     w.Kill(id);
@@ -422,88 +424,88 @@
 }
 
 TEST_CASE("four members cut two from two: the two voters go on") {
-  // Early, so that the holder would like to put the learner in the place of a voter beyond the cut.
+  // Early, so that the leader would like to put the learner in the place of a voter beyond the cut.
   Calm w(4, 700 * kMs);
-  Member* holder = w.Holder();
-  MemberId learner;
-  for (const MemberId& id : w.ids) {
+  Member* leader = w.Leader();
+  ReplicaId learner;
+  for (const ReplicaId& id : w.ids) {
     if (!w.IsVoter(id)) learner = id;
   }
-  w.Cut({holder->id, learner});
-  const std::uint64_t read = w.Confirm(*holder);
-  REQUIRE(w.RunTill([&] { return w.Holder() && w.Holder() != holder; }, 2500 * kMs));
+  w.Cut({leader->id, learner});
+  const std::uint64_t read = w.Confirm(*leader);
+  REQUIRE(w.RunTill([&] { return w.Leader() && w.Leader() != leader; }, 2500 * kMs));
   REQUIRE(w.Progress(kSecond));
-  REQUIRE(w.RunTill([&] { return !holder->order->holds(); }, kSecond));
+  REQUIRE(w.RunTill([&] { return !leader->replica->leads(); }, kSecond));
   REQUIRE(w.outcomes[read] != Outcome::kDone);
   w.cut.clear();
   REQUIRE(w.RunTill([&] { return w.AllAgree(); }, kSecond));
 }
 
-TEST_CASE("the holder hands over by name within 100 ms, nothing lost") {
+TEST_CASE("the leader hands over by name within 100 ms, nothing lost") {
   Calm w(3);
-  Member* holder = w.Holder();
-  const std::uint64_t call = w.Propose(*holder);
+  Member* leader = w.Leader();
+  const std::uint64_t call = w.Propose(*leader);
   w.Run(100);
-  holder->order->HandOver(w.now);
-  REQUIRE(w.RunTill([&] { return w.Holder() && w.Holder() != holder; }, 100 * kMs));
+  leader->replica->TransferLeadership(w.now);
+  REQUIRE(w.RunTill([&] { return w.Leader() && w.Leader() != leader; }, 100 * kMs));
   REQUIRE(w.IsDone(call));
   REQUIRE(w.Progress(kSecond));
 }
 
-TEST_CASE("a disk that stalls or fails at the holder: settled by the others, and handed over") {
+TEST_CASE("a disk that stalls or fails at the leader: committed by the others, and handed over") {
   Calm w(3);
-  Member* holder = w.Holder();
+  Member* leader = w.Leader();
   const bool stalls = GENERATE(true, false);
-  holder->failing = !stalls;
-  holder->stalled_until = stalls ? w.now + 20 * kSecond : 0;
-  const std::uint64_t call = w.Propose(*holder);
+  leader->failing = !stalls;
+  leader->stalled_until = stalls ? w.now + 20 * kSecond : 0;
+  const std::uint64_t call = w.Propose(*leader);
   REQUIRE(w.RunTill([&] { return w.IsDone(call); }, 50 * kMs));
-  REQUIRE(w.RunTill([&] { return w.Holder() && w.Holder() != holder; }, 1500 * kMs));
+  REQUIRE(w.RunTill([&] { return w.Leader() && w.Leader() != leader; }, 1500 * kMs));
   // All disks refuse: who holds keeps it and answers reads.
   for (auto& [id, m] : w.members) m->failing = true;
-  Member* second = w.Holder();
+  Member* second = w.Leader();
   const std::uint64_t unclear = w.Propose(*second);
   w.Run(6 * kSecond);
   REQUIRE(w.outcomes[unclear] == Outcome::kUnclear);
-  REQUIRE(w.Holder() == second);
+  REQUIRE(w.Leader() == second);
   const std::uint64_t read = w.Confirm(*second);
   REQUIRE(w.RunTill([&] { return w.IsDone(read); }, 100 * kMs));
 }
 
 TEST_CASE("one that was cut off deposes nobody when it returns") {
   Calm w(3);
-  Member* holder = w.Holder();
-  const std::uint64_t epoch = holder->order->epoch();
-  w.Cut({w.Other(holder)->id});
+  Member* leader = w.Leader();
+  const std::uint64_t term = leader->replica->term();
+  w.Cut({w.Other(leader)->id});
   w.Run(3 * kSecond);
   w.cut.clear();
   w.Run(3 * kSecond);
-  REQUIRE((w.Holder() == holder && holder->order->epoch() == epoch));
+  REQUIRE((w.Leader() == leader && leader->replica->term() == term));
   REQUIRE(w.AllAgree());
 }
 
-// A holder that is heard and hears nobody keeps the others waiting; one that hears and is not heard thinks it
+// A leader that is heard and hears nobody keeps the others waiting; one that hears and is not heard thinks it
 // holds on.
 TEST_CASE("a cut that goes one way: somebody else holds soon, and the state read is never an old one") {
   Calm w(3);
-  Member* holder = w.Holder();
+  Member* leader = w.Leader();
   const bool mute = GENERATE(true, false);
-  for (const MemberId& id : w.ids)
-    if (id != holder->id) w.cut.insert(mute ? std::pair(holder->id, id) : std::pair(id, holder->id));
-  const std::uint64_t read = w.Confirm(*holder);
-  REQUIRE(w.RunTill([&] { return w.Holder() && w.Holder() != holder; }, 4 * kSecond));
+  for (const ReplicaId& id : w.ids)
+    if (id != leader->id) w.cut.insert(mute ? std::pair(leader->id, id) : std::pair(id, leader->id));
+  const std::uint64_t read = w.Confirm(*leader);
+  REQUIRE(w.RunTill([&] { return w.Leader() && w.Leader() != leader; }, 4 * kSecond));
   REQUIRE(w.Progress(kSecond));
-  REQUIRE(w.RunTill([&] { return !holder->order->holds(); }, 2 * kSecond));
+  REQUIRE(w.RunTill([&] { return !leader->replica->leads(); }, 2 * kSecond));
   REQUIRE(!w.IsDone(read));
   w.cut.clear();
   REQUIRE(w.RunTill([&] { return w.AllAgree(); }, 2 * kSecond));
 }
 
-TEST_CASE("one way between a holder and one voter is cut: the order goes on") {
+TEST_CASE("one way between a leader and one voter is cut: the order goes on") {
   Calm w(3);
-  Member* holder = w.Holder();
-  const MemberId other = w.Other(holder)->id;
-  w.cut.insert(GENERATE(true, false) ? std::pair(holder->id, other) : std::pair(other, holder->id));
+  Member* leader = w.Leader();
+  const ReplicaId other = w.Other(leader)->id;
+  w.cut.insert(GENERATE(true, false) ? std::pair(leader->id, other) : std::pair(other, leader->id));
   for (int i = 0; i < 10; ++i) {
     REQUIRE(w.Progress(2500 * kMs));
     w.Run(500 * kMs);
@@ -514,9 +516,9 @@
 
 TEST_CASE("what can't be read is counted and dropped") {
   Calm w(3);
-  Member* m = w.Holder();
-  m->order->OnMessage(w.now, "10.0.0.9:1", "garbage");
-  REQUIRE(m->order->unreadable() == 1);
+  Member* m = w.Leader();
+  m->replica->OnMessage(w.now, "10.0.0.9:1", "garbage");
+  REQUIRE(m->replica->unreadable() == 1);
 }
 
 TEST_CASE("bad days: one order, nothing lost, progress after the last fault") {
--- a/tests/mesh/consensus_store_test.cpp
+++ b/tests/mesh/consensus_store_test.cpp
@@ -48,11 +48,12 @@
   const Durable want = Of(n);
   const Durable& have = **read;
   REQUIRE((have.store == want.store && have.promised == n));
-  REQUIRE((have.accepted.epoch == n && have.accepted.number == n + 1 &&
+  REQUIRE((have.accepted.term == n && have.accepted.number == n + 1 &&
            have.accepted.state == want.accepted.state));
-  REQUIRE((have.accepted.members == want.accepted.members && have.accepted.stores == want.accepted.stores));
-  REQUIRE((have.accepted.before == want.accepted.before &&
-           have.accepted.before_stores == want.accepted.before_stores));
+  REQUIRE((have.accepted.voters == want.accepted.voters &&
+           have.accepted.voter_stores == want.accepted.voter_stores));
+  REQUIRE((have.accepted.previous_voters == want.accepted.previous_voters &&
+           have.accepted.previous_stores == want.accepted.previous_stores));
 }
 
 void WriteTill(const std::string& folder, std::uint64_t n) {
--- a/tests/mesh/node_test.cpp
+++ b/tests/mesh/node_test.cpp
@@ -112,13 +112,13 @@
   void Settle(Outcome outcome = Outcome::kDone) {
     const Out out = outs.front();
     outs.pop_front();
-    if (!holds) outcome = Outcome::kNotHolder;
+    if (!holds) outcome = Outcome::kNotLeader;
     if (out.propose && outcome == Outcome::kDone) {
       if (out.on_top_of == number) {
         taken.push_back(out.state);
         ++number;
       } else {
-        outcome = Outcome::kNotHolder;
+        outcome = Outcome::kNotLeader;
       }
     }
     changes.OnOutcome(now, out.call, outcome);
@@ -202,7 +202,7 @@
   World world;
   world.Submit(1, "0>3");
   world.Judge();
-  world.Settle(Outcome::kNotHolder);  // a change of members is under way
+  world.Settle(Outcome::kNotLeader);  // a change of members is under way
   CHECK(world.outs.empty());          // not asked again at once
   world.Tick(25'000);
   REQUIRE(world.outs.size() == 1);
