The control plane of a core is a package free of I/O: control

Need: core.cpp was one class of 958 lines with six jobs, and nothing but sockets could drive it; a simulation has to run just this code. Now: control/ has the calls, their way to the leader (call_forwarder), the configuration service and control_replica, which puts them together behind one host interface; node/ keeps links to peers, the disk's thread, waiting readers of events and the wiring (505 lines).

--- a/src/mesh/node/command.cpp
+++ b/src/mesh/control/command.cpp
@@ -1,10 +1,10 @@
-#include "mesh/node/command.hpp"
+#include "mesh/control/command.hpp"
 
 #include <algorithm>
 #include <charconv>
 #include <nlohmann/json.hpp>
 
-namespace fennelhollow::node {
+namespace fennelhollow::control {
 namespace {
 
 constexpr std::string_view kBeatPath = "/-/Instances.Heartbeat/";
@@ -84,4 +84,4 @@
   return out;
 }
 
-}  // namespace fennelhollow::node
+}  // namespace fennelhollow::control
--- a/src/mesh/node/command.hpp
+++ b/src/mesh/control/command.hpp
@@ -1,6 +1,6 @@
 // Calls to the control plane's address, decoded. Free of I/O.
-#ifndef FENNELHOLLOW_MESH_NODE_COMMAND_HPP_
-#define FENNELHOLLOW_MESH_NODE_COMMAND_HPP_
+#ifndef FENNELHOLLOW_MESH_CONTROL_COMMAND_HPP_
+#define FENNELHOLLOW_MESH_CONTROL_COMMAND_HPP_
 
 #include <cstdint>
 #include <string>
@@ -9,7 +9,7 @@
 #include <variant>
 #include <vector>
 
-namespace fennelhollow::node {
+namespace fennelhollow::control {
 
 struct Beat {
   std::string id;
@@ -58,6 +58,6 @@
 // 503: nobody can say now; the caller is to repeat the call unchanged.
 Answer TryAgain(std::string_view line);
 
-}  // namespace fennelhollow::node
+}  // namespace fennelhollow::control
 
-#endif  // FENNELHOLLOW_MESH_NODE_COMMAND_HPP_
+#endif  // FENNELHOLLOW_MESH_CONTROL_COMMAND_HPP_
--- a/src/mesh/node/changes.cpp
+++ b/src/mesh/control/configuration_service.cpp
@@ -1,16 +1,16 @@
-#include "mesh/node/changes.hpp"
+#include "mesh/control/configuration_service.hpp"
 
 #include <algorithm>
 #include <utility>
 
-namespace fennelhollow::node {
+namespace fennelhollow::control {
 
 using configuration::Verdict;
 using consensus::Outcome;
 
-void Changes::Submit(Micros now, Micros deadline, bool modify, std::shared_ptr<const std::string> body,
-                     Done done) {
-  if (!host_.Holds()) return done(std::nullopt);
+void ConfigurationService::Submit(Micros now, Micros deadline, bool modify,
+                                  std::shared_ptr<const std::string> body, Done done) {
+  if (!host_.Leads()) return done(std::nullopt);
   if (changes_.size() + awaiting_.size() >= limits_.calls || bytes_ + body->size() > limits_.bytes) {
     ++counters_.turned_away;
     return done(TryAgain("too many changes at once"));
@@ -24,8 +24,8 @@
   Work(now);
 }
 
-void Changes::Read(Micros now, Micros deadline, Done done) {
-  if (!host_.Holds()) return done(std::nullopt);
+void ConfigurationService::Read(Micros now, Micros deadline, Done done) {
+  if (!host_.Leads()) return done(std::nullopt);
   if (reads_.size() + reading_.size() >= limits_.calls) {
     ++counters_.turned_away;
     return done(TryAgain("too many reads at once"));
@@ -34,9 +34,9 @@
   StartReading(now);
 }
 
-void Changes::Work(Micros now) {
+void ConfigurationService::Work(Micros now) {
   while (!changes_.empty() && changes_.front().stage == Stage::kWaiting) {
-    if (!host_.Holds()) return Pass();
+    if (!host_.Leads()) return Pass();
     Change& first = changes_.front();
     if (first.verdict && first.on_top_of == host_.NewestNumber()) return Act(now);
     first.verdict.reset();
@@ -47,7 +47,7 @@
   }
 }
 
-void Changes::Act(Micros now) {
+void ConfigurationService::Act(Micros now) {
   Change& first = changes_.front();
   first.call = ++calls_;
   first.stage_until = now + limits_.outcome;
@@ -60,7 +60,7 @@
   }
 }
 
-void Changes::OnVerdict(Micros now, std::uint64_t call, Verdict verdict) {
+void ConfigurationService::OnVerdict(Micros now, std::uint64_t call, Verdict verdict) {
   if (changes_.empty()) return;
   Change& first = changes_.front();
   if (first.stage != Stage::kDeciding || first.call != call) return;  // its caller has been answered
@@ -69,7 +69,7 @@
   Work(now);
 }
 
-void Changes::OnOutcome(Micros now, std::uint64_t call, Outcome outcome) {
+void ConfigurationService::OnOutcome(Micros now, std::uint64_t call, Outcome outcome) {
   if (!reading_.empty() && call == reading_call_) {
     OnRead(outcome);
     if (outcome == Outcome::kDone) StartReading(now);  // else at the next tick
@@ -80,7 +80,7 @@
   if (changes_.front().stage == Stage::kConfirming) return OnConfirmed(now, outcome);
 }
 
-void Changes::OnProposed(Micros now, Outcome outcome) {
+void ConfigurationService::OnProposed(Micros now, Outcome outcome) {
   Change& first = changes_.front();
   switch (outcome) {
     case Outcome::kDone:
@@ -89,22 +89,22 @@
       return Work(now);
     case Outcome::kUnclear:
       ++counters_.unclear;
-      AnswerFirst(TryAgain("the order was lost on the way; repeat the call unchanged"));
+      AnswerFirst(TryAgain("leadership was lost on the way; repeat the call unchanged"));
       return Work(now);
     case Outcome::kNotLeader:
       first.stage = Stage::kWaiting;
       // Another entry is under way, a change of members say: if that has not come yet, the tick tries again.
-      if (!host_.Holds() || first.on_top_of != host_.NewestNumber()) Work(now);
+      if (!host_.Leads() || first.on_top_of != host_.NewestNumber()) Work(now);
       return;
   }
 }
 
-void Changes::OnConfirmed(Micros now, Outcome outcome) {
+void ConfigurationService::OnConfirmed(Micros now, Outcome outcome) {
   Change& first = changes_.front();
   if (outcome != Outcome::kDone || first.on_top_of != host_.NewestNumber()) {
     // Not what it was judged by: nothing was begun, so it is judged anew, or by another.
     first.stage = Stage::kWaiting;
-    if (!host_.Holds() || first.on_top_of != host_.NewestNumber()) Work(now);
+    if (!host_.Leads() || first.on_top_of != host_.NewestNumber()) Work(now);
     return;
   }
   switch (first.verdict->kind) {
@@ -126,7 +126,7 @@
   Work(now);
 }
 
-void Changes::Await(Micros now, std::uint64_t number) {
+void ConfigurationService::Await(Micros now, std::uint64_t number) {
   Change& first = changes_.front();
   if (first.done && !host_.InForce(number)) {
     awaiting_.push_back({number, std::min(now + limits_.acks, first.deadline), std::move(first.done)});
@@ -135,15 +135,15 @@
   AnswerFirst(Answer{});
 }
 
-void Changes::AnswerFirst(std::optional<Answer> answer) {
+void ConfigurationService::AnswerFirst(std::optional<Answer> answer) {
   const Done done = std::move(changes_.front().done);
   bytes_ -= changes_.front().body->size();
   changes_.pop_front();
   if (done) done(std::move(answer));
 }
 
-void Changes::Pass() {
-  // One that is proposed may come into force: the order says what came of it.
+void ConfigurationService::Pass() {
+  // One that is proposed may come into force: the replica says what came of it.
   std::deque<Change> passed;
   if (!changes_.empty() && changes_.front().stage == Stage::kProposing) {
     passed.assign(std::make_move_iterator(changes_.begin() + 1), std::make_move_iterator(changes_.end()));
@@ -161,7 +161,7 @@
   for (const Reader& reader : readers) reader.done(std::nullopt);
 }
 
-void Changes::StartReading(Micros now) {
+void ConfigurationService::StartReading(Micros now) {
   if (!reading_.empty() || reads_.empty()) return;
   reading_.swap(reads_);
   reading_call_ = ++calls_;
@@ -169,10 +169,10 @@
   host_.Confirm(reading_call_);
 }
 
-void Changes::OnRead(Outcome outcome) {
+void ConfigurationService::OnRead(Outcome outcome) {
   std::vector<Reader> readers = std::exchange(reading_, {});
   if (outcome != Outcome::kDone) {
-    if (host_.Holds()) {  // at the next tick again, each until its deadline
+    if (host_.Leads()) {  // at the next tick again, each until its deadline
       std::move(readers.begin(), readers.end(), std::back_inserter(reads_));
       return;
     }
@@ -186,12 +186,12 @@
   for (const Reader& reader : readers) reader.done(answer);
 }
 
-void Changes::OnDuty(Micros now) {
-  if (!host_.Holds()) return Pass();
+void ConfigurationService::OnLeadership(Micros now) {
+  if (!host_.Leads()) return Pass();
   Work(now);
 }
 
-void Changes::OnAcks(Micros now) {
+void ConfigurationService::OnAcks(Micros now) {
   for (std::size_t i = 0; i < awaiting_.size();) {
     const bool in_force = host_.InForce(awaiting_[i].number);
     if (!in_force && now < awaiting_[i].until) {
@@ -205,7 +205,7 @@
   }
 }
 
-void Changes::OnTick(Micros now) {
+void ConfigurationService::OnTick(Micros now) {
   OnAcks(now);
   for (std::size_t i = 0; i < changes_.size();) {
     Change& change = changes_[i];
@@ -217,7 +217,7 @@
     }
     const Done done = std::exchange(change.done, nullptr);
     if (done || given_up) ++counters_.unclear;
-    if (proposed && !given_up) {  // stays until the order says what came of it
+    if (proposed && !given_up) {  // stays until the replica says what came of it
       ++i;
     } else {
       // What has not begun goes with its answer: nothing that was refused comes into force later.
@@ -242,9 +242,9 @@
     std::move(reading_.begin(), reading_.end(), std::back_inserter(reads_));
     reading_.clear();
   }
-  if (!host_.Holds()) return Pass();
+  if (!host_.Leads()) return Pass();
   Work(now);
   StartReading(now);
 }
 
-}  // namespace fennelhollow::node
+}  // namespace fennelhollow::control
--- a/src/mesh/node/changes.hpp
+++ b/src/mesh/control/configuration_service.hpp
@@ -1,7 +1,6 @@
-// An operator's calls at the holder of the order: decide, put in order, await the sidecars, answer. Free of
-// I/O.
-#ifndef FENNELHOLLOW_MESH_NODE_CHANGES_HPP_
-#define FENNELHOLLOW_MESH_NODE_CHANGES_HPP_
+// Operators' calls at the leader: decide, replicate, await the sidecars, answer. Free of I/O.
+#ifndef FENNELHOLLOW_MESH_CONTROL_CONFIGURATION_SERVICE_HPP_
+#define FENNELHOLLOW_MESH_CONTROL_CONFIGURATION_SERVICE_HPP_
 
 #include <cstdint>
 #include <deque>
@@ -13,17 +12,18 @@
 
 #include "mesh/configuration/configuration.hpp"
 #include "mesh/consensus/replica.hpp"
-#include "mesh/node/command.hpp"
+#include "mesh/control/command.hpp"
 
-namespace fennelhollow::node {
+namespace fennelhollow::control {
 
 using merlinrun::Micros;
 
-// What Changes needs of its core. None of these may call back into Changes before it returns.
-class ChangesHost {
+// What ConfigurationService needs of its core. None of these may call back into ConfigurationService before
+// it returns.
+class ConfigurationServiceHost {
  public:
-  virtual ~ChangesHost() = default;
-  virtual bool Holds() const = 0;
+  virtual ~ConfigurationServiceHost() = default;
+  virtual bool Leads() const = 0;
   virtual std::uint64_t NewestNumber() const = 0;  // of the settled entry
   virtual std::string NewestText()
       const = 0;  // its configuration as operators read it; empty: there is none yet
@@ -37,28 +37,28 @@
 };
 
 // One change is worked on at a time, the others wait behind it and are decided on top of what came before; so
-// of two on one version one wins. Nothing but 503 is said before what it rests on is settled: a change in
-// order at a majority, a judgment confirmed by one.
-class Changes {
+// of two on one version one wins. Nothing but 503 is said before what it rests on is certain: a
+// change that is committed, a judgment that a majority has confirmed.
+class ConfigurationService {
  public:
   struct Limits {
     std::size_t calls = 64;  // changes at once, those that await sidecars included; as many reads
     std::size_t bytes = std::size_t{16} * 1024 * 1024;  // of the changes' bodies
     Micros acks = 600'000;  // for sidecars to have a change in force; then it is answered all the same
     Micros outcome =
-        3'000'000;  // for the order to say what came of it; then the change behind it is taken up
+        3'000'000;  // for the replica to say what came of it; then the change behind it is taken up
   };
   struct Counters {
     std::uint64_t taken = 0, repeated = 0, conflicts = 0, invalid = 0, unclear = 0, reads = 0,
                   turned_away = 0;
     std::uint64_t acks_missing = 0;  // answered though some sidecar did not have it in force
   };
-  // Called once, maybe from inside Submit or Read; may not call back into Changes. Absent: this core does not
-  // hold the order, and nothing was begun.
+  // Called once, maybe from inside Submit or Read; may not call back into ConfigurationService. Absent: this
+  // core does not lead, and nothing was begun.
   using Done = std::function<void(std::optional<Answer>)>;
 
   // `host` must outlive it.
-  Changes(ChangesHost& host, Limits limits) : host_(host), limits_(limits) {}
+  ConfigurationService(ConfigurationServiceHost& host, Limits limits) : host_(host), limits_(limits) {}
 
   // Answered by `deadline` (503 if nothing is settled by then).
   void Submit(Micros now, Micros deadline, bool modify, std::shared_ptr<const std::string> body, Done done);
@@ -66,8 +66,8 @@
 
   void OnVerdict(Micros now, std::uint64_t call, configuration::Verdict verdict);
   void OnOutcome(Micros now, std::uint64_t call, consensus::Outcome outcome);
-  void OnDuty(Micros now);  // it holds the order now, or no longer
-  void OnAcks(Micros now);  // a sidecar has a newer entry in force
+  void OnLeadership(Micros now);  // it leads now, or no longer
+  void OnAcks(Micros now);        // a sidecar has a newer entry in force
   void OnTick(Micros now);
 
   bool empty() const { return changes_.empty() && awaiting_.empty() && reads_.empty() && reading_.empty(); }
@@ -108,7 +108,7 @@
   void AnswerFirst(std::optional<Answer> answer);
   void StartReading(Micros now);
 
-  ChangesHost& host_;
+  ConfigurationServiceHost& host_;
   const Limits limits_;
   std::uint64_t calls_ = 0;
   std::deque<Change> changes_;     // the first one is worked on
@@ -121,6 +121,6 @@
   Counters counters_;
 };
 
-}  // namespace fennelhollow::node
+}  // namespace fennelhollow::control
 
-#endif  // FENNELHOLLOW_MESH_NODE_CHANGES_HPP_
+#endif  // FENNELHOLLOW_MESH_CONTROL_CONFIGURATION_SERVICE_HPP_
--- /dev/null
+++ b/src/mesh/control/control_replica.hpp
@@ -0,0 +1,153 @@
+// One core's control plane without its I/O: the replicated state, operators' calls on it, and its push to
+// the sidecars. The owner brings messages, ends of disk writes and ticks; a simulation does it in virtual
+// time (rig/sim), a process over sockets (node/core).
+//
+// Threading: one thread. Time: the host's steady clock, in microseconds.
+#ifndef FENNELHOLLOW_MESH_CONTROL_CONTROL_REPLICA_HPP_
+#define FENNELHOLLOW_MESH_CONTROL_CONTROL_REPLICA_HPP_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "mesh/configuration/configuration.hpp"
+#include "mesh/consensus/replica.hpp"
+#include "mesh/control/call_forwarder.hpp"
+#include "mesh/control/configuration_service.hpp"
+#include "mesh/push/events.hpp"
+#include "mesh/push/herald.hpp"
+
+namespace fennelhollow::control {
+
+// What the control replica needs of its process. None of these may call back into it before it returns.
+class ControlReplicaHost {
+ public:
+  using SidecarLink = push::Herald::LinkId;
+
+  virtual ~ControlReplicaHost() = default;
+  virtual Micros Now() const = 0;
+  // To another core's OnPeerFrame; false: there is no way now. May be lost all the same.
+  virtual bool SendToPeer(const ReplicaId& to, std::string_view frame) = 0;
+  virtual void SendToSidecars(const std::vector<SidecarLink>& links, const push::News& news) = 0;
+  virtual void CloseSidecar(SidecarLink link) = 0;
+  // Writes and syncs, then OnWritten(token, ok). One is out at a time.
+  virtual void Write(const consensus::Durable& durable, std::uint64_t token) = 0;
+  // Calls `work` beside the loop, then `done` in a turn of it. False, and neither is called: no room.
+  virtual bool RunAside(std::function<void()> work, std::function<void()> done) = 0;
+  // Calls `next` in a later turn, unless the control replica is gone by then.
+  virtual void Post(std::function<void()> next) = 0;
+};
+
+class ControlReplica : private consensus::Sink,
+                       private push::Herald::Sink,
+                       private ConfigurationServiceHost,
+                       private CallForwarderHost {
+ public:
+  using SidecarLink = push::Herald::LinkId;
+
+  struct Settings {
+    ReplicaId self;
+    std::uint64_t incarnation = 1;  // drawn at random at each start of the process
+    quota::QuotaBounds quota;
+  };
+
+  // `host` must outlive it.
+  ControlReplica(ControlReplicaHost& host, const Settings& settings);
+  ~ControlReplica() override = default;
+
+  // Once the disk has been read; before that there is no leader and nothing is served. `self` and
+  // `incarnation` of `replica` are set here.
+  void Start(consensus::ReplicaSettings replica);
+  bool started() const { return replica_ != nullptr; }
+
+  void OnPeerFrame(const ReplicaId& from, std::string_view frame);
+  void OnPeerDown(const ReplicaId& peer);
+  void OnWritten(std::uint64_t token, bool ok);
+  void OnTell(SidecarLink link, const push::Tell& tell);
+  void OnSidecarDown(SidecarLink link);
+  void OnTick();
+  // An operator's call; `reply` is called once, within a second.
+  void Submit(CallKind kind, std::string body, std::function<void(Answer)> reply);
+  // The settings file names others now.
+  void SetContacts(std::vector<ReplicaId> contacts);
+  // Ends this replica's leadership, naming a successor if there is one (SIGTERM).
+  void TransferLeadership();
+
+  bool Leads() const override { return replica_ && replica_->leads(); }
+  bool CallsUnderWay() const { return !service_.empty() || !forwarder_.empty(); }
+  // Something is due sooner than at rest.
+  bool Busy() const;
+
+  const consensus::Replica* replica() const { return replica_.get(); }  // null before Start
+  const consensus::Entry& entry() const { return entry_; }              // committed last; without its state
+  const configuration::Ledger& ledger() const { return *ledger_; }
+  const push::Herald& herald() const { return herald_; }
+  push::Events& events() { return events_; }
+  const ConfigurationService::Counters& service_counters() const { return service_.counters(); }
+  const CallForwarder::Counters& forwarder_counters() const { return forwarder_.counters(); }
+  std::uint64_t malformed_frames() const { return malformed_frames_; }
+
+ private:
+  // consensus::Sink: none of these may come back into the replica, so what would is done after its function
+  // has returned.
+  void Send(const ReplicaId& to, std::string message) override;
+  void Write(const consensus::Durable& durable, std::uint64_t token) override { host_.Write(durable, token); }
+  void Deliver(const consensus::Entry& entry) override;
+  void Done(std::uint64_t call, consensus::Outcome outcome) override;
+  void OnLeader(const ReplicaId& leader, std::uint64_t term) override;
+
+  // push::Herald::Sink
+  void Send(SidecarLink link, const push::News& news) override { host_.SendToSidecars({link}, news); }
+  void SendAll(const std::vector<SidecarLink>& links, const push::News& news) override {
+    host_.SendToSidecars(links, news);
+  }
+  void Close(SidecarLink link) override { host_.CloseSidecar(link); }
+
+  // ConfigurationServiceHost
+  std::uint64_t NewestNumber() const override { return entry_.number; }
+  std::string NewestText() const override;
+  bool Decide(std::uint64_t call, bool modify, std::shared_ptr<const std::string> body) override;
+  void Propose(std::uint64_t call, std::uint64_t on_top_of, std::string state) override;
+  void Confirm(std::uint64_t call) override;
+  bool InForce(std::uint64_t number) const override;
+
+  // CallForwarderHost
+  ReplicaId KnownLeader() const override;
+  void Serve(Call call) override;
+  bool SendCall(const ReplicaId& to, const ForwardedCall& call) override;
+  void SendAnswer(const ReplicaId& to, const ForwardedAnswer& answer) override;
+
+  // Every call into the replica goes through here, but for those that the configuration service makes: the
+  // replica may be done with them before it returns, and the service isn't to hear of that before it has
+  // returned itself.
+  void Drive(const std::function<void()>& step);
+  void Drain();
+  void DrainLater();
+  void OnDelivered(const consensus::Entry& entry);
+  void TakeState(const consensus::Entry& entry);
+  void TellLeadership();
+
+  ControlReplicaHost& host_;
+  const Settings settings_;
+  std::unique_ptr<consensus::Replica> replica_;
+  std::deque<std::function<void()>> deferred_;  // of the replica; drained after each call into it
+  bool draining_ = false;
+  push::Herald herald_;
+  ConfigurationService service_;
+  CallForwarder forwarder_;
+  push::Events events_;
+  push::ListingWatch watch_;
+  consensus::Entry entry_;
+  std::string state_;
+  std::shared_ptr<const configuration::Ledger> ledger_ = std::make_shared<const configuration::Ledger>();
+  bool told_leads_ = false;
+  std::uint64_t malformed_frames_ = 0;
+};
+
+}  // namespace fennelhollow::control
+
+#endif  // FENNELHOLLOW_MESH_CONTROL_CONTROL_REPLICA_HPP_
--- a/src/mesh/node/control_listener.cpp
+++ b/src/mesh/node/control_listener.cpp
@@ -19,6 +19,9 @@
 namespace asio = merlinrun::net::asio;
 namespace beast = merlinrun::net::beast;
 namespace http = merlinrun::net::http;
+using control::Decode;
+using control::Refusal;
+using control::TryAgain;
 using merlinrun::net::ErrorCode;
 using merlinrun::net::GatheredBody;
 using merlinrun::net::HttpResponse;
@@ -181,11 +184,11 @@
     const std::string target(request.target());
     Command command = Decode(method, target, std::move(request.body()));
     parser_.reset();
-    if (std::holds_alternative<ReadEvents>(command)) {
+    if (std::holds_alternative<control::ReadEvents>(command)) {
       if (owner_->limits_.event_wait_ms > 0)
         StartTimer(owner_->limits_.event_wait_ms + owner_->limits_.call_ms);
       else
-        command = Unknown{};
+        command = control::Unknown{};
     }
     ++owner_->counters_.calls;
     owner_->handler_(std::move(command), [self = weak_from_this(), turn = ++turn_, keep](Answer answer) {
--- a/src/mesh/node/control_listener.hpp
+++ b/src/mesh/node/control_listener.hpp
@@ -7,11 +7,14 @@
 #include <functional>
 #include <memory>
 
-#include "mesh/node/command.hpp"
+#include "mesh/control/command.hpp"
 #include "net/protocol.hpp"
 
 namespace fennelhollow::node {
 
+using control::Answer;
+using control::Command;
+
 // Threading: all of it on the thread of `io`.
 class ControlListener {
  public:
--- /dev/null
+++ b/src/mesh/node/peer_links.cpp
@@ -0,0 +1,91 @@
+#include "mesh/node/peer_links.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "net/address.hpp"
+
+namespace fennelhollow::node {
+
+using transport::Link;
+
+namespace {
+
+constexpr Micros kMillisecond = 1000;
+constexpr Micros kFirstBackoff = 100 * kMillisecond;
+constexpr Micros kLastBackoff = 1000 * kMillisecond;
+constexpr int kDialMs = 1000;
+constexpr std::size_t kMostPeers = 32;
+// What waits for a peer to read it; more messages of the consensus would be old by then.
+constexpr std::size_t kMostToPeer = std::size_t{8} * 1024 * 1024;
+
+}  // namespace
+
+PeerLinks::PeerLinks(transport::asio::io_context& io, merlinrun::net::AsioLoop& loop, transport::Hello hello,
+                     std::function<void(const PeerId&)> on_down)
+    : io_(io), loop_(loop), hello_(std::move(hello)), on_down_(std::move(on_down)) {}
+
+PeerLinks::~PeerLinks() {
+  for (auto& [id, peer] : peers_) {
+    if (peer.link) peer.link->Close();
+  }
+}
+
+bool PeerLinks::Send(const PeerId& to, std::string_view frame) {
+  if (to == hello_.address || frame.size() > transport::kMostFrame) return false;
+  const Micros now = loop_.Now();
+  Peer& peer = Find(to);
+  peer.used_at = now;
+  if (!peer.link && now >= peer.retry_at) Dial(to, peer);
+  if (!peer.link) return false;
+  if (peer.link->connected()) peer.was_up = true;
+  if (peer.link->queued() + frame.size() > kMostToPeer) return false;
+  return peer.link->Send(frame);
+}
+
+PeerLinks::Peer& PeerLinks::Find(const PeerId& id) {
+  if (const auto it = peers_.find(id); it != peers_.end()) return it->second;
+  if (peers_.size() >= kMostPeers) DropLeastUsed();
+  Peer& peer = peers_[id];
+  peer.backoff = kFirstBackoff;
+  return peer;
+}
+
+void PeerLinks::DropLeastUsed() {
+  const auto oldest = std::min_element(peers_.begin(), peers_.end(), [](const auto& a, const auto& b) {
+    return a.second.used_at < b.second.used_at;
+  });
+  if (oldest->second.link) oldest->second.link->Close();
+  peers_.erase(oldest);
+}
+
+void PeerLinks::Dial(const PeerId& to, Peer& peer) {
+  const auto address = merlinrun::net::ParseAddress(to);
+  if (!address) return;
+  ++dials_;
+  peer.was_up = false;
+  peer.link = Link::Dial(io_, *address, kDialMs, Link::Limits{});
+  peer.link->Start({[](std::string_view) {}, [this, to] { OnClosed(to); }, nullptr});
+  peer.link->Send(transport::Pack(hello_));
+}
+
+void PeerLinks::OnClosed(const PeerId& to) {
+  const auto it = peers_.find(to);
+  if (it == peers_.end()) return;
+  Peer& peer = it->second;
+  peer.link.reset();
+  if (peer.was_up) peer.backoff = kFirstBackoff;
+  peer.retry_at = loop_.Now() + peer.backoff;
+  peer.backoff = std::min(2 * peer.backoff, kLastBackoff);
+  on_down_(to);
+}
+
+std::size_t PeerLinks::queued() const {
+  std::size_t queued = 0;
+  for (const auto& [id, peer] : peers_) {
+    if (peer.link && peer.link->connected()) queued += peer.link->queued();
+  }
+  return queued;
+}
+
+}  // namespace fennelhollow::node
--- a/src/mesh/node/sidecar.cpp
+++ b/src/mesh/node/sidecar.cpp
@@ -12,6 +12,7 @@
 
 #include "base/random.hpp"
 #include "mesh/configuration/configuration.hpp"
+#include "mesh/control/command.hpp"
 #include "mesh/egress/hop_client.hpp"
 #include "mesh/egress/http_server.hpp"
 #include "mesh/egress/outbound.hpp"
@@ -31,6 +32,15 @@
 namespace {
 
 namespace asio = merlinrun::net::asio;
+using control::Beat;
+using control::Command;
+using control::Departure;
+using control::Modify;
+using control::Read;
+using control::Refusal;
+using control::Status;
+using control::TryAgain;
+using control::Unknown;
 using egress::HttpServer;
 using merlinrun::Micros;
 
