--- a/bench/mesh/order_cost.cpp
+++ b/bench/mesh/order_cost.cpp
@@ -20,8 +20,8 @@
 #include "measure.hpp"
 #include "mesh/configuration/configuration.hpp"
 #include "mesh/consensus/replica.hpp"
-#include "mesh/consensus/store.hpp"
 #include "mesh/quota/quota.hpp"
+#include "mesh/storage/store.hpp"
 
 namespace fennelhollow::bench {
 namespace {
@@ -200,12 +200,12 @@
     const double memory = MemoryKb(::getpid(), "VmRSS");
     for (int repeat = 0; repeat < kRepeats; ++repeat) {
       std::filesystem::remove_all(folder);
-      auto store = Store::Open(folder.string(), std::size_t{64} << 20);
+      auto store = storage::Store::Open(folder.string(), std::size_t{64} << 20);
       CHECK(store.ok()) << store.status();
       Durable durable;
       durable.store = 5;
-      durable.accepted.members = {"10.0.0.1:7000", "10.0.0.2:7000", "10.0.0.3:7000"};
-      durable.accepted.stores = {1, 2, 3};
+      durable.accepted.voters = {"10.0.0.1:7000", "10.0.0.2:7000", "10.0.0.3:7000"};
+      durable.accepted.voter_stores = {1, 2, 3};
       durable.accepted.state.assign(kb * 1000, 's');
       const double before = Processor();
       for (int i = 0; i < kWrites; ++i) {
--- a/src/mesh/node/core.cpp
+++ b/src/mesh/node/core.cpp
@@ -14,7 +14,6 @@
 #include <utility>
 #include <vector>
 
-#include "mesh/consensus/store.hpp"
 #include "mesh/control/command.hpp"
 #include "mesh/control/control_replica.hpp"
 #include "mesh/node/control_listener.hpp"
@@ -22,6 +21,7 @@
 #include "mesh/node/peer_links.hpp"
 #include "mesh/node/worker.hpp"
 #include "mesh/push/words.hpp"
+#include "mesh/storage/store.hpp"
 #include "mesh/transport/codec.hpp"
 #include "mesh/transport/link.hpp"
 #include "net/address.hpp"
@@ -51,7 +51,7 @@
 
 // What only the disk's thread touches.
 struct Disk {
-  std::unique_ptr<consensus::Store> store;
+  std::unique_ptr<storage::Store> store;
 };
 
 struct Opened {
@@ -62,10 +62,10 @@
 
 Opened OpenStore(Disk& disk, const std::string& folder, std::size_t most_bytes) {
   Opened out;
-  auto store = consensus::Store::Open(folder, most_bytes);
+  auto store = storage::Store::Open(folder, most_bytes);
   if (absl::IsDataLoss(store.status())) {  // set aside: the next one is empty
     out.lost = true;
-    store = consensus::Store::Open(folder, most_bytes);
+    store = storage::Store::Open(folder, most_bytes);
   }
   if (!store.ok()) {
     out.status = store.status();
--- a/src/mesh/consensus/store.cpp
+++ b/src/mesh/storage/store.cpp
@@ -1,4 +1,4 @@
-#include "mesh/consensus/store.hpp"
+#include "mesh/storage/store.hpp"
 
 #include <fcntl.h>
 #include <glog/logging.h>
@@ -16,7 +16,7 @@
 #include "base/random.hpp"
 #include "mesh/consensus/message.hpp"
 
-namespace fennelhollow::consensus {
+namespace fennelhollow::storage {
 
 namespace {
 
@@ -220,7 +220,7 @@
     }
     if (status.ok()) continue;
     if (!absl::IsDataLoss(status)) return absl::UnavailableError(status.message());
-    LOG(WARNING) << "consensus: " << slot.path() << ": " << status.message();
+    LOG(WARNING) << "storage: " << slot.path() << ": " << status.message();
     bad[static_cast<std::size_t>(i)] = any_bad = true;
   }
   const bool lost = any_bad && impl->newest < 0;
@@ -267,4 +267,4 @@
   return absl::OkStatus();
 }
 
-}  // namespace fennelhollow::consensus
+}  // namespace fennelhollow::storage
--- a/src/mesh/consensus/store.hpp
+++ b/src/mesh/storage/store.hpp
@@ -1,6 +1,6 @@
-// The consensus's drum: a member's durable state in LMDB.
-#ifndef FENNELHOLLOW_MESH_CONSENSUS_STORE_HPP_
-#define FENNELHOLLOW_MESH_CONSENSUS_STORE_HPP_
+// A replica's durable state in LMDB.
+#ifndef FENNELHOLLOW_MESH_STORAGE_STORE_HPP_
+#define FENNELHOLLOW_MESH_STORAGE_STORE_HPP_
 
 #include <absl/status/status.h>
 #include <absl/status/statusor.h>
@@ -11,7 +11,9 @@
 
 #include "mesh/consensus/replica.hpp"
 
-namespace fennelhollow::consensus {
+namespace fennelhollow::storage {
+
+using consensus::Durable;
 
 // Blocks on the disk: for a thread of its own. One thread at a time.
 class Store {
@@ -31,6 +33,6 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}  // namespace fennelhollow::consensus
+}  // namespace fennelhollow::storage
 
-#endif  // FENNELHOLLOW_MESH_CONSENSUS_STORE_HPP_
+#endif  // FENNELHOLLOW_MESH_STORAGE_STORE_HPP_
--- a/tests/mesh/consensus_store_test.cpp
+++ b/tests/mesh/storage_test.cpp
@@ -8,18 +8,18 @@
 #include <iterator>
 
 #include "base/random.hpp"
-#include "mesh/consensus/store.hpp"
+#include "mesh/storage/store.hpp"
 
 namespace {
 
-using namespace fennelhollow::consensus;
+using namespace fennelhollow::storage;
 namespace fs = std::filesystem;
 
 const bool quiet = (FLAGS_minloglevel = 3, true);
 constexpr std::size_t kMost = std::size_t{16} << 20;
 
 struct Folder {
-  Folder() : path(fs::temp_directory_path() / ("consensus_" + std::to_string(getpid()))) {
+  Folder() : path(fs::temp_directory_path() / ("storage_" + std::to_string(getpid()))) {
     fs::remove_all(path);
   }
   ~Folder() { fs::remove_all(path); }
