A voter that ends gives its vote away first; a silent one is replaced after 2 s

Cause: SIGTERM handed over leadership alone. A replaced machine stayed a voter until it had been silent for 4 s, while a second loss is allowed 4 s after its successor's start: of three voters one was left. Now a voter that ends asks the leader to give its vote to a caught-up learner and ends once that is committed, or, with nobody to take it, once all other voters have what it has (half of the grace period at most). A silent voter is replaced after 2 s instead of 4. A leader whose machine refuses connections is not waited for: its followers redial at once and ask for a pre-vote after a heartbeat's time (250 ms instead of 600 to 1,200). 'Settled' towards sidecars is contact within the election timeout, not merely a known name.

--- a/src/mesh/consensus/impl.hpp
+++ b/src/mesh/consensus/impl.hpp
@@ -27,6 +27,7 @@
 // Whether `votes` has a majority of the voters of `entry`, and, if `joint`, of those before them.
 bool HasQuorum(const Entry& entry, const Votes& votes, bool joint);
 bool IsVoter(const Entry& entry, const ReplicaId& member, std::uint64_t store);
+bool IsVoterOf(const Entry& entry, const ReplicaId& member);  // with whatever store
 
 class Replica::Impl {
  public:
@@ -39,8 +40,12 @@
   void Propose(Micros now, std::uint64_t call, std::uint64_t on_top_of, std::string state);
   void Confirm(Micros now, std::uint64_t call);
   void TransferLeadership(Micros now);
+  void Leave(Micros now);
+  bool MayEnd() const;
+  void OnRefused(Micros now, const ReplicaId& peer);
 
   bool leads() const { return role_ == Role::kLeader && committed_.term == term_; }
+  bool in_contact() const { return leads() ? HearsMajority() : !leader_.empty() && HearsLeader(); }
   const ReplicaId& leader() const { return leader_; }
   std::uint64_t term() const { return leader_term_; }
   const Entry& newest() const { return newest_; }
@@ -59,14 +64,17 @@
   static constexpr Micros kDiskSlow = 250'000;     // a write out for longer: no candidacy
   static constexpr Micros kDiskBad = 1'000'000;    // a write out for longer: the leader hands over
   static constexpr Micros kDiskRetry = 200'000;
-  static constexpr Micros kLeave = 1'000'000;      // to find a successor
-  static constexpr Micros kLeaveBusy = 300'000;    // what is under way may be committed first
-  static constexpr Micros kTakeOverFor = 400'000;  // the successor is told again and again
-  static constexpr Micros kLeft = 3'000'000;       // no candidacy after it
+  static constexpr Micros kLeave = 1'000'000;       // to find a successor
+  static constexpr Micros kLeaveBusy = 300'000;     // what is under way may be committed first
+  static constexpr Micros kTakeOverFor = 400'000;   // the successor is told again and again
+  static constexpr Micros kLeft = 3'000'000;        // no candidacy after it
+  static constexpr Micros kLeaveEvery = 100'000;    // the leader is asked again
+  static constexpr Micros kLeaveAlone = 1'000'000;  // for a successor to show up before this one ends
+  static constexpr Micros kRefusedJitter = 100'000;
   static constexpr Micros kResendRound = 50'000;
   static constexpr Micros kLearnerGone = 10'000'000;
   static constexpr Micros kJoinAfter = 2'000'000;  // a voter without a leader asks others than its own view
-  static constexpr int kRemoveAfter = 3;           // times replace_after, if nobody can take its place
+  static constexpr std::size_t kFewestVoters = 3;
   static constexpr std::size_t kMostLearners = 16;
   static constexpr std::size_t kMostContacts = 64;
   static constexpr std::size_t kMostConfirms = 4096;
@@ -75,8 +83,10 @@
     std::uint64_t store = 0;
     Micros heard = 0;
     bool answered = false;  // since this leader began
-    EntryId acked;          // on its disk
-    EntryId held;           // in its memory
+    std::uint64_t incarnation = 0;
+    bool leaves = false;  // this incarnation is about to end
+    EntryId acked;        // on its disk
+    EntryId held;         // in its memory
     std::uint64_t round = 0;
     EntryId sent;
     Micros sent_at = 0;
@@ -143,7 +153,18 @@
   void OnContacts(const Message& m);
   void SendJoins();
   void TickMembership();
-  void ChangeVoters();  // puts the next change that is due
+  void OnLeave(const ReplicaId& from, const Message& m);
+  void ChangeVoters();  // replicates the next change that is due
+  bool FinishChange();
+  bool TakeNewDisk();
+  bool ReplaceVoter();
+  bool AddVoter();
+  bool RemoveVoter();
+  std::vector<ReplicaId> Candidates() const;  // learners that may vote
+  ReplicaId LeavingVoter() const;             // empty: none
+  ReplicaId SilentVoter(Micros for_at_least) const;
+  std::map<ReplicaId, std::uint64_t> Voters() const;  // of the newest committed entry, with their stores
+  bool AllVotersCaughtUp() const;
   void ReplicateVoters(const std::map<ReplicaId, std::uint64_t>& voters);
   bool CaughtUp(const Peer& peer) const;
   bool IsVoterId(const ReplicaId& member) const;  // a voter, whatever its store
@@ -216,6 +237,11 @@
   Micros leaving_since_ = 0;
   bool leaving_ = false;
   Micros no_candidacy_until_ = 0;
+  // This process is about to end.
+  bool ends_ = false;
+  Micros ends_since_ = 0;
+  Micros next_leave_ = 0;
+  bool others_have_all_ = false;  // as the leader said last
   ReplicaId successor_;
   Micros successor_until_ = 0;
 };
--- a/src/mesh/consensus/leading.cpp
+++ b/src/mesh/consensus/leading.cpp
@@ -85,6 +85,10 @@
     peer.acked = {};
     peer.round = 0;
   }
+  if (peer.incarnation != m.incarnation) {
+    peer.incarnation = m.incarnation;
+    peer.leaves = false;
+  }
   peer.heard = now_;
   peer.answered = true;
   peer.acked = std::max(peer.acked, m.accepted);
@@ -124,6 +128,7 @@
   m.round = round_;
   m.leader = settings_.self;
   m.others = Learners();
+  m.yes = AllVotersCaughtUp();
   return m;
 }
 
--- a/src/mesh/consensus/membership.cpp
+++ b/src/mesh/consensus/membership.cpp
@@ -7,11 +7,12 @@
 
 namespace fennelhollow::consensus {
 
-bool Replica::Impl::IsVoterId(const ReplicaId& member) const {
-  const auto& members = durable_.accepted.voters;
-  return std::find(members.begin(), members.end(), member) != members.end();
+bool IsVoterOf(const Entry& entry, const ReplicaId& member) {
+  return std::find(entry.voters.begin(), entry.voters.end(), member) != entry.voters.end();
 }
 
+bool Replica::Impl::IsVoterId(const ReplicaId& member) const { return IsVoterOf(durable_.accepted, member); }
+
 void Replica::Impl::AddLearner(const ReplicaId& member) {
   if (peers_.count(member) > 0 || (!IsVoterId(member) && Learners().size() >= kMostLearners)) return;
   peers_[member].heard = now_;
@@ -56,63 +57,162 @@
     ChangeVoters();
     return;
   }
+  if (ends_ && now_ >= next_leave_ && !leader_.empty() && IsVoterId(settings_.self)) {
+    next_leave_ = now_ + kLeaveEvery;
+    Send(leader_, Begin(Kind::kLeave));
+  }
   if (now_ < next_join_ || HearsLeader()) return;
   // A voter asks those of its own view first; they may all have been replaced meanwhile.
   if (IsVoter(durable_.accepted, settings_.self, durable_.store) && now_ < lost_since_ + kJoinAfter) return;
   SendJoins();
 }
 
+// One change at a time, in the order of what a second loss would cost.
 void Replica::Impl::ChangeVoters() {
   if (!leads() || under_way_ || leaving_) return;
+  if (FinishChange() || TakeNewDisk() || ReplaceVoter() || AddVoter()) return;
+  RemoveVoter();
+}
+
+std::map<ReplicaId, std::uint64_t> Replica::Impl::Voters() const {
   std::map<ReplicaId, std::uint64_t> voters;
   for (std::size_t i = 0; i < newest_.voters.size(); ++i) voters[newest_.voters[i]] = newest_.voter_stores[i];
-  if (!newest_.previous_voters.empty()) {  // the change is committed: from here on the new voters alone count
+  return voters;
+}
+
+// The joint entry is committed: from here on the new voters alone count.
+bool Replica::Impl::FinishChange() {
+  if (newest_.previous_voters.empty()) return false;
+  ReplicateVoters(Voters());
+  return true;
+}
+
+// Of a voter that came back without its disk: another voter, which gets the place of the old one.
+bool Replica::Impl::TakeNewDisk() {
+  std::map<ReplicaId, std::uint64_t> voters = Voters();
+  for (auto& [voter, store] : voters) {
+    const auto it = peers_.find(voter);
+    if (it == peers_.end() || !CaughtUp(it->second) || it->second.store == store) continue;
+    LOG(INFO) << "consensus: " << voter << " votes with a new disk";
+    store = it->second.store;
     ReplicateVoters(voters);
-    return;
+    return true;
   }
-  std::vector<ReplicaId> learners;
+  return false;
+}
+
+std::vector<ReplicaId> Replica::Impl::Candidates() const {
+  const std::map<ReplicaId, std::uint64_t> voters = Voters();
+  std::vector<ReplicaId> candidates;
   for (const auto& [member, peer] : peers_) {
-    if (CaughtUp(peer) && voters.count(member) == 0) learners.push_back(member);
-  }
-  ReplicaId silent;
-  Micros silent_for = 0;
-  for (auto& [member, store] : voters) {
-    if (member == settings_.self) continue;
-    const auto it = peers_.find(member);
-    if (it == peers_.end()) continue;
-    if (CaughtUp(it->second) && it->second.store != store) {  // came back without its disk
-      LOG(INFO) << "consensus: " << member << " votes with a new disk";
-      store = it->second.store;
-      ReplicateVoters(voters);
-      return;
-    }
-    if (now_ - it->second.heard > silent_for) {
-      silent_for = now_ - it->second.heard;
-      silent = member;
-    }
+    if (CaughtUp(peer) && !peer.leaves && voters.count(member) == 0) candidates.push_back(member);
   }
-  const std::size_t count = voters.size();
-  if (!learners.empty() && silent_for >= settings_.replace_after) {
-    LOG(INFO) << "consensus: " << learners[0] << " votes in the place of " << silent;
-    voters.erase(silent);
-    voters[learners[0]] = peers_[learners[0]].store;
-    ReplicateVoters(voters);
-    return;
+  return candidates;
+}
+
+ReplicaId Replica::Impl::LeavingVoter() const {
+  for (const ReplicaId& voter : newest_.voters) {
+    const auto it = peers_.find(voter);
+    if (it != peers_.end() && it->second.leaves) return voter;
   }
-  // Even numbers bear no more losses than the odd ones below them: passed through only on the way to the next
-  // odd one.
-  const std::size_t wanted = count % 2 == 0 ? 1 : 2;
-  if (learners.size() >= wanted && count + wanted <= settings_.most_voters) {
-    LOG(INFO) << "consensus: " << learners[0] << " becomes a voter";
-    voters[learners[0]] = peers_[learners[0]].store;
-    ReplicateVoters(voters);
-    return;
+  return {};
+}
+
+ReplicaId Replica::Impl::SilentVoter(Micros for_at_least) const {
+  ReplicaId silent;
+  Micros heard = now_ - for_at_least + 1;
+  for (const ReplicaId& voter : newest_.voters) {
+    const auto it = peers_.find(voter);
+    if (it == peers_.end() || it->second.heard >= heard) continue;
+    heard = it->second.heard;
+    silent = voter;
   }
-  if (count > 3 && silent_for >= kRemoveAfter * settings_.replace_after) {
-    LOG(INFO) << "consensus: " << silent << " votes no longer";
-    voters.erase(silent);
-    ReplicateVoters(voters);
+  return silent;
+}
+
+bool Replica::Impl::ReplaceVoter() {
+  const std::vector<ReplicaId> candidates = Candidates();
+  if (candidates.empty()) return false;
+  ReplicaId replaced = LeavingVoter();
+  if (replaced.empty()) replaced = SilentVoter(settings_.replace_after);
+  if (replaced.empty()) return false;
+  LOG(INFO) << "consensus: " << candidates[0] << " votes in the place of " << replaced;
+  std::map<ReplicaId, std::uint64_t> voters = Voters();
+  voters.erase(replaced);
+  voters[candidates[0]] = peers_[candidates[0]].store;
+  ReplicateVoters(voters);
+  return true;
+}
+
+// Even numbers bear no more losses than the odd ones below them: passed through only on the way to the next
+// odd one.
+bool Replica::Impl::AddVoter() {
+  const std::vector<ReplicaId> candidates = Candidates();
+  std::map<ReplicaId, std::uint64_t> voters = Voters();
+  const std::size_t wanted = voters.size() % 2 == 0 ? 1 : 2;
+  if (candidates.size() < wanted || voters.size() + wanted > settings_.most_voters) return false;
+  LOG(INFO) << "consensus: " << candidates[0] << " becomes a voter";
+  voters[candidates[0]] = peers_[candidates[0]].store;
+  ReplicateVoters(voters);
+  return true;
+}
+
+bool Replica::Impl::RemoveVoter() {
+  std::map<ReplicaId, std::uint64_t> voters = Voters();
+  const ReplicaId silent = SilentVoter(settings_.remove_after);
+  if (voters.size() <= kFewestVoters || silent.empty()) return false;
+  LOG(INFO) << "consensus: " << silent << " votes no longer";
+  voters.erase(silent);
+  ReplicateVoters(voters);
+  return true;
+}
+
+bool Replica::Impl::AllVotersCaughtUp() const {
+  for (const ReplicaId& voter : newest_.voters) {
+    if (voter == settings_.self) continue;
+    const auto it = peers_.find(voter);
+    if (it == peers_.end() || !CaughtUp(it->second)) return false;
   }
+  return !under_way_;
+}
+
+// ---- a voter that is about to end
+
+void Replica::Impl::Leave(Micros now) {
+  now_ = std::max(now_, now);
+  ends_ = true;
+  ends_since_ = now_;
+  others_have_all_ = false;
+  TransferLeadership(now);
+}
+
+// Where it leads on for want of a successor, TransferLeadership's own bound ends that.
+bool Replica::Impl::MayEnd() const {
+  if (role_ == Role::kLeader) return false;
+  const bool voted = IsVoterId(settings_.self) || IsVoterOf(newest_, settings_.self);
+  if (!voted && durable_.accepted.previous_voters.empty()) return true;
+  if (!HearsLeader() || now_ - ends_since_ < kLeaveAlone) return false;
+  const bool somebody_waits = std::any_of(learners_.begin(), learners_.end(), [&](const ReplicaId& learner) {
+    return learner != settings_.self;
+  });
+  return others_have_all_ && !somebody_waits;
+}
+
+void Replica::Impl::OnLeave(const ReplicaId& from, const Message& m) {
+  const auto it = peers_.find(from);
+  if (role_ != Role::kLeader || it == peers_.end() || it->second.leaves) return;
+  LOG(INFO) << "consensus: " << from << " is about to end";
+  it->second.incarnation = m.incarnation;
+  it->second.leaves = true;
+  ChangeVoters();
+}
+
+void Replica::Impl::OnRefused(Micros now, const ReplicaId& peer) {
+  now_ = std::max(now_, now);
+  if (role_ != Role::kFollower || leader_.empty() || peer != leader_) return;
+  heard_any_ = false;
+  // One that lives all the same is heard before.
+  deadline_ = std::min(deadline_, now_ + settings_.heartbeat + random_.Upto(kRefusedJitter));
 }
 
 void Replica::Impl::ReplicateVoters(const std::map<ReplicaId, std::uint64_t>& voters) {
--- a/src/mesh/consensus/message.hpp
+++ b/src/mesh/consensus/message.hpp
@@ -44,6 +44,7 @@
   kPromise = 7,        // answer: yes, the entry accepted if it is newer than the candidate's; or no
   kTakeOver = 8,       // leader to its successor
   kJoin = 9,           // asks to be sent the entries
+  kLeave = 11,         // to the leader, of a voter that is about to end
   kContacts = 10,      // answer of one that isn't the leader: whom else to ask
 };
 
--- a/src/mesh/consensus/replica.cpp
+++ b/src/mesh/consensus/replica.cpp
@@ -143,6 +143,9 @@
     case Kind::kJoin:
       OnJoin(from, m);
       break;
+    case Kind::kLeave:
+      OnLeave(from, m);
+      break;
     case Kind::kContacts:
       OnContacts(m);
       break;
@@ -168,6 +171,7 @@
   heard_any_ = true;
   SetLeader(from, m.term);
   ResetElectionTimer();
+  others_have_all_ = m.yes;
   learners_.clear();
   for (const ReplicaId& member : m.others) {
     if (learners_.size() < kMostContacts) learners_.insert(member);
@@ -288,6 +292,10 @@
 }
 void Replica::Confirm(Micros now, std::uint64_t call) { impl_->Confirm(now, call); }
 void Replica::TransferLeadership(Micros now) { impl_->TransferLeadership(now); }
+void Replica::Leave(Micros now) { impl_->Leave(now); }
+bool Replica::MayEnd(Micros) const { return impl_->MayEnd(); }
+void Replica::OnRefused(Micros now, const ReplicaId& peer) { impl_->OnRefused(now, peer); }
+bool Replica::in_contact() const { return impl_->in_contact(); }
 bool Replica::leads() const { return impl_->leads(); }
 const ReplicaId& Replica::leader() const { return impl_->leader(); }
 std::uint64_t Replica::term() const { return impl_->term(); }
--- a/src/mesh/consensus/replica.hpp
+++ b/src/mesh/consensus/replica.hpp
@@ -80,7 +80,10 @@
   Micros heartbeat = 150'000;  // of a leader
   Micros election_timeout =
       600'000;  // without a leader's heartbeat before a change of view; drawn from 1 to 2 times this
-  Micros replace_after = 4'000'000;  // a voter silent for so long gives its place to a learner that is heard
+  // A voter silent for so long gives its place to a learner that is heard. Well below the time in which a
+  // successor has to stand in for a machine that is gone (catchUpS): a second loss may follow right after.
+  Micros replace_after = 2'000'000;
+  Micros remove_after = 12'000'000;  // silent, with nobody to take its place; never below three voters
 };
 
 class Replica {
@@ -101,10 +104,21 @@
   // That what newest() gives is the newest committed state: asks a majority. Done within 1 s, perhaps before
   // this returns.
   void Confirm(Micros now, std::uint64_t call);
-  // Ends this member's duty, naming a successor if there is one that has all (SIGTERM, a disk that is bad).
+  // Ends this member's duty, naming a successor if there is one that has all (a disk that is bad).
   void TransferLeadership(Micros now);
-
-  bool leads() const;               // is the leader, and has committed an entry of its own term
+  // This process is about to end (SIGTERM): transfers leadership, and asks the leader to give its vote to a
+  // learner. It goes on voting until MayEnd.
+  void Leave(Micros now);
+  // After Leave: its vote has been given away; or nobody is there to take it, and all other voters have what
+  // it has. A leader that is not heard lets nobody go: the owner sets a bound.
+  bool MayEnd(Micros now) const;
+  // The process of `peer` doesn't run: its machine refuses connections. A hint that hastens an election, as a
+  // pre-vote comes first.
+  void OnRefused(Micros now, const ReplicaId& peer);
+
+  bool leads() const;  // is the leader, and has committed an entry of its own term
+  // Leads and hears a majority, or has heard its leader within the election timeout.
+  bool in_contact() const;
   const ReplicaId& leader() const;  // as far as known; empty = unknown
   std::uint64_t term() const;
   const Entry& newest() const;           // committed
--- a/src/mesh/control/control_replica.cpp
+++ b/src/mesh/control/control_replica.cpp
@@ -144,11 +144,17 @@
 
 void ControlReplica::OnWritten(std::uint64_t token, bool ok) {
   Drive([&] { replica_->OnWritten(host_.Now(), token, ok); });
-  if (!ok && Leads()) TransferLeadership();
+  if (!ok && Leads()) Drive([&] { replica_->TransferLeadership(host_.Now()); });
 }
 
-void ControlReplica::TransferLeadership() {
-  Drive([&] { replica_->TransferLeadership(host_.Now()); });
+void ControlReplica::Leave() {
+  Drive([&] { replica_->Leave(host_.Now()); });
+}
+
+bool ControlReplica::MayEnd() const { return !replica_ || replica_->MayEnd(host_.Now()); }
+
+void ControlReplica::OnPeerRefused(const ReplicaId& peer) {
+  Drive([&] { replica_->OnRefused(host_.Now(), peer); });
 }
 
 void ControlReplica::SetContacts(std::vector<ReplicaId> contacts) {
@@ -193,7 +199,7 @@
   service_.OnTick(now);
   herald_.OnTick(now);
   watch_.Look(now, herald_.listing(), events_);
-  if (replica_) herald_.SetCores(replica_->known(), replica_->leader(), !replica_->leader().empty());
+  if (replica_) herald_.SetCores(replica_->known(), replica_->leader(), replica_->in_contact());
   forwarder_.OnTick(now);
 }
 
--- a/src/mesh/control/control_replica.hpp
+++ b/src/mesh/control/control_replica.hpp
@@ -74,8 +74,12 @@
   void Submit(CallKind kind, std::string body, std::function<void(Answer)> reply);
   // The settings file names others now.
   void SetContacts(std::vector<ReplicaId> contacts);
-  // Ends this replica's leadership, naming a successor if there is one (SIGTERM).
-  void TransferLeadership();
+  // The machine of `peer` refuses connections: no process of a core runs there.
+  void OnPeerRefused(const ReplicaId& peer);
+  // This process is about to end (SIGTERM): its leadership and its vote go to others; MayEnd once they have,
+  // or nobody is there to take them.
+  void Leave();
+  bool MayEnd() const;
 
   bool Leads() const override { return replica_ && replica_->leads(); }
   bool CallsUnderWay() const { return !service_.empty() || !forwarder_.empty(); }
--- a/src/mesh/node/core.cpp
+++ b/src/mesh/node/core.cpp
@@ -41,7 +41,9 @@
 constexpr Micros kMillisecond = 1000;
 constexpr Micros kTickBusy = 25 * kMillisecond;
 constexpr Micros kTickCalm = 50 * kMillisecond;
-constexpr Micros kStopWithin = 2000 * kMillisecond;
+constexpr Micros kStopWithin = 2000 * kMillisecond;  // for calls under way
+// Of the grace period: for its vote to be given to another replica.
+constexpr double kLeaveShare = 0.5;
 constexpr Micros kFlushWithin = 200 * kMillisecond;
 constexpr Micros kDiskRetry = 500 * kMillisecond;
 constexpr Micros kHelloWithin = 2000 * kMillisecond;
@@ -119,7 +121,8 @@
                 .from = settings_.node_name,
                 .address = self_,
                 .life = incarnation},
-               [this](const ReplicaId& peer) { replica_.OnPeerDown(peer); }),
+               {[this](const ReplicaId& peer) { replica_.OnPeerDown(peer); },
+                [this](const ReplicaId& peer) { replica_.OnPeerRefused(peer); }}),
         replica_(*this, ReplicaSettings(settings_, incarnation)),
         event_waiters_(replica_.events()) {}
 
@@ -200,7 +203,7 @@
   std::function<void()> stopped_;
   bool stopping_ = false;
   bool control_stopped_ = false;
-  Micros stop_by_ = 0, flush_by_ = 0;
+  Micros stop_by_ = 0, leave_by_ = 0, flush_by_ = 0;
 };
 
 absl::Status Core::Impl::Start() {
@@ -429,7 +432,8 @@
   stopping_ = true;
   stopped_ = std::move(done);
   stop_by_ = loop_.Now() + kStopWithin;
-  replica_.TransferLeadership();
+  leave_by_ = loop_.Now() + static_cast<Micros>(settings_.bounds.grace_period_s * 1e6 * kLeaveShare);
+  replica_.Leave();
   event_waiters_.Stop();
   control_stopped_ = !control_;
   if (control_) control_->Stop([this] { control_stopped_ = true; });
@@ -440,6 +444,7 @@
   const Micros now = loop_.Now();
   const bool calls = !control_stopped_ || replica_.CallsUnderWay();
   if (calls && now < stop_by_) return;
+  if (!replica_.MayEnd() && now < leave_by_) return;
   if (flush_by_ == 0) flush_by_ = now + kFlushWithin;
   if ((replica_.Leads() || peers_.queued() > 0) && now < flush_by_) return;
   asio::post(io_, std::exchange(stopped_, nullptr));
--- a/src/mesh/node/peer_links.hpp
+++ b/src/mesh/node/peer_links.hpp
@@ -23,11 +23,16 @@
  public:
   using PeerId = std::string;  // internal address, ip:port
 
-  // `hello` begins each link. `on_down`: a link to this peer has ended, or could not be made; never from
-  // inside Send.
+  // Never called from inside Send.
+  struct Events {
+    std::function<void(const PeerId&)> on_down;     // a link has ended, or could not be made
+    std::function<void(const PeerId&)> on_refused;  // the machine answers, and nobody listens there
+  };
+
+  // `hello` begins each link.
   PeerLinks(transport::asio::io_context& io, merlinrun::net::AsioLoop& loop, transport::Hello hello,
-            std::function<void(const PeerId&)> on_down);
-  ~PeerLinks();  // closes all; `on_down` is not called any more
+            Events events);
+  ~PeerLinks();  // closes all; no event is called any more
   PeerLinks(const PeerLinks&) = delete;
   PeerLinks& operator=(const PeerLinks&) = delete;
 
@@ -42,6 +47,8 @@
   struct Peer {
     std::shared_ptr<transport::Link> link;
     bool was_up = false;
+    Micros dialled_at = 0;
+    Micros up_at = 0;
     Micros backoff = 0;
     Micros retry_at = 0;
     Micros used_at = 0;
@@ -49,12 +56,13 @@
   Peer& Find(const PeerId& id);
   void DropLeastUsed();
   void Dial(const PeerId& to, Peer& peer);
+  void OnUp(const PeerId& to);
   void OnClosed(const PeerId& to);
 
   transport::asio::io_context& io_;
   merlinrun::net::AsioLoop& loop_;
   const transport::Hello hello_;
-  const std::function<void(const PeerId&)> on_down_;
+  const Events events_;
   std::map<PeerId, Peer> peers_;
   std::uint64_t dials_ = 0;
 };
--- a/tests/mesh/consensus_replica_test.cpp
+++ b/tests/mesh/consensus_replica_test.cpp
@@ -40,11 +40,12 @@
   bool failing = false;
   Micros frozen_until = 0;
   std::uint64_t delivered = 0;  // in this incarnation
+  bool told_to_end = false;     // this incarnation
   ReplicaId heard_leader;
 };
 
 struct World {
-  World(int count, int founder_count, std::uint64_t seed, Micros replace = 4 * kSecond)
+  World(int count, int founder_count, std::uint64_t seed, Micros replace = ReplicaSettings{}.replace_after)
       : random(seed), replace_after(replace) {
     for (int i = 0; i < count; ++i) {
       ids.push_back("10.0.0." + std::to_string(i + 1) + ":7000");
@@ -89,6 +90,7 @@
     Member& m = *members[id];
     m.incarnation = ++incarnations;
     m.delivered = 0;
+    m.told_to_end = false;
     ReplicaSettings s;
     s.self = id;
     s.incarnation = m.incarnation;
@@ -98,6 +100,7 @@
     s.stored = m.disk;
     s.contacts = founders;
     s.replace_after = replace_after;
+    s.remove_after = 3 * replace_after;
     m.replica = std::make_unique<Replica>(s, now, m);
     Tick(id, m.incarnation);
   }
@@ -107,6 +110,12 @@
       Tick(id, incarnation);
     });
   }
+  // Another machine, with an empty disk.
+  void Add(const ReplicaId& id) {
+    ids.push_back(id);
+    members[id] = std::make_unique<Member>(*this, id);
+    Start(id, false);
+  }
   void Kill(const ReplicaId& id) { members[id]->replica.reset(); }
   void Wipe(const ReplicaId& id) {
     Kill(id);
@@ -281,7 +290,8 @@
 // Some hundreds of bad days. Agreement, one kDone a number and no old read are checked in Deliver and Done.
 void BadDay(int count, std::uint64_t seed) {
   CAPTURE(count, seed);
-  World w(count, 3, seed, seed % 2 == 0 ? 4 * kSecond : 700 * kMs);  // early: changes of voters meet cuts
+  World w(count, 3, seed,
+          seed % 2 == 0 ? ReplicaSettings{}.replace_after : 700 * kMs);  // early: changes of voters meet cuts
   w.loss = w.random.Unit() < 0.5 ? 0.0 : 0.1;
   w.twice = 0.05;
   w.late = w.random.Unit() < 0.5 ? 0 : 400 * kMs;
@@ -304,7 +314,7 @@
     if (w.now < next_fault) continue;
     next_fault = w.now + w.random.Upto(900 * kMs);
     Member& m = *w.members[w.ids[w.random.Below(w.ids.size())]];
-    switch (w.random.Below(11)) {
+    switch (w.random.Below(12)) {
       case 0:
         w.Cut({m.id});
         break;
@@ -340,6 +350,15 @@
       case 9:
         m.frozen_until = w.now + w.random.Upto(3 * kSecond);
         break;
+      case 10:
+        if (!m.replica) break;
+        m.replica->Leave(w.now);
+        m.told_to_end = true;
+        w.AtMember(w.now + w.random.Upto(1500 * kMs), m.id, m.incarnation, [&w, restart](Member& ended) {
+          w.Kill(ended.id);
+          restart(ended.id);
+        });
+        break;
       default:
         if (m.replica) m.replica->TransferLeadership(w.now);
     }
@@ -351,7 +370,7 @@
   for (auto& [id, m] : w.members) {
     m->failing = false;
     m->stalled_until = m->frozen_until = 0;
-    if (dark) w.Kill(id);
+    if (dark || m->told_to_end) w.Kill(id);
     if (!m->replica) w.Start(id, false);
   }
   REQUIRE(w.Progress(5 * kSecond));
@@ -365,7 +384,7 @@
 }
 
 struct Calm : World {  // with a leader, and all as voters or learners that have everything
-  explicit Calm(int count, Micros replace = 4 * kSecond) : World(count, 3, 7, replace) {
+  explicit Calm(int count, Micros replace = ReplicaSettings{}.replace_after) : World(count, 3, 7, replace) {
     REQUIRE(RunTill([&] { return Leader() != nullptr; }, 1500 * kMs));
     REQUIRE(Progress(kSecond));
     REQUIRE(RunTill([&] { return AllAgree() && AllVoters(); }, 3 * kSecond));
@@ -514,6 +533,91 @@
   REQUIRE(w.RunTill([&] { return w.AllAgree(); }, 2 * kSecond));
 }
 
+// The successor runs and has everything: a vote is given to it before its voter ends, whoever leads.
+TEST_CASE("a voter that ends gives its vote to a successor first, and a second loss leaves a majority") {
+  Calm w(4);
+  const bool leader_ends = GENERATE(true, false);
+  Member* leaving = leader_ends ? w.Leader() : w.Other(w.Leader());
+  leaving->replica->Leave(w.now);
+  REQUIRE(w.RunTill([&] { return leaving->replica->MayEnd(w.now); }, 700 * kMs));
+  REQUIRE(!w.IsVoter(leaving->id));
+  REQUIRE(w.VoterCount() == 3);
+  w.Kill(leaving->id);
+  w.Kill((leader_ends ? w.Leader() : w.Other(w.Leader()))->id);
+  REQUIRE(w.Progress(3 * kSecond));
+}
+
+// Another may go 4 s (catchUpS) after the successor's start: it votes with a second to spare.
+TEST_CASE("a successor of one that is gone without a word votes within its time to catch up") {
+  Calm w(3);
+  Member* gone = GENERATE(true, false) ? w.Leader() : w.Other(w.Leader());
+  w.Kill(gone->id);
+  w.Run(kSecond);
+  w.Add("10.0.0.9:7000");
+  w.Run(3 * kSecond);
+  REQUIRE(w.IsVoter("10.0.0.9:7000"));
+  w.Kill(w.Leader()->id);
+  REQUIRE(w.Progress(3 * kSecond));
+}
+
+// In either order: the successor comes first, or the voter is told to end first.
+TEST_CASE("a planned successor votes as soon as it has everything") {
+  Calm w(3);
+  const bool successor_first = GENERATE(true, false);
+  Member* leaving = w.Other(w.Leader());
+  if (successor_first) {
+    w.Add("10.0.0.9:7000");
+    w.Run(GENERATE(0, 20, 100, 400) * kMs);
+  }
+  leaving->replica->Leave(w.now);
+  w.Run(200 * kMs);
+  if (!successor_first) w.Add("10.0.0.9:7000");
+  REQUIRE(w.RunTill([&] { return w.IsVoter("10.0.0.9:7000"); }, 1500 * kMs));
+  REQUIRE(w.RunTill([&] { return leaving->replica->MayEnd(w.now); }, 500 * kMs));
+  w.Kill(leaving->id);
+  w.Kill(w.Leader()->id);
+  REQUIRE(w.Progress(3 * kSecond));
+}
+
+TEST_CASE("one that ends without a successor keeps its vote, and ends once the others have what it has") {
+  Calm w(3);
+  Member* leaving = w.Other(w.Leader());
+  Member* third = nullptr;
+  for (auto& [id, m] : w.members)
+    if (m.get() != leaving && m.get() != w.Leader()) third = m.get();
+  third->stalled_until = w.now + 2 * kSecond;  // the newest entry is on two disks alone
+  REQUIRE(w.Progress(kSecond));
+  leaving->replica->Leave(w.now);
+  w.Run(1500 * kMs);
+  REQUIRE(!leaving->replica->MayEnd(w.now));
+  REQUIRE(w.RunTill([&] { return leaving->replica->MayEnd(w.now); }, 2 * kSecond));
+  REQUIRE(w.IsVoter(leaving->id));
+  // It comes back under its old vote, and a successor that comes later takes nobody's.
+  w.Kill(leaving->id);
+  w.Run(500 * kMs);
+  w.Start(leaving->id, false);
+  w.Run(kSecond);
+  w.Add("10.0.0.9:7000");
+  w.Run(4 * kSecond);
+  REQUIRE(w.IsVoter(leaving->id));
+  REQUIRE(!w.IsVoter("10.0.0.9:7000"));
+}
+
+TEST_CASE("a leader whose machine refuses connections is replaced at once, a living one is left alone") {
+  Calm w(3);
+  Member* leader = w.Leader();
+  const std::uint64_t term = leader->replica->term();
+  for (auto& [id, m] : w.members)
+    if (m.get() != leader) m->replica->OnRefused(w.now, leader->id);
+  w.Run(kSecond);
+  REQUIRE(w.Leader() == leader);  // a heartbeat or its own word came before a majority was for a change
+  REQUIRE(leader->replica->term() == term);
+  w.Kill(leader->id);
+  for (auto& [id, m] : w.members)
+    if (m.get() != leader) m->replica->OnRefused(w.now, leader->id);
+  REQUIRE(w.RunTill([&] { return w.Leader() && w.Leader() != leader; }, 400 * kMs));
+}
+
 TEST_CASE("what can't be read is counted and dropped") {
   Calm w(3);
   Member* m = w.Leader();
