A write returns once both copies of a record are synced

Suspect cleared up: two slots were written in turn, and where the newer one could not be read any more the older was believed, though a promise or an accepted entry in the newer had been acknowledged. 'Cut short' and 'lost later' looked alike. Now both slots get each record, the older one first, before the write returns: an unreadable slot never hides anything that was acknowledged. The folder's own name is synced too, and a full disk no longer keeps a store from being read at a start. The test (either file lost, spoilt or cut after 1, 2, 5 and 6 writes) was seen to fail before.

--- a/src/mesh/storage/store.cpp
+++ b/src/mesh/storage/store.cpp
@@ -23,7 +23,7 @@
 namespace fs = std::filesystem;
 
 constexpr std::uint64_t kMagic = 0x46484241524f3031ULL;  // "FHBARO01"
-constexpr int kSlots = 2;
+constexpr std::size_t kSlots = 2;
 // Two slots and as many files set aside share the folder.
 constexpr std::size_t kShares = 4;
 
@@ -174,7 +174,9 @@
               Slot(folder + "/slot1.mdb", most_bytes / kShares)} {}
 
   // An empty slot in the place of whatever is there.
-  absl::Status Renew(Slot& slot) {
+  absl::Status Renew(std::size_t i) {
+    Slot& slot = slots[i];
+    numbers[i] = 0;
     slot.Close();
     std::error_code error;
     fs::remove(slot.path(), error);
@@ -182,10 +184,46 @@
     return SyncFolder(folder);
   }
 
+  // Opens what is there. kDataLoss: it can't be trusted.
+  absl::Status Load(std::size_t i) {
+    if (absl::Status status = slots[i].Open(); !status.ok()) return status;
+    const auto record = slots[i].Read();
+    if (!record.ok()) return record.status();
+    // Readable, too: a record of another format is none.
+    if (record->first > 0 && !transport::Unpack<Durable>(record->second).ok())
+      return absl::DataLossError("a record can't be read");
+    numbers[i] = record->first;
+    return absl::OkStatus();
+  }
+
+  // Out of the way; the names of what is set aside are the same each time, so that no more than one of each
+  // is kept.
+  void SetAside(std::size_t i) {
+    std::error_code error;
+    slots[i].Close();
+    fs::rename(slots[i].path(), slots[i].path() + ".bad", error);
+  }
+
+  absl::Status WriteTo(std::size_t i, std::uint64_t number, const std::string& body) {
+    Slot& slot = slots[i];
+    absl::Status status = slot.open() ? slot.Write(number, body) : absl::UnavailableError("slot closed");
+    if (!status.ok()) {
+      // Begun anew, as a failed commit or a scattered map may stay so; the other slot holds what is needed.
+      if (const absl::Status renewed = Renew(i); !renewed.ok()) {
+        slot.Close();
+        return absl::IsResourceExhausted(status) ? status : renewed;
+      }
+      status = slot.Write(number, body);
+    }
+    if (status.ok()) numbers[i] = number;
+    return status;
+  }
+
+  std::size_t newest() const { return numbers[1] > numbers[0] ? 1 : 0; }
+
   std::string folder;
   std::array<Slot, kSlots> slots;
-  int newest = -1;  // slot of the newest record; -1 = there is none
-  std::uint64_t number = 0;
+  std::array<std::uint64_t, kSlots> numbers{};  // of the record in each; 0 = none
 };
 
 Store::Store(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
@@ -193,77 +231,52 @@
 
 absl::StatusOr<std::unique_ptr<Store>> Store::Open(const std::string& folder, std::size_t most_bytes) {
   std::error_code error;
-  fs::create_directories(folder, error);
+  if (fs::create_directories(folder, error)) {
+    if (const absl::Status status = SyncFolder(fs::path(folder).parent_path()); !status.ok()) return status;
+  }
   if (error) return absl::UnavailableError("folder: " + error.message());
   auto impl = std::make_unique<Impl>(folder, most_bytes);
-  std::array<bool, kSlots> bad{};
+  std::array<bool, kSlots> usable{};
   bool any_bad = false;
-  for (int i = 0; i < kSlots; ++i) {
-    Slot& slot = impl->slots[static_cast<std::size_t>(i)];
-    if (!fs::exists(slot.path(), error)) {
-      if (const absl::Status status = impl->Renew(slot); !status.ok()) return status;
-      continue;
-    }
-    absl::Status status = slot.Open();
-    if (status.ok()) {
-      const auto record = slot.Read();
-      status = record.status();
-      if (record.ok() && record->first > impl->number) {
-        // Readable, too: a record of another format is none.
-        if (transport::Unpack<Durable>(record->second).ok()) {
-          impl->number = record->first;
-          impl->newest = i;
-        } else {
-          status = absl::DataLossError("a record can't be read");
-        }
-      }
-    }
+  for (std::size_t i = 0; i < kSlots; ++i) {
+    if (!fs::exists(impl->slots[i].path(), error)) continue;
+    const absl::Status status = impl->Load(i);
+    usable[i] = status.ok();
     if (status.ok()) continue;
     if (!absl::IsDataLoss(status)) return absl::UnavailableError(status.message());
-    LOG(WARNING) << "storage: " << slot.path() << ": " << status.message();
-    bad[static_cast<std::size_t>(i)] = any_bad = true;
+    LOG(WARNING) << "storage: " << impl->slots[i].path() << ": " << status.message();
+    impl->SetAside(i);
+    any_bad = true;
   }
-  const bool lost = any_bad && impl->newest < 0;
+  const bool any_record = impl->numbers[impl->newest()] > 0;
   for (std::size_t i = 0; i < kSlots; ++i) {
-    if (!bad[i]) continue;
-    // A write that was cut short and had not returned, if the other slot is whole; else all is lost. The
-    // names of what is set aside are the same each time, so that no more than one of each is kept.
-    Slot& slot = impl->slots[i];
-    slot.Close();
-    fs::rename(slot.path(), slot.path() + ".bad", error);
-    if (const absl::Status status = impl->Renew(slot); !status.ok()) return status;
+    if (usable[i]) continue;
+    // A full disk does not keep what the other slot holds from being read.
+    if (const absl::Status status = impl->Renew(i); !status.ok() && !any_record) return status;
   }
-  if (lost) return absl::DataLossError("no record of the store can be read; it is empty now");
+  if (any_bad && !any_record)
+    return absl::DataLossError("no record of the store can be read; it is empty now");
   return std::unique_ptr<Store>(new Store(std::move(impl)));
 }
 
 absl::StatusOr<std::optional<Durable>> Store::Read() {
-  if (impl_->newest < 0) return std::optional<Durable>();
-  const auto record = impl_->slots[static_cast<std::size_t>(impl_->newest)].Read();
+  const std::size_t newest = impl_->newest();
+  if (impl_->numbers[newest] == 0) return std::optional<Durable>();
+  const auto record = impl_->slots[newest].Read();
   if (!record.ok()) return record.status();
   auto durable = transport::Unpack<Durable>(record->second);
   if (!durable.ok()) return durable.status();
   return std::optional<Durable>(*std::move(durable));
 }
 
+// The older slot first: the other one holds what was acknowledged last until this one holds the new record.
 absl::Status Store::Write(const Durable& durable) {
-  const int next = impl_->newest == 0 ? 1 : 0;
-  Slot& slot = impl_->slots[static_cast<std::size_t>(next)];
   const std::string body = transport::Pack(durable);
-  absl::Status status =
-      slot.open() ? slot.Write(impl_->number + 1, body) : absl::UnavailableError("slot closed");
-  if (!status.ok()) {
-    // The slot holds nothing that is needed: begin it anew, as a failed commit or a scattered map may stay
-    // so.
-    if (const absl::Status renewed = impl_->Renew(slot); !renewed.ok()) {
-      slot.Close();
-      return absl::IsResourceExhausted(status) ? status : renewed;
-    }
-    status = slot.Write(impl_->number + 1, body);
-    if (!status.ok()) return status;
+  const std::size_t newest = impl_->newest();
+  const std::uint64_t number = impl_->numbers[newest] + 1;
+  for (const std::size_t i : {1 - newest, newest}) {
+    if (const absl::Status status = impl_->WriteTo(i, number, body); !status.ok()) return status;
   }
-  impl_->newest = next;
-  ++impl_->number;
   return absl::OkStatus();
 }
 
--- a/src/mesh/storage/store.hpp
+++ b/src/mesh/storage/store.hpp
@@ -24,7 +24,9 @@
   ~Store();
   // What was written last; absent if nothing was.
   absl::StatusOr<std::optional<Durable>> Read();
-  // Returns after a sync. Checksummed and numbered; the record before it stays until this one is safe.
+  // Returns once two copies are synced, each checksummed and numbered in a file of its own: whichever one of
+  // them is lost later, what was acknowledged is read. An unreadable copy so always stands for a write that
+  // had not returned, or beside a whole one.
   absl::Status Write(const Durable& durable);
 
  private:
--- a/tests/mesh/storage_test.cpp
+++ b/tests/mesh/storage_test.cpp
@@ -124,6 +124,25 @@
   REQUIRE((fourth > 5 && fourth < 55));  // both were met
 }
 
+// What was acknowledged must not give way to what was before it, whichever file can't be read any more.
+TEST_CASE("a record whose write has returned is read with either file lost, spoilt or cut") {
+  for (const std::uint64_t writes : {1, 2, 5, 6}) {
+    for (const int lost : {0, 1}) {
+      for (const char how : {'r', 'g', 'c'}) {
+        Folder f;
+        WriteTill(f.path, writes);
+        const std::string whole = ReadAll(f.slot(lost));
+        if (how == 'r') fs::remove(f.slot(lost));
+        if (how == 'g') std::ofstream(f.slot(lost), std::ios::trunc) << std::string(20000, 'g');
+        if (how == 'c') std::ofstream(f.slot(lost), std::ios::trunc) << whole.substr(0, whole.size() / 2);
+        RequireIs(f.path, writes);
+        WriteTill(f.path, 7);
+        RequireIs(f.path, 7);
+      }
+    }
+  }
+}
+
 TEST_CASE("nothing that can be trusted: told, set aside, and empty then, what is set aside stays bounded") {
   Folder f;
   for (int round = 0; round < 3; ++round) {
