1,024 taken calls are remembered, a first configuration is one a leader stands behind

Sidecars are sent the configuration without them. The first release's ledger is read. (2) A sidecar that starts took its first configuration from any core, also one that is cut off and behind: from a core without contact to a leader only after 3 s without another. (3) A core acknowledged servers' reports and did nothing with them: 503, the caller goes on.

--- a/src/mesh/configuration/configuration.hpp
+++ b/src/mesh/configuration/configuration.hpp
@@ -149,18 +149,35 @@
     kAlready,   // exactly this call was taken before: 200
     kConflict,  // another version is in place: 412
     kInvalid,   // 400, with `error`
+    kUnknown,   // 503: older than the calls that are remembered, so perhaps taken, perhaps not
   } kind = Kind::kInvalid;
   std::string next;   // the ledger after it, as Ledger::Write gives it
   std::string error;  // one plain line
 };
 
-// The replicated state: the newest configuration, and which calls were taken lately (bounded), so that the
-// exact repeat of a call is known for one at any member and after any restart.
+// Which call led to a version: enough to know its exact repeat.
+struct TakenCall {
+  std::int64_t version = 0;
+  std::uint64_t digest_high = 0, digest_low = 0;
+  template <class Archive>
+  void serialize(Archive& a) {
+    a(version, digest_high, digest_low);
+  }
+};
+
+// How many of them are remembered: more than half of a day's changes at the size that is planned for (1,700 a
+// day), 24 bytes each. A repeat that is older is left without a clear answer.
+inline constexpr std::size_t kMostTaken = 1024;
+
+// The replicated state: the newest configuration, and the calls that were taken lately, so that the exact
+// repeat of a call is known for one at any replica and after any restart.
 class Ledger {
  public:
   Ledger() = default;
   static absl::StatusOr<Ledger> Read(std::string_view written);  // kDataLoss
   std::string Write() const;
+  // The newest configuration alone: what sidecars need of it.
+  Ledger WithoutCalls() const;
 
   // Pure: what a call would come to on top of this. `modify`: Configuration.Modify, else Replace.
   Verdict Decide(bool modify, std::string_view body) const;
@@ -168,10 +185,9 @@
 
  private:
   Configuration newest_;
-  std::vector<std::pair<std::int64_t, std::string>>
-      taken_;  // version, digest of the call; oldest first, at most kTaken
+  std::vector<TakenCall> taken_;        // by rising version, at most kMostTaken
+  std::int64_t forgotten_through_ = 0;  // calls of versions up to this one are remembered no more
 };
-inline constexpr std::size_t kTaken = 64;
 
 }  // namespace fennelhollow::configuration
 
--- a/src/mesh/configuration/ledger.cpp
+++ b/src/mesh/configuration/ledger.cpp
@@ -1,3 +1,4 @@
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
 #include <cereal/types/utility.hpp>
@@ -16,18 +17,59 @@
 using nlohmann::json;
 using nlohmann::ordered_json;
 
-constexpr std::uint32_t kMagic = 0x464e4c31;  // "FNL1"
+constexpr std::uint32_t kMagic = 0x464e4c32;  // "FNL2"
 
 struct State {
   std::uint32_t magic = kMagic;
   std::int64_t version = 0;
   std::string text;
+  std::vector<TakenCall> taken;
+  std::int64_t forgotten_through = 0;
+  template <class Archive>
+  void serialize(Archive& a) {
+    a(magic, version, text, taken, forgotten_through);
+  }
+};
+
+// As the first release wrote it: digests in hexadecimal, 64 of them, and no word of what was forgotten.
+constexpr std::uint32_t kFirstMagic = 0x464e4c31;  // "FNL1"
+struct FirstState {
+  std::uint32_t magic = kFirstMagic;
+  std::int64_t version = 0;
+  std::string text;
   std::vector<std::pair<std::int64_t, std::string>> taken;
   template <class Archive>
   void serialize(Archive& a) {
     a(magic, version, text, taken);
   }
 };
+constexpr std::size_t kFirstMostTaken = 64;
+constexpr std::size_t kHexDigits = 16;  // of each half of a digest
+
+absl::StatusOr<State> Upgrade(const FirstState& first) {
+  State state;
+  state.version = first.version;
+  state.text = first.text;
+  for (const auto& [version, digest] : first.taken) {
+    TakenCall& call = state.taken.emplace_back(TakenCall{version, 0, 0});
+    if (digest.size() != 2 * kHexDigits ||
+        !absl::SimpleHexAtoi(digest.substr(0, kHexDigits), &call.digest_high) ||
+        !absl::SimpleHexAtoi(digest.substr(kHexDigits), &call.digest_low)) {
+      return absl::DataLossError("a ledger can't be read");
+    }
+  }
+  // Some may have been dropped; which one was the newest of them is not known.
+  if (state.taken.size() >= kFirstMostTaken) state.forgotten_through = state.taken.front().version - 1;
+  return state;
+}
+
+absl::StatusOr<State> ReadState(std::string_view bytes) {
+  auto state = transport::Unpack<State>(bytes);
+  if (state.ok() && state->magic == kMagic) return state;
+  const auto first = transport::Unpack<FirstState>(bytes);
+  if (first.ok() && first->magic == kFirstMagic) return Upgrade(*first);
+  return absl::DataLossError("a ledger can't be read");
+}
 
 // Two hashes that share no step, the same in every process.
 std::uint64_t HashByXor(std::string_view bytes) {  // FNV-1a
@@ -44,10 +86,13 @@
 }
 
 // Of a call whatever the order of its members and the space between them.
-std::string Digest(bool modify, const json& call) {
+TakenCall Digest(bool modify, const json& call) {
   const std::string text = (modify ? "modify " : "replace ") + call.dump();
-  return absl::StrCat(absl::Hex(HashByXor(text), absl::kZeroPad16),
-                      absl::Hex(HashByMix(text), absl::kZeroPad16));
+  return {0, HashByXor(text), HashByMix(text)};
+}
+
+bool SameCall(const TakenCall& a, const TakenCall& b) {
+  return a.digest_high == b.digest_high && a.digest_low == b.digest_low;
 }
 
 // The newest configuration (null: none yet) as `call`, a Modify whose form was checked, leaves it.
@@ -117,7 +162,8 @@
 }
 
 std::string Ledger::Write() const {
-  std::string bytes = transport::Pack(State{kMagic, newest_.version_, newest_.text_, taken_});
+  std::string bytes =
+      transport::Pack(State{kMagic, newest_.version_, newest_.text_, taken_, forgotten_through_});
   return bytes + transport::Pack(HashByXor(bytes));
 }
 
@@ -128,14 +174,21 @@
   const std::string_view bytes = written.substr(0, written.size() - sum_bytes);
   const auto sum = transport::Unpack<std::uint64_t>(written.substr(bytes.size()));
   if (!sum.ok() || *sum != HashByXor(bytes)) return absl::DataLossError("a ledger's sum is wrong");
-  auto state = transport::Unpack<State>(bytes);
-  if (!state.ok() || state->magic != kMagic || state->version < 0 || state->taken.size() > kTaken) {
+  auto state = ReadState(bytes);
+  if (!state.ok()) return state.status();
+  if (state->version < 0 || state->taken.size() > kMostTaken)
     return absl::DataLossError("a ledger can't be read");
-  }
   Ledger ledger;
   ledger.newest_.version_ = state->version;
   ledger.newest_.text_ = std::move(state->text);
   ledger.taken_ = std::move(state->taken);
+  ledger.forgotten_through_ = state->forgotten_through;
+  return ledger;
+}
+
+Ledger Ledger::WithoutCalls() const {
+  Ledger ledger;
+  ledger.newest_ = newest_;
   return ledger;
 }
 
@@ -143,9 +196,9 @@
   try {
     auto call = ReadObject(body);
     if (!call.ok()) return Refuse(call.status());
-    const std::string digest = Digest(modify, *call);
-    for (const auto& [version, taken] : taken_) {
-      if (taken == digest) return Refuse(Verdict::Kind::kAlready, "");
+    TakenCall digest = Digest(modify, *call);
+    for (const TakenCall& taken : taken_) {
+      if (SameCall(taken, digest)) return Refuse(Verdict::Kind::kAlready, "");
     }
     settings::Normalize(*call);
     const auto checked = CheckCall(modify, *call);
@@ -153,6 +206,9 @@
 
     const std::int64_t version = (*call)["version"].get<std::int64_t>();
     const std::int64_t base = call->value("baseVersion", std::int64_t{0});
+    if (version <= forgotten_through_) {
+      return Refuse(Verdict::Kind::kUnknown, "version: older than what is remembered; read the newest one");
+    }
     if (base != newest_.version_) {
       return Refuse(Verdict::Kind::kConflict, absl::StrCat("baseVersion: found ", base, ", wanted ",
                                                            newest_.version_, ", which is in place"));
@@ -173,8 +229,12 @@
     Ledger ledger = *this;
     ledger.newest_.version_ = version;
     ledger.newest_.text_ = next.dump();
-    ledger.taken_.emplace_back(version, digest);
-    if (ledger.taken_.size() > kTaken) ledger.taken_.erase(ledger.taken_.begin());
+    digest.version = version;
+    ledger.taken_.push_back(digest);
+    if (ledger.taken_.size() > kMostTaken) {
+      ledger.forgotten_through_ = ledger.taken_.front().version;
+      ledger.taken_.erase(ledger.taken_.begin());
+    }
     Verdict verdict;
     verdict.kind = Verdict::Kind::kTake;
     verdict.next = ledger.Write();
--- a/src/mesh/control/configuration_service.cpp
+++ b/src/mesh/control/configuration_service.cpp
@@ -117,6 +117,10 @@
       AnswerFirst(
           Refusal(412, first.verdict->error.empty() ? "another version is in place" : first.verdict->error));
       break;
+    case Verdict::Kind::kUnknown:
+      ++counters_.unclear;
+      AnswerFirst(TryAgain(first.verdict->error));
+      break;
     case Verdict::Kind::kInvalid:
     case Verdict::Kind::kTake:  // is proposed, not confirmed
       ++counters_.invalid;
--- a/src/mesh/control/control_replica.cpp
+++ b/src/mesh/control/control_replica.cpp
@@ -125,7 +125,7 @@
   entry_.term = entry.term;
   entry_.number = entry.number;
   entry_.voters = entry.voters;
-  if (!state_.empty()) herald_.SetLedger(host_.Now(), entry.number, state_);
+  if (!state_.empty()) herald_.SetLedger(host_.Now(), entry.number, pushed_);
 }
 
 void ControlReplica::TakeState(const Entry& entry) {
@@ -136,6 +136,7 @@
   }
   ledger_ = std::make_shared<const configuration::Ledger>(*std::move(ledger));
   state_ = entry.state;
+  pushed_ = ledger_->WithoutCalls().Write();
   LOG(INFO) << "entry " << entry.number << " committed, version " << ledger_->newest().version();
   events_.Add(host_.Now(), push::ConfigurationEvent{ledger_->newest().version(), entry.number});
   const auto tables = configuration::Tables::Of(ledger_->newest());
--- a/src/mesh/control/control_replica.hpp
+++ b/src/mesh/control/control_replica.hpp
@@ -146,7 +146,8 @@
   push::Events events_;
   push::ListingWatch watch_;
   consensus::Entry entry_;
-  std::string state_;
+  std::string state_;   // of the entry
+  std::string pushed_;  // of it, what sidecars need
   std::shared_ptr<const configuration::Ledger> ledger_ = std::make_shared<const configuration::Ledger>();
   bool told_leads_ = false;
   std::uint64_t malformed_frames_ = 0;
--- a/src/mesh/node/core.cpp
+++ b/src/mesh/node/core.cpp
@@ -151,7 +151,7 @@
     std::optional<transport::Hello> hello;
   };
   struct Counters {
-    std::uint64_t beats = 0, departures = 0, malformed_frames = 0, refused_links = 0, writes = 0,
+    std::uint64_t misdirected_reports = 0, malformed_frames = 0, refused_links = 0, writes = 0,
                   failed_writes = 0;
   };
 
@@ -404,15 +404,11 @@
   if (std::holds_alternative<control::Status>(command)) return reply({200, StatusText(), {}});
   if (const auto* events = std::get_if<control::ReadEvents>(&command))
     return event_waiters_.OnCall(loop_.Now(), *events, std::move(reply));
-  // Servers beat beside their sidecars, which tell the cores; one that comes here all the same is not held
-  // up.
-  if (std::holds_alternative<control::Beat>(command)) {
-    ++counters_.beats;
-    return reply({});
-  }
-  if (std::holds_alternative<control::Departure>(command)) {
-    ++counters_.departures;
-    return reply({});
+  // Servers report beside their sidecars, which tell the cores. What is acknowledged has to be known, and a
+  // core alone makes nothing of it: the caller goes on to the next.
+  if (std::holds_alternative<control::Beat>(command) || std::holds_alternative<control::Departure>(command)) {
+    ++counters_.misdirected_reports;
+    return reply(control::TryAgain("servers report to the sidecar on their own machine"));
   }
   const bool other_method = std::get<control::Unknown>(command).other_method;
   reply(other_method ? control::Refusal(405, "not with this method")
@@ -476,8 +472,7 @@
                     {"acksMissing", service.acks_missing}};
   const control::CallForwarder::Counters& forwarder = replica_.forwarder_counters();
   out["core"] = {
-      {"beats", counters_.beats},
-      {"departures", counters_.departures},
+      {"misdirectedReports", counters_.misdirected_reports},
       {"forwarded", forwarder.forwarded},
       {"forwardedHere", forwarder.forwarded_here},
       {"parked", forwarder.pending},
--- a/src/mesh/push/client.cpp
+++ b/src/mesh/push/client.cpp
@@ -325,6 +325,12 @@
   return true;
 }
 
+bool Client::Believes(Micros now, const News& news) {
+  if (entry_ > 0 || news.settled) return true;
+  if (unsettled_since_ == kNever) unsettled_since_ = now;
+  return now - unsettled_since_ >= kWaitForSettled;
+}
+
 void Client::OnNews(Micros now, const std::string& address, const News& news) {
   const auto at = nodes_.find(address);
   if (at == nodes_.end() || !at->second.up) return;
@@ -337,7 +343,7 @@
   core.settled = news.settled;
   core.partial = news.partial;
   core.holder = news.holder;
-  const bool newer = news.ledger_too && news.entry > entry_;
+  const bool newer = news.ledger_too && news.entry > entry_ && Believes(now, news);
   if (newer) {
     entry_ = news.entry;
     sink_.OnLedger(entry_, news.ledger);
--- a/src/mesh/push/client.hpp
+++ b/src/mesh/push/client.hpp
@@ -27,6 +27,9 @@
 inline constexpr std::size_t kMostHints = 8;
 inline constexpr Micros kNudgeEvery = 300'000;
 inline constexpr Micros kSilentCore = 700'000;  // then its news is taken from another that speaks
+// A core without contact to a leader may be behind: the first configuration of a sidecar's life is taken from
+// such a one only after it has waited so long for another.
+inline constexpr Micros kWaitForSettled = 3'000'000;
 
 class Client {
  public:
@@ -121,6 +124,7 @@
   void FindHolder(Micros now);
   void TakeCores(Micros now, const std::string& address, const News& news);
   bool TakeListing(const std::string& address, const News& news);
+  bool Believes(Micros now, const News& news);  // its configuration
   void TellTo(Micros now, const std::string& address, Core& core, bool with_lives, bool with_demand,
               bool wants_ledger = false);
   void TellAll(Micros now, bool with_lives);
@@ -144,6 +148,7 @@
   registry::Listing listing_;
   bool need_whole_ = false;
   Micros heard_at_ = kNever;
+  Micros unsettled_since_ = kNever;  // the first configuration was offered, by a core that may be behind
   Micros nudged_ = kNever;
   Micros ticked_ = kNever;
   std::uint64_t asked_ = 0;
--- a/tests/mesh/push_test.cpp
+++ b/tests/mesh/push_test.cpp
@@ -368,6 +368,31 @@
   }
 }
 
+// core:0 was cut off from the others before the newest entry; a sidecar starts while the others say nothing.
+TEST_CASE("a sidecar's first configuration is not that of a core which may be behind") {
+  World world(3, 4);
+  world.SetHolder("core:1");
+  world.Decide();
+  world.RunFor(5 * kS);
+  world.Isolate("core:0");
+  world.Decide();
+  world.RunFor(kS);
+  world.frozen_ = {"core:1", "core:2"};
+  world.StartSidecar("late");
+  const auto entry = [&] { return world.sidecars_.at("late")->entry; };
+  SECTION("another one is heard in time") {
+    world.RunFor(2 * kS);
+    CHECK(entry() == 0);
+    world.frozen_.clear();
+    world.RunFor(2 * kS);
+    CHECK(entry() == 2);
+  }
+  SECTION("nobody else is heard: an old one is better than none") {
+    world.RunFor(9 * kS);
+    CHECK(entry() == 1);
+  }
+}
+
 TEST_CASE("a push that is lost is sent again, a gap is closed") {
   World world(2, 6);
   world.SetHolder("core:0");
--- a/tools/mesh/configuration_files.cpp
+++ b/tools/mesh/configuration_files.cpp
@@ -134,6 +134,7 @@
     case Verdict::Kind::kConflict:
       return {Exit::kConflict, absl::StrCat("conflict: ", verdict.error, "\n")};
     case Verdict::Kind::kInvalid:
+    case Verdict::Kind::kUnknown:
       break;
   }
   return {Exit::kBadInput, absl::StrCat("invalid: ", verdict.error, "\n")};
