Control plane in virtual time: rig/sim plays schedules of faults and judges them

The product's control replica, consensus, configuration service, forwarding and push run for 3 to 5 cores, sidecars and operators over simulated links (held bytes, one-way cuts, resets, refused and silent machines), disks (slow, stalled, full, wiped, writes cut short) and processes (killed, frozen, without power, ended in order, replaced).

--- /dev/null
+++ b/rig/sim/core_process.cpp
@@ -0,0 +1,200 @@
+#include "rig/sim/core_process.hpp"
+
+#include <utility>
+
+#include "mesh/transport/codec.hpp"
+
+namespace fennelhollow::sim {
+
+namespace {
+
+constexpr Micros kTick = 25 * kMillisecond;
+constexpr Micros kDialTimeout = kSecond;
+constexpr Micros kDialPause = 100 * kMillisecond;
+constexpr Micros kHeldFor = kSecond;
+constexpr Micros kOpenTakes = 20 * kMillisecond;
+constexpr Micros kCheckTakes = 2 * kMillisecond;
+constexpr Micros kFlushWithin = 200 * kMillisecond;
+
+}  // namespace
+
+CoreProcess::CoreProcess(EventQueue& events, Network& network, Disk& disk, Settings settings, Events observer)
+    : events_(events),
+      network_(network),
+      disk_(disk),
+      settings_(std::move(settings)),
+      observer_(std::move(observer)),
+      random_(settings_.incarnation),
+      replica_(*this, {settings_.self, settings_.incarnation, {}}) {
+  network_.Start(settings_.self, *this, settings_.incarnation);
+  Later(events_.now() + kOpenTakes, [this] { Open(); });
+  Later(events_.now() + kTick, [this] { Tick(); });
+}
+
+void CoreProcess::Later(Micros when, std::function<void()> what) {
+  network_.Deliver(when, settings_.self, settings_.incarnation, std::move(what));
+}
+
+void CoreProcess::Open() {
+  consensus::ReplicaSettings replica;
+  replica.seed = settings_.incarnation * 31 + 7;
+  replica.founders = settings_.seeds;
+  replica.first_start = settings_.first_start;
+  replica.stored = disk_.synced;
+  replica.contacts = settings_.seeds;
+  replica_.Start(std::move(replica));
+  if (terminated_at_ >= 0) replica_.Leave();
+  Observe();
+}
+
+void CoreProcess::Tick() {
+  replica_.OnTick();
+  Observe();
+  Later(events_.now() + kTick, [this] { Tick(); });
+  EndIfDone();
+}
+
+void CoreProcess::Submit(control::CallKind kind, std::string body,
+                         std::function<void(control::Answer)> reply) {
+  replica_.Submit(kind, std::move(body), std::move(reply));
+  Observe();
+}
+
+// As node::Core does it.
+void CoreProcess::Terminate() {
+  if (terminated_at_ >= 0) return;
+  terminated_at_ = events_.now();
+  replica_.Leave();
+}
+
+void CoreProcess::EndIfDone() {
+  if (terminated_at_ < 0 || ended_) return;
+  const Micros since = events_.now() - terminated_at_;
+  if (replica_.CallsUnderWay() && since < 2 * kSecond) return;
+  if (!replica_.MayEnd() && since < settings_.leave_within) return;
+  if (replica_.Leads() && since < settings_.leave_within + kFlushWithin) return;
+  ended_ = true;
+  events_.At(events_.now(), observer_.on_ended);
+}
+
+// ---- disk and threads
+
+void CoreProcess::Write(const consensus::Durable& durable, std::uint64_t token) {
+  disk_.under_way = durable;
+  const Micros done =
+      std::max(events_.now(), disk_.stalled_until) + disk_.write_takes + random_.Upto(disk_.write_takes / 2);
+  // The thread that writes stops with a frozen process, the disk with a stall that comes in the midst.
+  Later(done, [this, token] {
+    if (events_.now() < disk_.stalled_until) {
+      const consensus::Durable again = *disk_.under_way;
+      return Write(again, token);
+    }
+    const bool ok = !disk_.full;
+    if (ok) disk_.synced = disk_.under_way;
+    disk_.under_way.reset();
+    replica_.OnWritten(token, ok);
+    Observe();
+  });
+}
+
+bool CoreProcess::RunAside(std::function<void()> work, std::function<void()> done) {
+  work();
+  Later(events_.now() + random_.Upto(kCheckTakes), [this, done = std::move(done)] {
+    done();
+    Observe();
+  });
+  return true;
+}
+
+void CoreProcess::Post(std::function<void()> next) {
+  Later(events_.now(), [this, next = std::move(next)] {
+    next();
+    Observe();
+  });
+}
+
+// ---- links
+
+bool CoreProcess::SendToPeer(const consensus::ReplicaId& to, std::string_view frame) {
+  if (to == settings_.self) return false;
+  Peer& peer = peers_[to];
+  if (peer.link == 0) {
+    if (events_.now() < peer.retry_at) return false;
+    DialPeer(to, peer);
+  }
+  return network_.Send(peer.link, settings_.self, std::string(frame));
+}
+
+void CoreProcess::DialPeer(const Address& to, Peer& peer) {
+  peer.link = network_.Dial(settings_.self, to, kDialTimeout);
+  peer.up = false;
+}
+
+void CoreProcess::SendToSidecars(const std::vector<SidecarLink>& links, const push::News& news) {
+  const std::string frame = transport::Pack(news);
+  for (const SidecarLink link : links) network_.Send(link, settings_.self, frame);
+}
+
+void CoreProcess::CloseSidecar(SidecarLink link) {
+  incoming_.erase(link);
+  network_.Close(link, settings_.self);
+}
+
+void CoreProcess::OnAccepted(Network::LinkId link, const Address& from) {
+  std::vector<Network::LinkId> older;
+  for (const auto& [id, other] : incoming_) {
+    if (other == from) older.push_back(id);
+  }
+  for (const Network::LinkId id : older) {
+    incoming_.erase(id);
+    network_.Close(id, settings_.self);
+    replica_.OnSidecarDown(id);  // of a core, this says nothing
+  }
+  incoming_[link] = from;
+}
+
+void CoreProcess::OnUp(Network::LinkId link) {
+  for (auto& [to, peer] : peers_) {
+    if (peer.link != link) continue;
+    peer.up = true;
+    peer.up_at = events_.now();
+  }
+}
+
+void CoreProcess::OnFrame(Network::LinkId link, const std::string& frame) {
+  const auto it = incoming_.find(link);
+  if (it == incoming_.end()) return;
+  const Address from = it->second;
+  if (auto tell = from.starts_with("side") ? transport::Unpack<push::Tell>(frame)
+                                           : absl::StatusOr<push::Tell>(absl::NotFoundError(""));
+      tell.ok()) {
+    replica_.OnTell(link, *tell);
+  } else {
+    replica_.OnPeerFrame(from, frame);
+  }
+  Observe();
+}
+
+void CoreProcess::OnDown(Network::LinkId link, bool refused) {
+  if (const auto it = incoming_.find(link); it != incoming_.end()) {
+    incoming_.erase(it);
+    replica_.OnSidecarDown(link);
+    return;
+  }
+  for (auto& [to, peer] : peers_) {
+    if (peer.link == link) return OnPeerDown(to, peer, refused);
+  }
+}
+
+void CoreProcess::OnPeerDown(const Address& to, Peer& peer, bool refused) {
+  const bool held = peer.up && events_.now() - peer.up_at >= kHeldFor;
+  peer.link = 0;
+  peer.up = false;
+  peer.retry_at = events_.now() + kDialPause;
+  if (held) DialPeer(to, peer);
+  replica_.OnPeerDown(to);
+  if (refused) replica_.OnPeerRefused(to);
+  Observe();
+}
+
+}  // namespace fennelhollow::sim
--- /dev/null
+++ b/rig/sim/core_process.hpp
@@ -0,0 +1,90 @@
+// One process of a core in the simulation: the product's ControlReplica over simulated links and a disk.
+#ifndef FENNELHOLLOW_RIG_SIM_CORE_PROCESS_HPP_
+#define FENNELHOLLOW_RIG_SIM_CORE_PROCESS_HPP_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/random.hpp"
+#include "mesh/control/control_replica.hpp"
+#include "rig/sim/disk.hpp"
+#include "rig/sim/network.hpp"
+
+namespace fennelhollow::sim {
+
+class CoreProcess : public Network::Process, private control::ControlReplicaHost {
+ public:
+  struct Settings {
+    Address self;
+    std::uint64_t incarnation = 1;
+    std::vector<Address> seeds;
+    bool first_start = false;
+    Micros leave_within = 3 * kSecond;
+  };
+  struct Events {
+    std::function<void(const CoreProcess&)> on_step;  // something may have been committed
+    std::function<void()> on_ended;                   // after Terminate
+  };
+
+  // All references must outlive it.
+  CoreProcess(EventQueue& events, Network& network, Disk& disk, Settings settings, Events observer);
+
+  void Terminate();  // SIGTERM
+  void Submit(control::CallKind kind, std::string body, std::function<void(control::Answer)> reply);
+
+  const control::ControlReplica& replica() const { return replica_; }
+  const Address& address() const { return settings_.self; }
+  std::uint64_t incarnation() const { return settings_.incarnation; }
+
+  // Network::Process
+  void OnAccepted(Network::LinkId link, const Address& from) override;
+  void OnUp(Network::LinkId link) override;
+  void OnFrame(Network::LinkId link, const std::string& frame) override;
+  void OnDown(Network::LinkId link, bool refused) override;
+
+ private:
+  struct Peer {
+    Network::LinkId link = 0;  // 0 = none
+    bool up = false;
+    Micros up_at = 0;
+    Micros retry_at = 0;
+  };
+
+  // control::ControlReplicaHost
+  Micros Now() const override { return events_.now(); }
+  bool SendToPeer(const consensus::ReplicaId& to, std::string_view frame) override;
+  void SendToSidecars(const std::vector<SidecarLink>& links, const push::News& news) override;
+  void CloseSidecar(SidecarLink link) override;
+  void Write(const consensus::Durable& durable, std::uint64_t token) override;
+  bool RunAside(std::function<void()> work, std::function<void()> done) override;
+  void Post(std::function<void()> next) override;
+
+  void Later(Micros when, std::function<void()> what);
+  void Open();
+  void Tick();
+  void EndIfDone();
+  void DialPeer(const Address& to, Peer& peer);
+  void OnPeerDown(const Address& to, Peer& peer, bool refused);
+  void Observe() { observer_.on_step(*this); }
+
+  EventQueue& events_;
+  Network& network_;
+  Disk& disk_;
+  const Settings settings_;
+  const Events observer_;
+  merlinrun::Random random_;
+  std::map<Address, Peer> peers_;
+  std::map<Network::LinkId, Address> incoming_;
+  control::ControlReplica replica_;
+  Micros terminated_at_ = -1;
+  bool ended_ = false;
+};
+
+}  // namespace fennelhollow::sim
+
+#endif  // FENNELHOLLOW_RIG_SIM_CORE_PROCESS_HPP_
--- /dev/null
+++ b/rig/sim/sidecar_process.hpp
@@ -0,0 +1,55 @@
+// The control half of a sidecar in the simulation: the product's push client over simulated links.
+#ifndef FENNELHOLLOW_RIG_SIM_SIDECAR_PROCESS_HPP_
+#define FENNELHOLLOW_RIG_SIM_SIDECAR_PROCESS_HPP_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "mesh/push/client.hpp"
+#include "rig/sim/network.hpp"
+
+namespace fennelhollow::sim {
+
+class SidecarProcess : public Network::Process, private push::Client::Sink {
+ public:
+  // `on_state`: a newer committed state (configuration::Ledger::Write) is in force here.
+  SidecarProcess(EventQueue& events, Network& network, Address self, std::uint64_t incarnation,
+                 std::vector<Address> seeds,
+                 std::function<void(std::uint64_t entry, const std::string& state)> on_state);
+
+  std::uint64_t entry() const { return client_.entry(); }
+  std::size_t servers() const { return client_.listing().servers.size(); }
+
+  // Network::Process
+  void OnAccepted(Network::LinkId, const Address&) override {}
+  void OnUp(Network::LinkId link) override;
+  void OnFrame(Network::LinkId link, const std::string& frame) override;
+  void OnDown(Network::LinkId link, bool refused) override;
+
+ private:
+  // push::Client::Sink
+  void Send(const std::string& address, const push::Tell& tell) override;
+  void OnLedger(std::uint64_t entry, const std::string& ledger) override { on_state_(entry, ledger); }
+  void OnListing(const registry::Listing&, std::size_t, std::size_t) override {}
+  void OnShares(const std::vector<quota::Share>&, Micros) override {}
+  void OnCores(const std::vector<std::string>&) override {}
+
+  void Tick();
+  void Relink();
+  const Address* CoreOf(Network::LinkId link) const;
+
+  EventQueue& events_;
+  Network& network_;
+  const Address self_;
+  const std::uint64_t incarnation_;
+  const std::function<void(std::uint64_t, const std::string&)> on_state_;
+  push::Client client_;
+  std::map<Address, Network::LinkId> links_;
+};
+
+}  // namespace fennelhollow::sim
+
+#endif  // FENNELHOLLOW_RIG_SIM_SIDECAR_PROCESS_HPP_
--- a/src/mesh/consensus/impl.hpp
+++ b/src/mesh/consensus/impl.hpp
@@ -160,6 +160,7 @@
   bool ReplaceVoter();
   bool AddVoter();
   bool RemoveVoter();
+  bool DemoteVoter();
   std::vector<ReplicaId> Candidates() const;  // learners that may vote
   ReplicaId LeavingVoter() const;             // empty: none
   ReplicaId SilentVoter(Micros for_at_least) const;
@@ -224,6 +225,7 @@
   EntryId removed_in_;     // an entry heard of as a candidate, in which this member is no voter
 
   std::map<ReplicaId, Peer> peers_;
+  Micros even_since_ = 0;   // an even number of voters, at this leader; 0 = odd
   bool under_way_ = false;  // durable_.accepted is being committed
   Micros replicated_at_ = 0;
   Votes votes_;
--- a/src/mesh/consensus/leading.cpp
+++ b/src/mesh/consensus/leading.cpp
@@ -13,6 +13,7 @@
   leaving_ = false;
   successor_.clear();
   peers_.clear();
+  even_since_ = 0;
   std::set<ReplicaId> others = VotersOf(best_);
   others.insert(learners_.begin(), learners_.end());
   others.erase(settings_.self);
--- a/src/mesh/consensus/membership.cpp
+++ b/src/mesh/consensus/membership.cpp
@@ -2,6 +2,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <iterator>
 
 #include "mesh/consensus/impl.hpp"
 
@@ -70,8 +71,8 @@
 // One change at a time, in the order of what a second loss would cost.
 void Replica::Impl::ChangeVoters() {
   if (!leads() || under_way_ || leaving_) return;
-  if (FinishChange() || TakeNewDisk() || ReplaceVoter() || AddVoter()) return;
-  RemoveVoter();
+  if (FinishChange() || TakeNewDisk() || ReplaceVoter() || AddVoter() || RemoveVoter()) return;
+  DemoteVoter();
 }
 
 std::map<ReplicaId, std::uint64_t> Replica::Impl::Voters() const {
@@ -167,6 +168,24 @@
   return true;
 }
 
+// Left with an even number, as after a replacement among four: cut two from two, none of them would have a
+// majority. One becomes a learner again, though it is heard.
+bool Replica::Impl::DemoteVoter() {
+  std::map<ReplicaId, std::uint64_t> voters = Voters();
+  if (voters.size() % 2 != 0 || voters.size() <= kFewestVoters) {
+    even_since_ = 0;
+    return false;
+  }
+  if (even_since_ == 0) even_since_ = now_;
+  if (now_ - even_since_ < settings_.remove_after) return false;
+  auto last = std::prev(voters.end());
+  if (last->first == settings_.self) --last;
+  LOG(INFO) << "consensus: " << last->first << " is a learner again, as an even number voted";
+  voters.erase(last);
+  ReplicateVoters(voters);
+  return true;
+}
+
 bool Replica::Impl::AllVotersCaughtUp() const {
   for (const ReplicaId& voter : newest_.voters) {
     if (voter == settings_.self) continue;
