--- a/rig/sim/core_process.hpp
+++ b/rig/sim/core_process.hpp
@@ -62,6 +62,7 @@
   void CloseSidecar(SidecarLink link) override;
   void Write(const consensus::Durable& durable, std::uint64_t token) override;
   bool RunAside(std::function<void()> work, std::function<void()> done) override;
+  std::string ControlAddress(const consensus::ReplicaId& core) const override { return core; }
   void Post(std::function<void()> next) override;
 
   void Later(Micros when, std::function<void()> what);
--- a/rig/sim/world.hpp
+++ b/rig/sim/world.hpp
@@ -92,6 +92,8 @@
   void Closing();
   Micros EndOfFaults() const;
   void CallCore(control::CallKind kind, const std::string& body, Operators::Done done);
+  void CallAt(const Address& id, int redirections, control::CallKind kind, const std::string& body,
+              Operators::Done done);
   void Mark(std::uint64_t what);
 
   const Schedule schedule_;
--- a/src/mesh/control/call_forwarder.cpp
+++ b/src/mesh/control/call_forwarder.cpp
@@ -16,6 +16,10 @@
 
 void CallForwarder::Submit(Micros now, CallKind kind, std::string body, std::function<void(Answer)> reply) {
   if (body.size() > limits_.call_bytes) return reply(Refusal(413, "the call is too large"));
+  if (auto elsewhere = host_.Elsewhere(kind)) {
+    ++counters_.redirected;
+    return reply(*std::move(elsewhere));
+  }
   Call call;
   call.kind = kind;
   call.body = std::make_shared<const std::string>(std::move(body));
--- a/src/mesh/control/call_forwarder.hpp
+++ b/src/mesh/control/call_forwarder.hpp
@@ -64,6 +64,9 @@
   virtual bool Leads() const = 0;
   virtual ReplicaId KnownLeader() const = 0;  // empty: unknown
   virtual void Serve(Call call) = 0;          // this core leads
+  // Where else a caller may try, if this core has been without contact to a leader for so long that it waits
+  // for none; absent: it may wait here.
+  virtual std::optional<Answer> Elsewhere(CallKind kind) = 0;
   // False: there is no link now. A call that was sent may be lost all the same.
   virtual bool SendCall(const ReplicaId& to, const ForwardedCall& call) = 0;
   virtual void SendAnswer(const ReplicaId& to, const ForwardedAnswer& answer) = 0;
@@ -82,7 +85,8 @@
     std::size_t call_bytes = std::size_t{3584} * 1024;  // has to fit into a frame, as the state after it
   };
   struct Counters {
-    std::uint64_t forwarded = 0, forwarded_here = 0, pending = 0, no_leader = 0, malformed = 0;
+    std::uint64_t forwarded = 0, forwarded_here = 0, pending = 0, no_leader = 0, redirected = 0,
+                  malformed = 0;
   };
 
   // `host` must outlive it.
--- a/src/mesh/control/command.cpp
+++ b/src/mesh/control/command.cpp
@@ -59,9 +59,9 @@
     if (!IsId(id) || !post) return Unknown{IsId(id)};
     return Departure{std::string(id)};
   }
-  if (path == "/-/Configuration.Replace") return post ? Command(Replace{std::move(body)}) : Unknown{true};
-  if (path == "/-/Configuration.Modify") return post ? Command(Modify{std::move(body)}) : Unknown{true};
-  if (path == "/-/Configuration.Read") return get ? Command(Read{}) : Unknown{true};
+  if (path == kReplacePath) return post ? Command(Replace{std::move(body)}) : Unknown{true};
+  if (path == kModifyPath) return post ? Command(Modify{std::move(body)}) : Unknown{true};
+  if (path == kReadPath) return get ? Command(Read{}) : Unknown{true};
   if (path == "/-/Status") return get ? Command(Status{}) : Unknown{true};
   if (path == "/-/Events.Read") {
     if (!get) return Unknown{true};
@@ -84,4 +84,8 @@
   return out;
 }
 
+Answer Redirect(const std::string& address, std::string_view path) {
+  return {307, "{}", {{"Location", "http://" + address + std::string(path)}}};
+}
+
 }  // namespace fennelhollow::control
--- a/src/mesh/control/command.hpp
+++ b/src/mesh/control/command.hpp
@@ -46,6 +46,10 @@
 // `target` as the request line has it; a query is passed over, but for Events.Read.
 Command Decode(std::string_view method, std::string_view target, std::string body);
 
+inline constexpr std::string_view kReplacePath = "/-/Configuration.Replace";
+inline constexpr std::string_view kModifyPath = "/-/Configuration.Modify";
+inline constexpr std::string_view kReadPath = "/-/Configuration.Read";
+
 // What a call is answered with; the body is JSON.
 struct Answer {
   unsigned status = 200;
@@ -57,6 +61,8 @@
 Answer Refusal(unsigned status, std::string_view line);
 // 503: nobody can say now; the caller is to repeat the call unchanged.
 Answer TryAgain(std::string_view line);
+// 307: the caller is to repeat the call unchanged at `address` (ip:port).
+Answer Redirect(const std::string& address, std::string_view path);
 
 }  // namespace fennelhollow::control
 
--- a/src/mesh/control/control_replica.cpp
+++ b/src/mesh/control/control_replica.cpp
@@ -19,6 +19,22 @@
 // The first byte of a frame between cores.
 enum class PeerFrame : char { kConsensus = 0, kCall = 1, kAnswer = 2 };
 
+// Without contact to a leader for so long, a caller is sent elsewhere: an election takes less, so this core
+// is rather cut off.
+constexpr Micros kRedirectAfter = 1'500'000;
+
+std::string_view PathOf(CallKind kind) {
+  switch (kind) {
+    case CallKind::kReplace:
+      return kReplacePath;
+    case CallKind::kModify:
+      return kModifyPath;
+    case CallKind::kRead:
+      break;
+  }
+  return kReadPath;
+}
+
 template <class T>
 std::string Frame(PeerFrame kind, const T& value) {
   return static_cast<char>(kind) + transport::Pack(value);
@@ -53,7 +69,8 @@
       herald_(host.Now(), HeraldSettings(settings), *this),
       service_(*this, {}),
       forwarder_(*this, {}),
-      events_(settings.incarnation, host.Now()) {}
+      events_(settings.incarnation, host.Now()),
+      contact_at_(host.Now()) {}
 
 void ControlReplica::Start(consensus::ReplicaSettings replica) {
   replica.self = settings_.self;
@@ -197,6 +214,7 @@
 void ControlReplica::OnTick() {
   const Micros now = host_.Now();
   Drive([&] { replica_->OnTick(now); });
+  if (replica_ && replica_->in_contact()) contact_at_ = now;
   service_.OnTick(now);
   herald_.OnTick(now);
   watch_.Look(now, herald_.listing(), events_);
@@ -220,6 +238,16 @@
   return leader == settings_.self ? ReplicaId() : leader;
 }
 
+std::optional<Answer> ControlReplica::Elsewhere(CallKind kind) {
+  if (!replica_ || replica_->in_contact() || host_.Now() - contact_at_ < kRedirectAfter) return std::nullopt;
+  std::vector<ReplicaId> others = replica_->known();
+  std::erase(others, settings_.self);
+  if (others.empty()) return std::nullopt;
+  const std::string address = host_.ControlAddress(others[redirects_++ % others.size()]);
+  if (address.empty()) return std::nullopt;
+  return Redirect(address, PathOf(kind));
+}
+
 bool ControlReplica::SendCall(const ReplicaId& to, const ForwardedCall& call) {
   return host_.SendToPeer(to, Frame(PeerFrame::kCall, call));
 }
--- a/src/mesh/control/control_replica.hpp
+++ b/src/mesh/control/control_replica.hpp
@@ -10,6 +10,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -38,6 +39,8 @@
   virtual void Write(const consensus::Durable& durable, std::uint64_t token) = 0;
   // Calls `work` beside the loop, then `done` in a turn of it. False, and neither is called: no room.
   virtual bool RunAside(std::function<void()> work, std::function<void()> done) = 0;
+  // The address at which operators reach another core; empty: not known.
+  virtual std::string ControlAddress(const ReplicaId& core) const = 0;
   // Calls `next` in a later turn, unless the control replica is gone by then.
   virtual void Post(std::function<void()> next) = 0;
 };
@@ -122,6 +125,7 @@
   // CallForwarderHost
   ReplicaId KnownLeader() const override;
   void Serve(Call call) override;
+  std::optional<Answer> Elsewhere(CallKind kind) override;
   bool SendCall(const ReplicaId& to, const ForwardedCall& call) override;
   void SendAnswer(const ReplicaId& to, const ForwardedAnswer& answer) override;
 
@@ -150,6 +154,8 @@
   std::string pushed_;  // of it, what sidecars need
   std::shared_ptr<const configuration::Ledger> ledger_ = std::make_shared<const configuration::Ledger>();
   bool told_leads_ = false;
+  Micros contact_at_ = 0;  // when it was last in contact with a leader, or led; or began
+  std::size_t redirects_ = 0;
   std::uint64_t malformed_frames_ = 0;
 };
 
--- a/src/mesh/node/core.cpp
+++ b/src/mesh/node/core.cpp
@@ -164,6 +164,7 @@
   bool RunAside(std::function<void()> work, std::function<void()> done) override {
     return checks_->Run(std::move(work), std::move(done));
   }
+  std::string ControlAddress(const ReplicaId& core) const override;
   void Post(std::function<void()> next) override;
 
   void OpenDisk();
@@ -239,6 +240,12 @@
   });
 }
 
+// Ports are alike on all machines.
+std::string Core::Impl::ControlAddress(const ReplicaId& core) const {
+  if (!control_) return {};
+  return core.substr(0, core.rfind(':') + 1) + std::to_string(control_->address().port());
+}
+
 // ---- disk
 
 void Core::Impl::OpenDisk() {
@@ -477,6 +484,7 @@
       {"forwardedHere", forwarder.forwarded_here},
       {"parked", forwarder.pending},
       {"noHolder", forwarder.no_leader},
+      {"redirected", forwarder.redirected},
       {"badFrames", counters_.malformed_frames + replica_.malformed_frames() + forwarder.malformed},
       {"refusedLinks", counters_.refused_links},
       {"dials", peers_.dials()},
--- a/src/mesh/node/sidecar.cpp
+++ b/src/mesh/node/sidecar.cpp
@@ -285,10 +285,10 @@
     const auto core = client_.holder().empty() ? client_.subscribed() : client_.holder();
     const auto port = settings_.listen.find("controlPlane");
     if (core.empty() || port == settings_.listen.end()) return reply(TryAgain("no core is known"));
-    const char* path = std::holds_alternative<Read>(command)     ? "/-/Configuration.Read"
-                       : std::holds_alternative<Modify>(command) ? "/-/Configuration.Modify"
-                                                                 : "/-/Configuration.Replace";
-    reply({307, "{}", {{"Location", "http://" + Ip(core) + ":" + std::to_string(port->second.port) + path}}});
+    const std::string_view path = std::holds_alternative<Read>(command)     ? control::kReadPath
+                                  : std::holds_alternative<Modify>(command) ? control::kModifyPath
+                                                                            : control::kReplacePath;
+    reply(control::Redirect(Ip(core) + ":" + std::to_string(port->second.port), path));
   }
 
   void OnLives(Micros now) {
