--- a/rig/sim/operators.cpp
+++ b/rig/sim/operators.cpp
@@ -75,9 +75,10 @@
   const Micros sent_at = events_.now();
   if (order.first_sent < 0) order.first_sent = sent_at;
   const auto kind = order.modify ? control::CallKind::kModify : control::CallKind::kReplace;
-  call_(kind, order.body, [this, who, id, tries, sent_at](const std::optional<control::Answer>& answer) {
-    OnAnswer(who, id, tries, sent_at, answer);
-  });
+  call_(id + static_cast<std::uint64_t>(tries), kind, order.body,
+        [this, who, id, tries, sent_at](const std::optional<control::Answer>& answer) {
+          OnAnswer(who, id, tries, sent_at, answer);
+        });
 }
 
 void Operators::OnAnswer(std::size_t who, std::uint64_t id, int tries, Micros sent_at,
@@ -109,22 +110,24 @@
 
 void Operators::ReadNewest(std::size_t who) {
   const Micros sent_at = events_.now();
-  call_(control::CallKind::kRead, {}, [this, who, sent_at](const std::optional<control::Answer>& answer) {
-    if (answer) judge_.OnRead(sent_at, events_.now(), answer->status, answer->body);
-    if (!answer || answer->status != 200) {
-      events_.At(events_.now() + 2 * kFirstPause, [this, who] { ReadNewest(who); });
-      return;
-    }
-    operators_[who].newest = nlohmann::json::parse(answer->body).at("version").get<std::int64_t>();
-    Close(who, random_.Upto(100 * kMillisecond));
-  });
+  call_(random_.Next() % 1000, control::CallKind::kRead, {},
+        [this, who, sent_at](const std::optional<control::Answer>& answer) {
+          if (answer) judge_.OnRead(sent_at, events_.now(), answer->status, answer->body);
+          if (!answer || answer->status != 200) {
+            events_.At(events_.now() + 2 * kFirstPause, [this, who] { ReadNewest(who); });
+            return;
+          }
+          operators_[who].newest = nlohmann::json::parse(answer->body).at("version").get<std::int64_t>();
+          Close(who, random_.Upto(100 * kMillisecond));
+        });
 }
 
 void Operators::ReadLoop() {
   const Micros sent_at = events_.now();
-  call_(control::CallKind::kRead, {}, [this, sent_at](const std::optional<control::Answer>& answer) {
-    if (answer) judge_.OnRead(sent_at, events_.now(), answer->status, answer->body);
-  });
+  call_(random_.Next() % 1000, control::CallKind::kRead, {},
+        [this, sent_at](const std::optional<control::Answer>& answer) {
+          if (answer) judge_.OnRead(sent_at, events_.now(), answer->status, answer->body);
+        });
   events_.At(events_.now() + kReadEvery / 2 + random_.Upto(kReadEvery), [this] { ReadLoop(); });
 }
 
--- a/rig/sim/operators.hpp
+++ b/rig/sim/operators.hpp
@@ -20,8 +20,9 @@
  public:
   // Absent: no answer came.
   using Done = std::function<void(std::optional<control::Answer>)>;
-  // Sends a call to some core.
-  using CallCore = std::function<void(control::CallKind kind, const std::string& body, Done done)>;
+  // Sends a call to some core; the next `turn` is the next core.
+  using CallCore =
+      std::function<void(std::uint64_t turn, control::CallKind kind, const std::string& body, Done done)>;
 
   Operators(EventQueue& events, Judge& judge, std::uint64_t seed, int count, CallCore call);
 
--- a/rig/sim/world.cpp
+++ b/rig/sim/world.cpp
@@ -57,10 +57,11 @@
     const Address id = "side-" + std::to_string(i);
     events_.At(events_.now() + random_.Upto(kStartTakes), [this, id] { StartSidecar(id); });
   }
-  operators_ =
-      std::make_unique<Operators>(events_, judge_, schedule_.seed * 13 + 3, schedule_.operators,
-                                  [this](control::CallKind kind, const std::string& body,
-                                         Operators::Done done) { CallCore(kind, body, std::move(done)); });
+  operators_ = std::make_unique<Operators>(
+      events_, judge_, schedule_.seed * 13 + 3, schedule_.operators,
+      [this](std::uint64_t turn, control::CallKind kind, const std::string& body, Operators::Done done) {
+        CallCore(turn, kind, body, std::move(done));
+      });
   for (const Fault& fault : schedule_.faults) events_.At(kSecond + fault.at, [this, fault] { Begin(fault); });
   events_.At(events_.now() + kWatchEvery, [this] { Watch(); });
 }
@@ -436,9 +437,10 @@
 }
 
 // From a list that lags: machines that have gone are on it for a while. Follows a redirection twice.
-void World::CallCore(control::CallKind kind, const std::string& body, Operators::Done done) {
+void World::CallCore(std::uint64_t turn, control::CallKind kind, const std::string& body,
+                     Operators::Done done) {
   const std::vector<Address> cores = Cores();
-  CallAt(cores[random_.Below(cores.size())], 0, kind, body, std::move(done));
+  CallAt(cores[turn % cores.size()], 0, kind, body, std::move(done));
 }
 
 void World::CallAt(const Address& id, int redirections, control::CallKind kind, const std::string& body,
--- a/src/mesh/control/call_forwarder.cpp
+++ b/src/mesh/control/call_forwarder.cpp
@@ -16,9 +16,11 @@
 
 void CallForwarder::Submit(Micros now, CallKind kind, std::string body, std::function<void(Answer)> reply) {
   if (body.size() > limits_.call_bytes) return reply(Refusal(413, "the call is too large"));
-  if (auto elsewhere = host_.Elsewhere(kind)) {
-    ++counters_.redirected;
-    return reply(*std::move(elsewhere));
+  if (!host_.Leads() && (now < deaf_until_ || host_.OutOfContact())) {
+    if (auto elsewhere = host_.Elsewhere(kind)) {
+      ++counters_.redirected;
+      return reply(*std::move(elsewhere));
+    }
   }
   Call call;
   call.kind = kind;
@@ -60,6 +62,7 @@
   if (it == forwarded_.end() || it->second.to != from) return;  // too late
   Call call = std::move(it->second.call);
   forwarded_.erase(it);
+  deaf_until_ = 0;
   if (answer.not_leader || answer.status < 200 || answer.status > 599)
     return Hold(now, std::move(call), now + limits_.retry_every);
   Answer out =
@@ -111,6 +114,7 @@
 }
 
 void CallForwarder::OnLeader(Micros now, const ReplicaId& leader) {
+  deaf_until_ = 0;
   ForwardAgain(
       now, [&](const ReplicaId& to) { return to != leader; }, now);
 }
@@ -128,6 +132,7 @@
     }
     const Call::Done done = std::move(it->second.call.done);
     it = forwarded_.erase(it);
+    deaf_until_ = now + limits_.deaf_for;
     done(TryAgain("the leader did not answer in time; repeat the call unchanged"));
   }
 }
--- a/src/mesh/control/call_forwarder.hpp
+++ b/src/mesh/control/call_forwarder.hpp
@@ -64,8 +64,9 @@
   virtual bool Leads() const = 0;
   virtual ReplicaId KnownLeader() const = 0;  // empty: unknown
   virtual void Serve(Call call) = 0;          // this core leads
-  // Where else a caller may try, if this core has been without contact to a leader for so long that it waits
-  // for none; absent: it may wait here.
+  // No leader has been in contact with this core for so long that calls don't wait for one.
+  virtual bool OutOfContact() const = 0;
+  // Sends a caller to another core, in turn; absent: none is known.
   virtual std::optional<Answer> Elsewhere(CallKind kind) = 0;
   // False: there is no link now. A call that was sent may be lost all the same.
   virtual bool SendCall(const ReplicaId& to, const ForwardedCall& call) = 0;
@@ -80,6 +81,9 @@
     Micros forwarded_within = 800'000;
     Micros leader_within = 700'000;
     Micros retry_every = 50'000;  // a call that another core turned away unbegun
+    // A leader that is heard and did not answer a call may not hear this core: for so long callers are sent
+    // elsewhere.
+    Micros deaf_for = 3'000'000;
     std::size_t pending = 64;
     std::size_t pending_bytes = std::size_t{16} * 1024 * 1024;
     std::size_t call_bytes = std::size_t{3584} * 1024;  // has to fit into a frame, as the state after it
@@ -132,6 +136,7 @@
   std::size_t pending_bytes_ = 0;
   std::map<std::uint64_t, Forwarded> forwarded_;  // by count
   std::uint64_t count_ = 0;
+  Micros deaf_until_ = 0;
   Counters counters_;
 };
 
--- a/src/mesh/control/control_replica.cpp
+++ b/src/mesh/control/control_replica.cpp
@@ -238,8 +238,12 @@
   return leader == settings_.self ? ReplicaId() : leader;
 }
 
+bool ControlReplica::OutOfContact() const {
+  return replica_ && !replica_->in_contact() && host_.Now() - contact_at_ >= kRedirectAfter;
+}
+
 std::optional<Answer> ControlReplica::Elsewhere(CallKind kind) {
-  if (!replica_ || replica_->in_contact() || host_.Now() - contact_at_ < kRedirectAfter) return std::nullopt;
+  if (!replica_) return std::nullopt;
   std::vector<ReplicaId> others = replica_->known();
   std::erase(others, settings_.self);
   if (others.empty()) return std::nullopt;
--- a/src/mesh/control/control_replica.hpp
+++ b/src/mesh/control/control_replica.hpp
@@ -125,6 +125,7 @@
   // CallForwarderHost
   ReplicaId KnownLeader() const override;
   void Serve(Call call) override;
+  bool OutOfContact() const override;
   std::optional<Answer> Elsewhere(CallKind kind) override;
   bool SendCall(const ReplicaId& to, const ForwardedCall& call) override;
   void SendAnswer(const ReplicaId& to, const ForwardedAnswer& answer) override;
