A connection whose request is still being written when its answer ends is not used again

The connection went back to the pool with the body's rest still being written; the next request's bytes came in its midst, and its buffer was reused under the write. Now such a connection is closed. Test seen to fail: the second request was never answered, its bytes went into the first one's body.

--- a/src/mesh/ingress/server_pool.cpp
+++ b/src/mesh/ingress/server_pool.cpp
@@ -155,8 +155,10 @@
     if (n == out_.size() + body_.size()) return AfterWrite();
     rest_out_ = out_.substr(std::min(n, out_.size()));
     rest_out_ += body_.substr(n > out_.size() ? n - out_.size() : 0);
+    writing_ = true;
     asio::async_write(socket_, asio::buffer(rest_out_),
                       [self = shared_from_this(), handle = handle_](ErrorCode failed, std::size_t) {
+                        self->writing_ = false;
                         if (self->closed_ || self->handle_ != handle) return;
                         if (failed) return self->Fail(Failure::kBroken);
                       });
@@ -303,7 +305,8 @@
     pool_.busy_.erase(handle);
     // More than the answer came with it: what follows is nobody's.
     if (!in_.empty()) ++pool_.strays_;
-    if (!keep || !in_.empty() || rest_ <= std::chrono::milliseconds(0)) {
+    // An answer that comes before the request is written: what is due on this connection is the rest of it.
+    if (!keep || writing_ || !in_.empty() || rest_ <= std::chrono::milliseconds(0)) {
       Close();
     } else {
       auto& idle = pool_.idle_[address_];
@@ -349,7 +352,7 @@
   std::string id_, out_, body_, rest_out_, in_;
   std::optional<http::response_parser<merlinrun::net::GatheredBody>> parser_;
   int strays_ = 0;
-  bool up_ = false, closed_ = false, watching_ = false, paused_ = false, rests_ = false;
+  bool up_ = false, closed_ = false, watching_ = false, writing_ = false, paused_ = false, rests_ = false;
   bool headed_ = false, stray_ = false, sent_any_ = false, is_head_ = false;
   Clock::time_point since_;
   Clock::duration rest_ = kRest;
--- a/tests/mesh/ingress_server_pool_test.cpp
+++ b/tests/mesh/ingress_server_pool_test.cpp
@@ -1,5 +1,11 @@
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <functional>
+#include <memory>
 #include <optional>
+#include <vector>
 
 #include "loopback.hpp"
 #include "mesh/ingress/server_pool.hpp"
@@ -7,6 +13,8 @@
 namespace fennelhollow::ingress {
 namespace {
 
+namespace asio = merlinrun::net::asio;
+using merlinrun::net::ErrorCode;
 using Failure = ServerPool::Failure;
 using loopback::Field;
 using loopback::HttpScript;
@@ -198,6 +206,61 @@
   }
 }
 
+// It answers when it has the head, keeps the connection and reads on later: what is due there is the rest of
+// the first body and nothing else.
+TEST_CASE("an answer that comes before a long body is written ends the connection") {
+  asio::io_context io;
+  asio::ip::tcp::acceptor acceptor(io, {asio::ip::address_v4::loopback(), 0});
+  struct Connection {
+    explicit Connection(asio::io_context& loop) : socket(loop) {}
+    asio::ip::tcp::socket socket;
+    std::string in;
+  };
+  std::vector<std::unique_ptr<Connection>> connections;
+  std::array<char, 4096> buffer{};
+  const auto answer = [&](Connection& connection) {
+    connection.socket.async_read_some(asio::buffer(buffer), [&](ErrorCode error, std::size_t n) {
+      if (error) return;
+      connection.in.append(buffer.data(), n);
+      const std::string id = Field(connection.in, "Attempt-Id");
+      asio::write(connection.socket, asio::buffer(Whole(id, "early")));
+    });
+  };
+  const std::function<void()> accept = [&] {
+    connections.push_back(std::make_unique<Connection>(io));
+    acceptor.async_accept(connections.back()->socket, [&](ErrorCode error) {
+      if (error) return;
+      answer(*connections.back());
+      accept();
+    });
+  };
+  accept();
+  ServerPool pool(io);
+  const std::string address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  int ends = 0;
+  const auto ask = [&](const std::string& id, const std::string& body) {
+    ServerPool::Events events;
+    events.head = [](std::uint16_t, Headers, std::int64_t) {};
+    events.piece = [](std::string) {};
+    events.end = [&] { ++ends; };
+    events.failed = [&](Failure) { ++ends; };
+    pool.Send(address, {id, "POST", "/x", {{"Host", "h"}, {"Attempt-Id", id}}, body}, std::move(events));
+  };
+  ask("a", std::string(std::size_t{64} << 20, 'x'));
+  REQUIRE(Until(io, [&] { return ends == 1; }));
+  ask("b", "");
+  REQUIRE(Until(io, [&] { return ends == 2; }));
+  REQUIRE(connections.size() == 3);  // the last one waits
+  // All that the first connection ever got is its own request.
+  Connection& first = *connections[0];
+  ErrorCode error;
+  while (!error) {
+    const std::size_t n = first.socket.read_some(asio::buffer(buffer), error);
+    first.in.append(buffer.data(), n);
+  }
+  CHECK(first.in.find("Attempt-Id: b") == std::string::npos);
+}
+
 TEST_CASE("answers without a body end with their head") {
   CHECK(AskOne("HTTP/1.1 204 No Content\r\nAttempt-Id: a\r\nServer-Seal: s\r\n\r\n").ends == 1);
   const Outcome head = AskOne(
