Each listed core has its turn: a sidecar no longer dials the same dead ones for ever

With thirteen in the list, most of them gone, its eight places were dead ones; it heard nobody, so the list never became shorter, and it kept version 347 for good. Among those that are not up, the ones that failed least often come first now. The test saw 8 of 16 cores tried, and sees 16. In the simulation: a loss is not shortened by a restart, first orders that are all invalid don't end the operators; schedules can be printed.

--- a/rig/sim/main.cpp
+++ b/rig/sim/main.cpp
@@ -103,6 +103,7 @@
                          {"expect-broken", {"--expect-broken"}, "ends well at the first broken rule", 0},
                          {"file", {"--file"}, "plays one schedule from a file", 1},
                          {"pauses", {"--pauses"}, "measures the time without control, N runs a fault", 1},
+                         {"print", {"--print"}, "prints the schedule of the seed", 0},
                          {"log", {"--log"}, "shows the cores' and sidecars' logs", 0}}};
   try {
     const argagg::parser_results arguments = parser.parse(argc, argv);
@@ -113,6 +114,10 @@
     if (arguments["log"]) FLAGS_minloglevel = 0;
     if (arguments["file"]) return PlayFile(arguments["file"].as<std::string>());
     if (arguments["pauses"]) return MeasurePauses(arguments["pauses"].as<std::uint64_t>());
+    if (arguments["print"]) {
+      std::cout << Write(Draw(arguments["seed"].as<std::uint64_t>(1)));
+      return 0;
+    }
     if (arguments["expect-broken"])
       return ExpectBroken(arguments["seed"].as<std::uint64_t>(1), arguments["count"].as<std::uint64_t>(100));
     return PlaySeeds(arguments["seed"].as<std::uint64_t>(1), arguments["count"].as<std::uint64_t>(100),
--- a/rig/sim/operators.cpp
+++ b/rig/sim/operators.cpp
@@ -113,6 +113,8 @@
   call_(random_.Next() % 1000, control::CallKind::kRead, {},
         [this, who, sent_at](const std::optional<control::Answer>& answer) {
           if (answer) judge_.OnRead(sent_at, events_.now(), answer->status, answer->body);
+          if (answer && answer->status == 404)
+            return Close(who, kFirstPause);  // there is no configuration yet
           if (!answer || answer->status != 200) {
             events_.At(events_.now() + 2 * kFirstPause, [this, who] { ReadNewest(who); });
             return;
--- a/rig/sim/sidecar_process.cpp
+++ b/rig/sim/sidecar_process.cpp
@@ -43,6 +43,14 @@
   Tick();
 }
 
+std::string SidecarProcess::Text() const {
+  std::string text = "subscribed to " + client_.subscribed() + ", hears";
+  for (const std::string& core : client_.Speaking(events_.now())) text += " " + core;
+  text += ", knows";
+  for (const std::string& core : client_.cores()) text += " " + core;
+  return text;
+}
+
 void SidecarProcess::Tick() {
   client_.OnTick(events_.now());
   Relink();
--- a/rig/sim/sidecar_process.hpp
+++ b/rig/sim/sidecar_process.hpp
@@ -21,7 +21,8 @@
                  std::function<void(std::uint64_t entry, const std::string& state)> on_state);
 
   std::uint64_t entry() const { return client_.entry(); }
-  std::size_t servers() const { return client_.listing().servers.size(); }
+  // For messages: whom it takes news from, and which cores it hears and knows.
+  std::string Text() const;
 
   // Network::Process
   void OnAccepted(Network::LinkId, const Address&) override {}
--- a/rig/sim/world.cpp
+++ b/rig/sim/world.cpp
@@ -87,7 +87,7 @@
   settings.first_start = first_start;
   core.entry = 0;
   core.started = events_.now();
-  core.lost_until = first_start ? 0 : events_.now() + kCatchUp;
+  core.lost_until = first_start ? 0 : std::max(events_.now() + kCatchUp, core.troubled_until);
   core.process = std::make_unique<CoreProcess>(
       events_, network_, core.disk, settings,
       CoreProcess::Events{[this](const CoreProcess& process) { OnStep(process); },
@@ -171,6 +171,12 @@
   return lost;
 }
 
+// Its links, disk or process are in trouble for so long, whatever else happens to it.
+void World::Lose(Core& core, Micros lasts) {
+  core.troubled_until = std::max(core.troubled_until, events_.now() + lasts + kCatchUp);
+  core.lost_until = std::max(core.lost_until, core.troubled_until);
+}
+
 // ---- faults
 
 void World::CutBetween(const std::set<Address>& side, const std::set<Address>& others, bool in, bool out,
@@ -182,7 +188,7 @@
       if (out) cuts.emplace_back(a, b);
       if (in) cuts.emplace_back(b, a);
     }
-    cores_[a].lost_until = std::max(cores_[a].lost_until, events_.now() + lasts + kCatchUp);
+    Lose(cores_[a], lasts);
   }
   for (const auto& [from, to] : cuts) network_.Cut(from, to);
   events_.At(events_.now() + lasts, [this, cuts] {
@@ -193,7 +199,7 @@
 
 void World::RestoreDisk(const Address& id, Micros lasts, const std::function<void(Disk&)>& restore) {
   Core& core = cores_[id];
-  core.lost_until = std::max(core.lost_until, events_.now() + lasts + kCatchUp);
+  Lose(core, lasts);
   events_.At(events_.now() + lasts, [this, id, restore] {
     restore(cores_[id].disk);
     Trouble();
@@ -221,7 +227,7 @@
       return StartAgain(id, fault.lasts);
     case FaultKind::kFreeze:
       network_.Freeze(id, events_.now() + fault.lasts);
-      core.lost_until = std::max(core.lost_until, events_.now() + fault.lasts + kCatchUp);
+      Lose(core, fault.lasts);
       return events_.At(events_.now() + fault.lasts, [this] { Trouble(); });
     case FaultKind::kCutCores:
       return CutBetween({id}, cores, true, true, fault.lasts);
@@ -432,7 +438,7 @@
     if (judge_.InForce(id) < due)
       throw Violation("CONFIG: version " + std::to_string(judge_.InForce(id)) + " is in force at " + id +
                       ", " + std::to_string(due) + " was acknowledged " + std::to_string(kApply / 1000) +
-                      " ms ago");
+                      " ms ago; it is " + sidecar.process->Text());
   }
 }
 
--- a/rig/sim/world.hpp
+++ b/rig/sim/world.hpp
@@ -48,8 +48,9 @@
   struct Core {
     Disk disk;
     std::unique_ptr<CoreProcess> process;
-    bool removed = false;     // for good
-    Micros lost_until = 0;    // counts as lost: away, or not yet caught up
+    bool removed = false;   // for good
+    Micros lost_until = 0;  // counts as lost: away, or not yet caught up
+    Micros troubled_until = 0;
     std::uint64_t entry = 0;  // of this process, as judged last
     Micros started = 0;
   };
@@ -69,6 +70,7 @@
   Address Leader() const;
   Address Target(int target) const;
   int Lost(const Address& but) const;
+  void Lose(Core& core, Micros lasts);
   bool MayLose(const Address& id) const { return Lost(id) < tolerated_; }
 
   // ---- faults
--- a/src/mesh/push/client.cpp
+++ b/src/mesh/push/client.cpp
@@ -92,8 +92,8 @@
 }
 
 std::vector<std::string> Client::Wanted(Micros now) const {
-  // Cores in the list come first, then links that hold, then those that failed least often: so all seeds have
-  // their turn.
+  // Cores in the list come first, then links that hold, then the others; of each kind those that failed least
+  // often, so that all have their turn: of many in the list most may be gone.
   std::vector<std::tuple<int, int, std::uint64_t, const std::string*>> order;
   std::vector<std::tuple<int, std::uint64_t, const std::string*>> hints;
   for (const auto& [address, core] : nodes_) {
@@ -102,7 +102,7 @@
       continue;
     }
     const int kind = core.listed ? (address == holder_ ? 0 : 1) : core.up ? 2 : 3;
-    order.emplace_back(kind, kind == 3 ? core.fails : 0, core.place, &address);
+    order.emplace_back(kind, core.up ? 0 : core.fails, core.place, &address);
   }
   std::sort(order.begin(), order.end());
   if (order.size() > kMostCores) order.resize(kMostCores);
--- a/tests/mesh/push_test.cpp
+++ b/tests/mesh/push_test.cpp
@@ -457,6 +457,36 @@
   }
 }
 
+// More cores are listed than links are held, as after several replacements in a row; most are gone.
+TEST_CASE("each listed core has its turn while others of them can't be reached") {
+  struct Quiet : Client::Sink {
+    void Send(const std::string&, const Tell&) override {}
+    void OnLedger(std::uint64_t, const std::string&) override {}
+    void OnListing(const registry::Listing&, std::size_t, std::size_t) override {}
+    void OnShares(const std::vector<quota::Share>&, Micros) override {}
+    void OnCores(const std::vector<std::string>&) override {}
+  } sink;
+  Client::Settings settings;
+  settings.me.name = "side";
+  settings.seeds = {"core:0"};
+  Client client(settings, sink);
+  Micros now = kS;
+  client.OnLinkUp(now, "core:0");
+  News news;
+  news.settled = true;
+  for (std::size_t i = 0; i < 2 * kMostCores; ++i) news.cores.push_back("core:" + std::to_string(i));
+  client.OnNews(now, "core:0", news);
+  client.OnLinkDown(now, "core:0");
+  std::set<std::string> tried;
+  for (int round = 0; round < 10; ++round, now += kS) {
+    for (const std::string& core : client.Wanted(now)) {
+      tried.insert(core);
+      client.OnLinkDown(now, core);
+    }
+  }
+  CHECK(tried.size() == 2 * kMostCores);
+}
+
 TEST_CASE("hints are tried when all that is known better fails, are few, and are forgotten") {
   World world(1, 0);
   struct Null : Client::Sink {
