--- a/rig/sim/disk.hpp
+++ b/rig/sim/disk.hpp
@@ -10,9 +10,11 @@
 namespace fennelhollow::sim {
 
 struct Disk {
+  static constexpr Micros kWriteTakes = 2 * kMillisecond;  // two commits
+
   std::optional<consensus::Durable> synced;
   std::optional<consensus::Durable> under_way;
-  Micros write_takes = 2 * kMillisecond;  // two commits
+  Micros write_takes = kWriteTakes;
   Micros stalled_until = 0;
   bool full = false;
 
--- a/rig/sim/world.cpp
+++ b/rig/sim/world.cpp
@@ -71,7 +71,7 @@
 // ---- machines
 
 Address World::AddCore(bool first) {
-  const Address id = "10.0.0." + std::to_string(++machines_) + ":7000";
+  Address id = "10.0.0." + std::to_string(++machines_) + ":7000";
   cores_[id];
   if (!first) StartCore(id, false);
   return id;
@@ -157,7 +157,7 @@
 }
 
 Address World::Target(int target) const {
-  const Address leader = Leader();
+  Address leader = Leader();
   if (target == kAtLeader && !leader.empty()) return leader;
   const std::vector<Address> cores = Cores();
   return cores[static_cast<std::size_t>(std::max(target, 0)) % cores.size()];
@@ -211,7 +211,8 @@
   Core& core = cores_[id];
   const std::vector<Address> all = Cores();
   const std::set<Address> cores(all.begin(), all.end());
-  if (LosesCore(fault.kind) && events_.now() < disk_gone_until_ && !MayLose(id)) return;
+  const int more = fault.kind == FaultKind::kCutPair ? 2 : 1;
+  if (LosesCore(fault.kind) && events_.now() < disk_gone_until_ && Lost(id) + more > tolerated_) return;
   ++faults_;
   Trouble();
   Mark(static_cast<std::uint64_t>(fault.kind));
@@ -245,9 +246,8 @@
     case FaultKind::kReset:
       return network_.ResetLinks(id, 0.5);
     case FaultKind::kDiskSlow: {
-      const Micros usual = Disk().write_takes;
-      core.disk.write_takes = usual * kSlowDisk;
-      return RestoreDisk(id, fault.lasts, [usual](Disk& disk) { disk.write_takes = usual; });
+      core.disk.write_takes = Disk::kWriteTakes * kSlowDisk;
+      return RestoreDisk(id, fault.lasts, [](Disk& disk) { disk.write_takes = Disk::kWriteTakes; });
     }
     case FaultKind::kDiskStall:
       core.disk.stalled_until = events_.now() + fault.lasts;
@@ -380,7 +380,7 @@
   for (auto& [id, core] : cores_) {
     core.disk.full = false;
     core.disk.stalled_until = 0;
-    core.disk.write_takes = Disk().write_takes;
+    core.disk.write_takes = Disk::kWriteTakes;
     network_.Freeze(id, 0);
     if (!core.removed) StartCore(id, false);
   }
@@ -444,13 +444,13 @@
 
 // From a list that lags: machines that have gone are on it for a while. Follows a redirection twice.
 void World::CallCore(std::uint64_t turn, control::CallKind kind, const std::string& body,
-                     Operators::Done done) {
+                     const Operators::Done& done) {
   const std::vector<Address> cores = Cores();
-  CallAt(cores[turn % cores.size()], 0, kind, body, std::move(done));
+  CallAt(cores[turn % cores.size()], 0, kind, body, done);
 }
 
 void World::CallAt(const Address& id, int redirections, control::CallKind kind, const std::string& body,
-                   Operators::Done done) {
+                   const Operators::Done& done) {
   Core& core = cores_[id];
   const Micros sent = events_.now();
   if (!core.process) return events_.At(sent + kMillisecond, [done] { done(std::nullopt); });
--- a/rig/sim/world.hpp
+++ b/rig/sim/world.hpp
@@ -93,9 +93,10 @@
   void RequireAgreement(const char* after);
   void Closing();
   Micros EndOfFaults() const;
-  void CallCore(std::uint64_t turn, control::CallKind kind, const std::string& body, Operators::Done done);
+  void CallCore(std::uint64_t turn, control::CallKind kind, const std::string& body,
+                const Operators::Done& done);
   void CallAt(const Address& id, int redirections, control::CallKind kind, const std::string& body,
-              Operators::Done done);
+              const Operators::Done& done);
   void Mark(std::uint64_t what);
 
   const Schedule schedule_;
--- a/src/mesh/consensus/impl.hpp
+++ b/src/mesh/consensus/impl.hpp
@@ -163,6 +163,7 @@
   bool DemoteVoter();
   std::vector<ReplicaId> Candidates() const;  // learners that may vote
   ReplicaId LeavingVoter() const;             // empty: none
+  ReplicaId UnansweredVoter() const;
   ReplicaId SilentVoter(Micros for_at_least) const;
   std::map<ReplicaId, std::uint64_t> Voters() const;  // of the newest committed entry, with their stores
   bool AllVotersCaughtUp() const;
--- a/src/mesh/consensus/membership.cpp
+++ b/src/mesh/consensus/membership.cpp
@@ -131,10 +131,22 @@
   return silent;
 }
 
+// Has not answered a single heartbeat of this leader, though there was time for several: it was gone before
+// the leader began, and has been silent for longer than this leader can tell.
+ReplicaId Replica::Impl::UnansweredVoter() const {
+  for (const ReplicaId& voter : newest_.voters) {
+    const auto it = peers_.find(voter);
+    if (it == peers_.end() || it->second.answered) continue;
+    if (now_ - it->second.heard >= settings_.election_timeout) return voter;
+  }
+  return {};
+}
+
 bool Replica::Impl::ReplaceVoter() {
   const std::vector<ReplicaId> candidates = Candidates();
   if (candidates.empty()) return false;
   ReplicaId replaced = LeavingVoter();
+  if (replaced.empty()) replaced = UnansweredVoter();
   if (replaced.empty()) replaced = SilentVoter(settings_.replace_after);
   if (replaced.empty()) return false;
   LOG(INFO) << "consensus: " << candidates[0] << " votes in the place of " << replaced;
--- a/src/mesh/storage/store.cpp
+++ b/src/mesh/storage/store.cpp
@@ -275,7 +275,7 @@
   const std::size_t newest = impl_->newest();
   const std::uint64_t number = impl_->numbers[newest] + 1;
   for (const std::size_t i : {1 - newest, newest}) {
-    if (const absl::Status status = impl_->WriteTo(i, number, body); !status.ok()) return status;
+    if (absl::Status status = impl_->WriteTo(i, number, body); !status.ok()) return status;
   }
   return absl::OkStatus();
 }
