--- a/tests/mesh/node_test.cpp
+++ b/tests/mesh/node_test.cpp
@@ -10,8 +10,10 @@
 #include <string>
 #include <vector>
 
+#include "loopback.hpp"
 #include "mesh/control/command.hpp"
 #include "mesh/node/control_listener.hpp"
+#include "mesh/node/peer_links.hpp"
 #include "mesh/node/worker.hpp"
 
 namespace fennelhollow::node {
@@ -83,6 +85,40 @@
   }
 };
 
+TEST_CASE("links to peers: refused is told apart from down, and what was sent comes once, in order") {
+  asio::io_context io;
+  merlinrun::net::AsioLoop loop(io);
+  std::vector<std::string> down, refused;
+  PeerLinks links(io, loop, {.purpose = transport::Purpose::kCore, .from = "core", .address = "127.0.0.1:1"},
+                  {[&](const std::string& peer) { down.push_back(peer); },
+                   [&](const std::string& peer) { refused.push_back(peer); }});
+  const auto run = [&](const std::function<bool()>& condition) { return loopback::Until(io, condition); };
+  const std::string dead = "127.0.0.1:" + std::to_string(loopback::FreePort(io));
+  links.Send(dead, "x");
+  REQUIRE(run([&] { return refused.size() == 1; }));
+  CHECK((refused[0] == dead && down == refused));
+  CHECK_FALSE(links.Send(dead, "x"));  // in its pause
+  CHECK_FALSE(links.Send("127.0.0.1:1", "to itself"));
+
+  std::vector<std::string> frames;
+  std::shared_ptr<transport::Link> accepted;
+  const std::uint16_t port = loopback::FreePort(io);
+  transport::Listener listener(io, "127.0.0.1", port, {}, [&](std::shared_ptr<transport::Link> link) {
+    accepted = std::move(link);
+    accepted->Start({[&](std::string_view frame) { frames.emplace_back(frame); }, [] {}, nullptr});
+  });
+  const std::string peer = "127.0.0.1:" + std::to_string(port);
+  REQUIRE(links.Send(peer, "first"));
+  REQUIRE(links.Send(peer, "second"));
+  REQUIRE(run([&] { return frames.size() == 3; }));
+  CHECK(transport::Unpack<transport::Hello>(frames[0])->purpose == transport::Purpose::kCore);
+  CHECK((frames[1] == "first" && frames[2] == "second"));
+  CHECK(links.dials() == 2);
+  accepted->Close();
+  REQUIRE(run([&] { return down.size() == 2; }));
+  CHECK((down[1] == peer && refused.size() == 1));
+}
+
 TEST_CASE("calls over HTTP: kept connections, several at once, chunks, 100-continue") {
   Server server;
   Tcp::socket socket = server.Dial();
