--- a/rig/sim/judge.cpp
+++ b/rig/sim/judge.cpp
@@ -1,6 +1,7 @@
 #include "rig/sim/judge.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <nlohmann/json.hpp>
 
 namespace fennelhollow::sim {
@@ -30,16 +31,20 @@
 }
 
 std::optional<std::size_t> Judge::PlaceOf(std::uint64_t order) const {
-  for (std::size_t i = 0; i < chain_.size(); ++i) {
-    if (chain_[i].order == order) return i;
-  }
-  return std::nullopt;
+  const auto it = place_of_order_.find(order);
+  return it == place_of_order_.end() ? std::nullopt : std::optional(it->second);
+}
+
+const Judge::Known* Judge::LastBy(const std::vector<Known>& known, Micros at) {
+  const auto after = std::upper_bound(known.begin(), known.end(), at,
+                                      [](Micros when, const Known& k) { return when < k.at; });
+  return after == known.begin() ? nullptr : &*std::prev(after);
 }
 
 std::size_t Judge::PlaceAt(Micros at) const {
-  std::size_t place = 0;
-  while (place < chain_.size() && chain_[place].at <= at) ++place;
-  return place;
+  const auto after = std::upper_bound(chain_.begin(), chain_.end(), at,
+                                      [](Micros when, const Link& link) { return when < link.at; });
+  return static_cast<std::size_t>(after - chain_.begin());
 }
 
 void Judge::OnAnswer(Order& order, Micros sent_at, Micros now, unsigned status) {
@@ -53,6 +58,9 @@
     if (order.acknowledged_at < 0) {
       order.acknowledged_at = now;
       acknowledgements_.push_back(now);
+      const Known before = acknowledged_.empty() ? Known{} : acknowledged_.back();
+      acknowledged_.push_back(
+          {now, std::max(before.links, *PlaceOf(order.id) + 1), std::max(before.version, order.version)});
     }
     return;
   }
@@ -87,18 +95,14 @@
   }
   // Not older than what was acknowledged or read before the call.
   std::size_t least = 0;
-  for (const auto& [id, order] : orders_) {
-    if (order.acknowledged_at < 0 || order.acknowledged_at > sent_at) continue;
-    least = std::max(least, *PlaceOf(id) + 1);
-  }
-  for (const auto& [answered, read] : read_places_) {
-    if (answered <= sent_at) least = std::max(least, read);
+  for (const auto* known : {&acknowledged_, &read_}) {
+    if (const Known* last = LastBy(*known, sent_at)) least = std::max(least, last->links);
   }
   if (place < least)
     throw Violation("CONFIG: an old configuration is read back: place " +
                     Text(static_cast<std::int64_t>(place)) + " of the chain, at least " +
                     Text(static_cast<std::int64_t>(least)) + " was known");
-  if (read_places_.empty() || read_places_.back().second < place) read_places_.emplace_back(now, place);
+  if (read_.empty() || read_.back().links < place) read_.push_back({now, place, 0});
 }
 
 void Judge::OnCommitted(Micros now, const std::string& core, std::uint64_t entry, const std::string& text) {
@@ -125,6 +129,7 @@
   if (taken.base != newest() || taken.version <= newest())
     throw Violation("CONFIG: version " + Text(taken.version) + " on " + Text(taken.base) +
                     " is committed on top of " + Text(newest()));
+  place_of_order_[id] = chain_.size();
   chain_.push_back({taken.version, id, now});
 }
 
@@ -143,11 +148,8 @@
 }
 
 std::int64_t Judge::AcknowledgedBy(Micros at) const {
-  std::int64_t newest = 0;
-  for (const auto& [id, order] : orders_) {
-    if (order.acknowledged_at >= 0 && order.acknowledged_at <= at) newest = std::max(newest, order.version);
-  }
-  return newest;
+  const Known* last = LastBy(acknowledged_, at);
+  return last == nullptr ? 0 : last->version;
 }
 
 std::int64_t Judge::InForce(const std::string& sidecar) const {
--- a/rig/sim/judge.hpp
+++ b/rig/sim/judge.hpp
@@ -76,13 +76,20 @@
 
   std::map<std::uint64_t, Order> orders_;
   std::vector<Link> chain_;
+  std::map<std::uint64_t, std::size_t> place_of_order_;
   std::map<std::uint64_t, std::uint64_t> order_of_entry_;
   std::map<std::pair<std::string, std::uint64_t>, std::pair<std::uint64_t, std::int64_t>>
       in_force_;  // of a sidecar's incarnation: entry, version
   std::map<std::string, std::int64_t> version_of_;
   std::vector<Micros> acknowledgements_;
-  std::size_t place_read_ = 0;                               // links that a read has returned
-  std::vector<std::pair<Micros, std::size_t>> read_places_;  // answered at, links
+  // What was acknowledged, or read back, by a time: rising in both.
+  struct Known {
+    Micros at = 0;
+    std::size_t links = 0;  // of the chain
+    std::int64_t version = 0;
+  };
+  static const Known* LastBy(const std::vector<Known>& known, Micros at);  // null: none
+  std::vector<Known> acknowledged_, read_;
   std::size_t refusals_ = 0, reads_ = 0;
 };
 
--- a/rig/sim/world.cpp
+++ b/rig/sim/world.cpp
@@ -574,6 +574,7 @@
     last = at;
   }
   out.bytes = network_.bytes();
+  out.largest_frame = network_.largest_frame();
   out.fingerprint = fingerprint_;
   return out;
 }
--- a/rig/sim/world.hpp
+++ b/rig/sim/world.hpp
@@ -27,6 +27,7 @@
   std::size_t acknowledged = 0, refused = 0, reads = 0, faults = 0;
   Micros longest_pause = 0;  // between two acknowledgements after the first fault
   std::uint64_t bytes = 0;
+  std::size_t largest_frame = 0;  // bytes, on any link
   std::uint64_t fingerprint = 0;  // of the history
 };
 
--- a/tests/mesh/sim_schedules_test.cpp
+++ b/tests/mesh/sim_schedules_test.cpp
@@ -97,6 +97,31 @@
   RequireWell(One(GENERATE(3, 5), faults));
 }
 
+// Point 4: each core in turn is killed or loses its disk, while changes come all the time.
+TEST_CASE("two thousand changes and restarts: all catch up, and nothing grows with their number") {
+  const auto play = [](Micros length) {
+    Schedule schedule = One(3, {});
+    schedule.length = length;
+    schedule.operators = 6;
+    int turn = 0;
+    for (Micros at = 5 * kSecond; at < length; at += 3 * kSecond, ++turn) {
+      const auto kind = turn % 5 == 4 ? FaultKind::kWipe : FaultKind::kKill;
+      schedule.faults.push_back({at, kind, turn % 3, 300 * kMillisecond});
+    }
+    const Outcome outcome = RunSchedule(schedule);
+    INFO(outcome.violation);
+    REQUIRE(outcome.violation.empty());
+    return outcome;
+  };
+  const Outcome some = play(100 * kSecond);
+  const Outcome many = play(200 * kSecond);
+  CAPTURE(some.acknowledged, many.acknowledged, some.largest_frame, many.largest_frame);
+  REQUIRE(some.acknowledged > 1024);  // as many as are remembered
+  REQUIRE(many.acknowledged > 2000);
+  REQUIRE(many.largest_frame < 40'000);
+  REQUIRE(many.largest_frame < some.largest_frame + 4'000);
+}
+
 // Point 3: the second loss comes when the successor has had its time to catch up (4 s), and no later.
 TEST_CASE("a loss right after a replacement, planned or not, leaves a majority") {
   const auto kind = GENERATE(FaultKind::kReplacePlanned, FaultKind::kReplaceGone);
