--- a/rig/sim/world.cpp
+++ b/rig/sim/world.cpp
@@ -57,11 +57,10 @@
     const Address id = "side-" + std::to_string(i);
     events_.At(events_.now() + random_.Upto(kStartTakes), [this, id] { StartSidecar(id); });
   }
-  operators_ = std::make_unique<Operators>(
-      events_, judge_, schedule_.seed * 13 + 3, schedule_.operators,
-      [this](std::uint64_t turn, control::CallKind kind, const std::string& body, Operators::Done done) {
-        CallCore(turn, kind, body, std::move(done));
-      });
+  operators_ =
+      std::make_unique<Operators>(events_, judge_, schedule_.seed * 13 + 3, schedule_.operators,
+                                  [this](std::uint64_t turn, control::CallKind kind, const std::string& body,
+                                         const Operators::Done& done) { CallCore(turn, kind, body, done); });
   for (const Fault& fault : schedule_.faults) events_.At(kSecond + fault.at, [this, fault] { Begin(fault); });
   events_.At(events_.now() + kWatchEvery, [this] { Watch(); });
 }
