--- a/tests/mesh/push_test.cpp
+++ b/tests/mesh/push_test.cpp
@@ -12,6 +12,15 @@
 constexpr Micros kMs = 1000;
 constexpr Micros kS = 1'000'000;
 
+// Of a client that is looked at from outside alone.
+struct SilentSink : Client::Sink {
+  void Send(const std::string&, const Tell&) override {}
+  void OnLedger(std::uint64_t, const std::string&) override {}
+  void OnListing(const registry::Listing&, std::size_t, std::size_t) override {}
+  void OnShares(const std::vector<quota::Share>&, Micros) override {}
+  void OnCores(const std::vector<std::string>&) override {}
+};
+
 // Clients and heralds in memory, in virtual time: links with a delay, in order; frames and links can be lost.
 class World {
  public:
@@ -416,13 +425,7 @@
 
 TEST_CASE("seeds are tried again and again, others are dropped") {
   World world(1, 0);
-  struct Null : Client::Sink {
-    void Send(const std::string&, const Tell&) override {}
-    void OnLedger(std::uint64_t, const std::string&) override {}
-    void OnListing(const registry::Listing&, std::size_t, std::size_t) override {}
-    void OnShares(const std::vector<quota::Share>&, Micros) override {}
-    void OnCores(const std::vector<std::string>&) override {}
-  } sink;
+  SilentSink sink;
   Client::Settings settings;
   settings.me.name = "me";
   for (int i = 0; i < 12; ++i) settings.seeds.push_back("seed:" + std::to_string(i));
@@ -459,13 +462,7 @@
 
 // More cores are listed than links are held, as after several replacements in a row; most are gone.
 TEST_CASE("each listed core has its turn while others of them can't be reached") {
-  struct Quiet : Client::Sink {
-    void Send(const std::string&, const Tell&) override {}
-    void OnLedger(std::uint64_t, const std::string&) override {}
-    void OnListing(const registry::Listing&, std::size_t, std::size_t) override {}
-    void OnShares(const std::vector<quota::Share>&, Micros) override {}
-    void OnCores(const std::vector<std::string>&) override {}
-  } sink;
+  SilentSink sink;
   Client::Settings settings;
   settings.me.name = "side";
   settings.seeds = {"core:0"};
@@ -489,13 +486,7 @@
 
 TEST_CASE("hints are tried when all that is known better fails, are few, and are forgotten") {
   World world(1, 0);
-  struct Null : Client::Sink {
-    void Send(const std::string&, const Tell&) override {}
-    void OnLedger(std::uint64_t, const std::string&) override {}
-    void OnListing(const registry::Listing&, std::size_t, std::size_t) override {}
-    void OnShares(const std::vector<quota::Share>&, Micros) override {}
-    void OnCores(const std::vector<std::string>&) override {}
-  } sink;
+  SilentSink sink;
   Client::Settings settings;
   settings.me.name = "me";
   const int seeds = GENERATE(0, 2, 12);  // 12: more than there are links
