--- a/src/mesh/egress/lookup.hpp
+++ b/src/mesh/egress/lookup.hpp
@@ -53,6 +53,9 @@
 // grid: repeatable or not, by aim and by priority, and a route has the class whose aim is nearest.
 std::vector<merlinrun::RequestClass> ClassGrid();
 int ClassOf(const Found& found);
+// Its name in ClassGrid, as "safe-2-300": whether it may be repeated, its priority and its aim in
+// milliseconds.
+const std::string& ClassName(const Found& found);
 
 }  // namespace fennelhollow::egress
 
--- a/src/mesh/egress/outbound.cpp
+++ b/src/mesh/egress/outbound.cpp
@@ -38,6 +38,20 @@
 // A route that tells no time-out, and a client that tells none.
 constexpr std::int64_t kDefaultTimeoutMs = 30'000;
 
+std::string_view ResultName(core::Ended::End end) {
+  switch (end) {
+    case core::Ended::End::kServed:
+      return "served";
+    case core::Ended::End::kRefused:
+      return "refused";
+    case core::Ended::End::kFailed:
+      return "failed";
+    case core::Ended::End::kLeft:
+      return "client_left";
+  }
+  return "unknown";
+}
+
 // These statuses promise that a request has not run.
 bool Promises(unsigned status) { return status == 429 || status == 503 || status == 408 || status == 421; }
 
@@ -193,6 +207,7 @@
       --state->flight->unsettled;
       const Result result = why == ingress::Why::kUnreachable ? Result::kUnreachable : Result::kRefused;
       if (why == ingress::Why::kFull) ++state->flight->full;
+      owner_.NoteTurnedAway(state->flight->number, why);
       Finish(attempt, state, result, nullptr);
     };
     events.broken = [this, attempt, state](bool never_ran, bool) {
@@ -305,7 +320,10 @@
 
   void Whole(AttemptId attempt, const StatePtr& state, bool executed) {
     AnswerMessage& answer = *state->answer;
-    if (!executed && Promises(answer.status)) return Finish(attempt, state, Result::kRefused, nullptr);
+    if (!executed && Promises(answer.status)) {
+      owner_.NoteRefusedByServer(state->flight->number);
+      return Finish(attempt, state, Result::kRefused, nullptr);
+    }
     if (answer.status >= 500 || (Promises(answer.status) && !state->flight->safe)) {
       if (!state->flight->safe) return Finish(attempt, state, Result::kError, std::move(state->answer));
       state->flight->error = std::move(state->answer);
@@ -341,8 +359,14 @@
   std::unordered_map<AttemptId, HopClient::Handle> out_;  // 0: its end is about to be told
 };
 
-Outbound::Outbound(core::Loop& loop, Settings settings, HopClient& hops, quota::Gauge& gauge)
-    : loop_(loop), settings_(std::move(settings)), hops_(hops), gauge_(gauge), random_(settings_.seed) {
+Outbound::Outbound(core::Loop& loop, Settings settings, HopClient& hops, quota::Gauge& gauge,
+                   metrics::RequestMetrics& request_metrics)
+    : loop_(loop),
+      settings_(std::move(settings)),
+      hops_(hops),
+      gauge_(gauge),
+      request_metrics_(request_metrics),
+      random_(settings_.seed) {
   int index = 0;
   for (const auto& [zone, region] : settings_.zones) zone_index_[zone] = index++;
 }
@@ -377,8 +401,9 @@
   lane->exchanges = std::make_unique<core::Exchanges>(
       loop_, set, random_.Next(), [] {}, [](std::string_view) {});
   auto& why = counters_.why[service];
-  lane->exchanges->OnEnded([&why](const core::Ended& ended) {
+  lane->exchanges->OnEnded([this, &why](const core::Ended& ended) {
     if (ended.why) ++why[static_cast<std::size_t>(*ended.why)];
+    CountEnded(ended);
   });
   if (end_ > 0) lane->exchanges->EndBy(end_);
   Lane& out = *lane;
@@ -387,6 +412,41 @@
   return out;
 }
 
+void Outbound::CountUnrouted(metrics::Hop hop, std::string_view cause) {
+  request_metrics_.OnEnded({}, "refused");
+  request_metrics_.OnRefused({}, hop, cause);
+}
+
+void Outbound::NoteTurnedAway(std::uint64_t flight, ingress::Why why) {
+  const auto it = accounts_.find(flight);
+  if (it == accounts_.end()) return;
+  it->second.turned_away = why;
+  it->second.refused_by_server = false;
+}
+
+void Outbound::NoteRefusedByServer(std::uint64_t flight) {
+  const auto it = accounts_.find(flight);
+  if (it == accounts_.end()) return;
+  it->second.turned_away.reset();
+  it->second.refused_by_server = true;
+}
+
+void Outbound::CountEnded(const core::Ended& ended) {
+  const auto it = accounts_.find(std::stoull(std::string(ended.id)));
+  if (it == accounts_.end()) return;
+  const Account account = std::move(it->second);
+  accounts_.erase(it);
+  request_metrics_.OnEnded(account.labels, ResultName(ended.end));
+  if (ended.end != core::Ended::End::kRefused || !ended.why) return;
+  const bool turned_away = *ended.why == merlinrun::Cause::kTurnedAway;
+  if (turned_away && account.turned_away)
+    return request_metrics_.OnRefused(account.labels, metrics::Hop::kLastHop,
+                                      ingress::NameOf(*account.turned_away));
+  const auto hop = turned_away && account.refused_by_server ? metrics::Hop::kServer : metrics::Hop::kOutbound;
+  const auto cause = merlinrun::kCauseNames[static_cast<std::size_t>(*ended.why)];
+  request_metrics_.OnRefused(account.labels, hop, cause);
+}
+
 void Outbound::EndBy(Micros end) {
   end_ = end;
   for (auto& [service, lane] : lanes_) lane->exchanges->EndBy(end);
@@ -457,22 +517,27 @@
   ++counters_.requests;
   if (refuses_) {
     ++counters_.refused;
+    CountUnrouted(metrics::Hop::kOutbound, "ending");
     return Refuse(session, 503, "this sidecar ends: it has not run", kNotReadyRetry);
   }
   if (tables_ == nullptr) {
     ++counters_.not_ready;
+    CountUnrouted(metrics::Hop::kOutbound, "not_ready");
     return Refuse(session, 503, "no configuration yet: it has not run", kNotReadyRetry);
   }
   const Found found = Find(*tables_, in.host, in.target, in.headers);
   switch (found.kind) {
     case Found::Kind::kMalformed:
       ++counters_.malformed;
+      CountUnrouted(metrics::Hop::kOutbound, "malformed");
       return Refuse(session, 400, "Attempt-Id or Deadline-Remaining is missing or malformed", 0);
     case Found::Kind::kNoRoute:
       ++counters_.no_route;
+      CountUnrouted(metrics::Hop::kOutbound, "no_route");
       return Refuse(session, 404, "no such route", 0);
     case Found::Kind::kNoKey:
       ++counters_.no_key;
+      CountUnrouted(metrics::Hop::kOutbound, "no_key");
       return Refuse(session, 401, "unknown key", 0);
     case Found::Kind::kGo:
       break;
@@ -480,6 +545,9 @@
   const Micros now = loop_.Now();
   if (found.tenant != nullptr && !gauge_.Take(now, found.tenant->name)) {
     ++counters_.over_quota;
+    const metrics::RequestLabels labels{found.route->name, ClassName(found)};
+    request_metrics_.OnEnded(labels, "refused");
+    request_metrics_.OnRefused(labels, metrics::Hop::kOutbound, "over_quota");
     return Refuse(session, 429, "over the tenant's limit: it has not run",
                   std::max<Micros>(gauge_.RetryAfter(now, found.tenant->name), 50 * kMs));
   }
@@ -516,6 +584,7 @@
   arrival.caller = std::make_unique<Caller>(*this, flight);
   arrival.egress = lane.egress.get();
   flights_[flight->number] = flight;
+  accounts_[flight->number].labels = {found.route->name, ClassName(found)};
   lane.exchanges->Take(std::move(arrival));
 }
 
--- a/src/mesh/egress/outbound.hpp
+++ b/src/mesh/egress/outbound.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -19,6 +20,7 @@
 #include "mesh/egress/hop_client.hpp"
 #include "mesh/egress/http_server.hpp"
 #include "mesh/egress/lookup.hpp"
+#include "mesh/metrics/request_metrics.hpp"
 #include "mesh/quota/quota.hpp"
 #include "mesh/registry/registry.hpp"
 
@@ -44,7 +46,8 @@
   };
 
   // All that it is given must outlive it.
-  Outbound(merlinrun::core::Loop& loop, Settings settings, HopClient& hops, quota::Gauge& gauge);
+  Outbound(merlinrun::core::Loop& loop, Settings settings, HopClient& hops, quota::Gauge& gauge,
+           metrics::RequestMetrics& request_metrics);
   ~Outbound();
 
   void OnRequest(const HttpServer::SessionPtr& session, Incoming in);
@@ -75,7 +78,17 @@
   struct Lane;  // of a service
   struct Flight;
   class Egress;
+  // What is kept of a request until it is over, for its metrics.
+  struct Account {
+    metrics::RequestLabels labels;
+    std::optional<ingress::Why> turned_away;  // by the last hop that turned it away last
+    bool refused_by_server = false;           // the last refusal was a server's own
+  };
   Lane& LaneOf(const std::string& service);
+  void CountUnrouted(metrics::Hop hop, std::string_view cause);
+  void NoteTurnedAway(std::uint64_t flight, ingress::Why why);
+  void NoteRefusedByServer(std::uint64_t flight);
+  void CountEnded(const merlinrun::core::Ended& ended);
   void Feed(Lane& lane);
   void Refuse(const HttpServer::SessionPtr& session, unsigned status, const char* why, Micros retry_after);
 
@@ -83,6 +96,7 @@
   const Settings settings_;
   HopClient& hops_;
   quota::Gauge& gauge_;
+  metrics::RequestMetrics& request_metrics_;
   merlinrun::Random random_;
   Counters counters_;
   std::shared_ptr<const configuration::Tables> tables_;
@@ -92,6 +106,7 @@
   std::map<std::string, Micros> started_;                // server id -> when it started, as far as told
   std::map<std::string, int> zone_index_;
   std::unordered_map<std::uint64_t, std::weak_ptr<Flight>> flights_;  // by the session's tag
+  std::unordered_map<std::uint64_t, Account> accounts_;               // by the flight's number
   std::map<std::string, std::unique_ptr<Lane>, std::less<>> lanes_;
   std::function<double()> repeats_share_;
   Micros end_ = 0;  // 0 = none
--- a/src/mesh/ingress/hop.hpp
+++ b/src/mesh/ingress/hop.hpp
@@ -83,6 +83,26 @@
 };
 
 enum class Why : std::uint8_t { kNotHere = 1, kDraining, kFull, kUnreachable, kWithdrawn, kLate, kLeaving };
+// Its name in metrics.
+constexpr std::string_view NameOf(Why why) {
+  switch (why) {
+    case Why::kNotHere:
+      return "not_here";
+    case Why::kDraining:
+      return "draining";
+    case Why::kFull:
+      return "full";
+    case Why::kUnreachable:
+      return "unreachable";
+    case Why::kWithdrawn:
+      return "withdrawn";
+    case Why::kLate:
+      return "late";
+    case Why::kLeaving:
+      return "leaving";
+  }
+  return "unknown";
+}
 struct Turned {
   std::uint8_t why = 0;
   template <class Archive>
--- a/src/mesh/node/core.cpp
+++ b/src/mesh/node/core.cpp
@@ -16,6 +16,7 @@
 
 #include "mesh/control/command.hpp"
 #include "mesh/control/control_replica.hpp"
+#include "mesh/metrics/core_metrics.hpp"
 #include "mesh/node/control_listener.hpp"
 #include "mesh/node/event_waiters.hpp"
 #include "mesh/node/peer_links.hpp"
@@ -108,12 +109,14 @@
 
 class Core::Impl : public control::ControlReplicaHost {
  public:
-  Impl(asio::io_context& io, settings::Settings settings, std::uint64_t incarnation)
+  Impl(asio::io_context& io, settings::Settings settings, std::uint64_t incarnation,
+       const MetricsAddress& metrics)
       : io_(io),
         loop_(io),
         settings_(std::move(settings)),
         incarnation_(incarnation),
         self_(settings_.Internal().Text()),
+        metrics_address_(metrics),
         tick_(loop_.NewTimer()),
         disk_retry_(loop_.NewTimer()),
         peers_(io, loop_,
@@ -171,6 +174,7 @@
   void OnOpened(Opened opened);
   void OnWritten(std::uint64_t token, const absl::Status& status);
   void OnTick();
+  void UpdateMetrics();
 
   void OnAccepted(const std::shared_ptr<Link>& link);
   void OnFrame(std::uint64_t from, std::string_view frame);
@@ -187,6 +191,10 @@
   settings::Settings settings_;
   const std::uint64_t incarnation_;
   const ReplicaId self_;
+  const MetricsAddress metrics_address_;
+  prometheus::Registry registry_;
+  metrics::CoreMetrics metrics_{registry_};
+  std::unique_ptr<MetricsEndpoint> metrics_endpoint_;
   std::shared_ptr<int> alive_ = std::make_shared<int>();
   std::unique_ptr<merlinrun::core::Timer> tick_, disk_retry_;
   std::shared_ptr<Disk> disk_ = std::make_shared<Disk>();
@@ -229,6 +237,7 @@
   } catch (const std::exception& error) {  // of the system, and of Asio
     return absl::UnavailableError(absl::StrCat("a core can't start: ", error.what()));
   }
+  metrics_endpoint_ = OpenMetricsEndpoint(io_, settings_.ip, metrics_address_, registry_);
   OpenDisk();
   tick_->Start(kTickBusy, [this] { OnTick(); });
   return absl::OkStatus();
@@ -303,11 +312,21 @@
   replica_.OnTick();
   event_waiters_.OnTick(loop_.Now());
   CloseSilent();
+  UpdateMetrics();
   const bool busy = replica_.Busy() || stopping_;
   tick_->Start(busy ? kTickBusy : kTickCalm, [this] { OnTick(); });
   if (stopping_) EndIfStopped();
 }
 
+void Core::Impl::UpdateMetrics() {
+  const consensus::Replica* replica = replica_.replica();
+  metrics_.leads.Set(replica_.Leads() ? 1 : 0);
+  metrics_.term.Set(replica ? static_cast<double>(replica->term()) : 0);
+  metrics_.entry.Set(static_cast<double>(replica_.entry().number));
+  metrics_.version.Set(static_cast<double>(replica_.ledger().newest().version()));
+  metrics_.sidecars.Set(static_cast<double>(replica_.herald().Heard(loop_.Now())));
+}
+
 // ---- links from other cores and from sidecars
 
 void Core::Impl::OnAccepted(const std::shared_ptr<Link>& link) {
@@ -501,8 +520,9 @@
   return out.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-Core::Core(asio::io_context& io, const settings::Settings& settings, std::uint64_t life)
-    : impl_(std::make_unique<Impl>(io, settings, life)) {}
+Core::Core(asio::io_context& io, const settings::Settings& settings, std::uint64_t life,
+           const MetricsAddress& metrics)
+    : impl_(std::make_unique<Impl>(io, settings, life, metrics)) {}
 Core::~Core() = default;
 absl::Status Core::Start() { return impl_->Start(); }
 void Core::OnSettings(const settings::Settings& settings) { impl_->OnSettings(settings); }
--- a/src/mesh/node/core.hpp
+++ b/src/mesh/node/core.hpp
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 
+#include "mesh/node/metrics_endpoint.hpp"
 #include "mesh/settings/settings.hpp"
 #include "net/protocol.hpp"
 
@@ -19,7 +20,8 @@
 class Core {
  public:
   // `life`: drawn at random at each start of the process.
-  Core(merlinrun::net::asio::io_context& io, const settings::Settings& settings, std::uint64_t life);
+  Core(merlinrun::net::asio::io_context& io, const settings::Settings& settings, std::uint64_t life,
+       const MetricsAddress& metrics = {});
   ~Core();  // closes all; waits for the disk's work under way
   Core(const Core&) = delete;
   Core& operator=(const Core&) = delete;
--- a/src/mesh/node/main.cpp
+++ b/src/mesh/node/main.cpp
@@ -18,6 +18,7 @@
 #include <string>
 
 #include "mesh/node/core.hpp"
+#include "mesh/node/metrics_endpoint.hpp"
 #include "mesh/node/sidecar.hpp"
 #include "mesh/settings/settings.hpp"
 #include "net/asio_loop.hpp"
@@ -25,6 +26,7 @@
 namespace {
 
 using fennelhollow::node::Core;
+using fennelhollow::node::MetricsAddress;
 using fennelhollow::node::Sidecar;
 namespace settings = fennelhollow::settings;
 
@@ -113,7 +115,7 @@
   const std::function<std::string()> status_;
 };
 
-int Run(const std::string& path, int report_s) {
+int Run(const std::string& path, int report_s, const MetricsAddress& metrics) {
   const auto settings = settings::Load(path);
   if (!settings.ok()) {
     std::fprintf(stderr, "fennelhollow-node: %s\n", std::string(settings.status().message()).c_str());
@@ -125,9 +127,9 @@
   std::unique_ptr<Sidecar> sidecar;
   std::unique_ptr<Core> core;
   if (settings->Serves("sidecar"))
-    sidecar = std::make_unique<Sidecar>(io, *settings, life);
+    sidecar = std::make_unique<Sidecar>(io, *settings, life, metrics);
   else
-    core = std::make_unique<Core>(io, *settings, life);
+    core = std::make_unique<Core>(io, *settings, life, metrics);
   Reloader reloader(io, path, [&](const settings::Settings& changed) {
     if (sidecar) sidecar->OnSettings(changed);
     if (core) core->OnSettings(changed);
@@ -157,8 +159,10 @@
       {{"help", {"-h", "--help"}, "says this", 0},
        {"version", {"--version"}, "says the version", 0},
        {"check", {"--check"}, "checks a settings file and ends with status 0 or 2", 1},
-       {"report", {"--report"}, "writes the counters to the log every so many seconds", 1}}};
+       {"report", {"--report"}, "writes the counters to the log every so many seconds", 1},
+       {"metrics", {"--metrics"}, "tells Prometheus metrics at PORT/PATH of the machine's address", 1}}};
   int report_s = 0;
+  MetricsAddress metrics;
   try {
     const argagg::parser_results arguments = parser.parse(argc, argv);
     if (arguments["help"]) {
@@ -177,6 +181,11 @@
       report_s = arguments["report"].as<int>();
       if (report_s < 1 || report_s > 86'400) throw std::invalid_argument("--report takes 1 to 86400 seconds");
     }
+    if (arguments["metrics"]) {
+      const auto address = fennelhollow::node::ParseMetricsAddress(arguments["metrics"].as<std::string>());
+      if (!address.ok()) throw std::invalid_argument(std::string(address.status().message()));
+      metrics = *address;
+    }
     if (arguments["check"]) {
       const auto settings = settings::Load(arguments["check"].as<std::string>());
       if (settings.ok()) return 0;
@@ -192,7 +201,7 @@
     std::fprintf(stderr, "fennelhollow-node: %s is not set\n", kSettingsVariable);
     return 2;
   }
-  return Run(path, report_s);
+  return Run(path, report_s, metrics);
 }
 
 }  // namespace
--- a/src/mesh/node/sidecar.cpp
+++ b/src/mesh/node/sidecar.cpp
@@ -19,6 +19,7 @@
 #include "mesh/gossip/io/datagrams.hpp"
 #include "mesh/gossip/view.hpp"
 #include "mesh/ingress/last_hop.hpp"
+#include "mesh/metrics/request_metrics.hpp"
 #include "mesh/node/control_listener.hpp"
 #include "mesh/push/client.hpp"
 #include "mesh/quota/quota.hpp"
@@ -67,7 +68,8 @@
 
 class Sidecar::Impl : private push::Client::Sink {
  public:
-  Impl(asio::io_context& io, const settings::Settings& settings, std::uint64_t life)
+  Impl(asio::io_context& io, const settings::Settings& settings, std::uint64_t life,
+       const MetricsAddress& metrics)
       : io_(io),
         loop_(io),
         settings_(settings),
@@ -81,7 +83,9 @@
         last_hop_(io, loop_, {life, {}},
                   {[this](const std::string& id) { return beats_.Find(id); },
                    [this](const std::string& id) { OnDead(id); }, [this] { return !refuses_; }}),
-        outbound_(loop_, OutboundSettings(), hops_, gauge_),
+        request_metrics_(registry_),
+        outbound_(loop_, OutboundSettings(), hops_, gauge_, request_metrics_),
+        metrics_address_(metrics),
         tick_(loop_.NewTimer()) {
     outbound_.SetRepeatsShare([this] { return last_hop_.repeats_share(); });
   }
@@ -124,6 +128,7 @@
     } catch (const boost::system::system_error& error) {
       return absl::UnavailableError(std::string("cannot listen: ") + error.what());
     }
+    metrics_endpoint_ = OpenMetricsEndpoint(io_, settings_.ip, metrics_address_, registry_);
     // A second way only: without it everything goes on.
     auto datagrams =
         gossip::Datagrams::Open(io_, settings_.ip, static_cast<std::uint16_t>(settings_.first_port + 1),
@@ -494,7 +499,11 @@
   std::set<std::shared_ptr<transport::Link>> young_;  // whose Hello has not come
   egress::HopClient hops_;
   ingress::LastHop last_hop_;
+  prometheus::Registry registry_;
+  metrics::RequestMetrics request_metrics_;
   egress::Outbound outbound_;
+  const MetricsAddress metrics_address_;
+  std::unique_ptr<MetricsEndpoint> metrics_endpoint_;
   std::unique_ptr<transport::Listener> listener_;
   std::unique_ptr<ControlListener> control_;
   std::unique_ptr<HttpServer> front_, readiness_;
@@ -505,8 +514,9 @@
   std::uint64_t bad_links_ = 0, bad_news_ = 0;
 };
 
-Sidecar::Sidecar(asio::io_context& io, const settings::Settings& settings, std::uint64_t life)
-    : impl_(std::make_unique<Impl>(io, settings, life)) {}
+Sidecar::Sidecar(asio::io_context& io, const settings::Settings& settings, std::uint64_t life,
+                 const MetricsAddress& metrics)
+    : impl_(std::make_unique<Impl>(io, settings, life, metrics)) {}
 Sidecar::~Sidecar() = default;
 absl::Status Sidecar::Start() { return impl_->Start(); }
 void Sidecar::OnSettings(const settings::Settings& settings) { impl_->OnSettings(settings); }
--- a/src/mesh/node/sidecar.hpp
+++ b/src/mesh/node/sidecar.hpp
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 
+#include "mesh/node/metrics_endpoint.hpp"
 #include "mesh/settings/settings.hpp"
 #include "net/protocol.hpp"
 
@@ -18,7 +19,8 @@
 class Sidecar {
  public:
   // `life`: drawn at random at each start of the process.
-  Sidecar(merlinrun::net::asio::io_context& io, const settings::Settings& settings, std::uint64_t life);
+  Sidecar(merlinrun::net::asio::io_context& io, const settings::Settings& settings, std::uint64_t life,
+          const MetricsAddress& metrics = {});
   ~Sidecar();
   Sidecar(const Sidecar&) = delete;
   Sidecar& operator=(const Sidecar&) = delete;
--- a/tests/mesh/egress_outbound_test.cpp
+++ b/tests/mesh/egress_outbound_test.cpp
@@ -1,3 +1,5 @@
+#include <prometheus/text_serializer.h>
+
 #include <catch2/catch.hpp>
 #include <optional>
 #include <set>
@@ -338,7 +340,7 @@
       listing.servers.push_back(machines.back()->told);
     }
     outbound = std::make_unique<Outbound>(loop, Outbound::Settings{"me", "z", {{"z", "r"}}, 1, {}, 0.5, 0},
-                                          hops, gauge);
+                                          hops, gauge, request_metrics);
     front = std::make_unique<HttpServer>(
         io, settings::Address{"127.0.0.1", port}, HttpServer::Limits{},
         HttpServer::Handler{
@@ -387,6 +389,8 @@
   std::vector<std::unique_ptr<Machine>> machines;
   quota::Gauge gauge{{}};
   HopClient hops{io, loop, {"me", "127.0.0.1:1", 5, 300, 400}};
+  prometheus::Registry registry;
+  metrics::RequestMetrics request_metrics{registry};
   std::unique_ptr<Outbound> outbound;
   std::unique_ptr<HttpServer> front;
 };
@@ -502,6 +506,20 @@
   CHECK(world.arrived.size() == 6);
 }
 
+TEST_CASE("a refusal can be told by its route, class, hop and cause") {
+  World world(2, Serve);
+  world.machines[0]->takes = world.machines[1]->takes = false;
+  REQUIRE(world.Ask("unsafe", 500) == 503);
+  world.Send("none");
+  Turns(world.io, 30);
+  const std::string text = prometheus::TextSerializer().Serialize(world.registry.Collect());
+  INFO(text);
+  const auto counted = [&](const std::string& series) { return text.find(series) != std::string::npos; };
+  CHECK(counted(
+      "refusals_total{cause=\"leaving\",class=\"unsafe-0-500\",hop=\"last_hop\",route=\"unsafe\"} 1"));
+  CHECK(counted("refusals_total{cause=\"no_route\",class=\"\",hop=\"outbound\",route=\"\"} 1"));
+}
+
 TEST_CASE("a client that leaves ends its safe request, an unsafe one runs to its end") {
   const bool safe = GENERATE(true, false);
   World world(1, [](std::size_t, Raw&, const std::string&) {});
--- a/tests/mesh/node_test.cpp
+++ b/tests/mesh/node_test.cpp
@@ -1,3 +1,5 @@
+#include <prometheus/counter.h>
+
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/write.hpp>
@@ -13,6 +15,7 @@
 #include "loopback.hpp"
 #include "mesh/control/command.hpp"
 #include "mesh/node/control_listener.hpp"
+#include "mesh/node/metrics_endpoint.hpp"
 #include "mesh/node/peer_links.hpp"
 #include "mesh/node/worker.hpp"
 
@@ -199,5 +202,39 @@
   CHECK(server.listener->connections() == 0);
 }
 
+TEST_CASE("an address of metrics is PORT/PATH") {
+  const auto good = ParseMetricsAddress("9464/metrics");
+  REQUIRE(good.ok());
+  CHECK(good->port == 9464);
+  CHECK(good->path == "/metrics");
+  for (const char* bad : {"", "9464", "/metrics", "0/metrics", "65536/metrics", "x/metrics", "-1/m"}) {
+    INFO(bad);
+    CHECK(ParseMetricsAddress(bad).status().code() == absl::StatusCode::kInvalidArgument);
+  }
+}
+
+TEST_CASE("metrics are told as Prometheus text at their path, and at no other") {
+  asio::io_context io;
+  prometheus::Registry registry;
+  prometheus::BuildCounter().Name("tests_total").Register(registry).Add({}).Increment(3);
+  const std::uint16_t port = loopback::FreePort(io);
+  const auto endpoint = OpenMetricsEndpoint(io, "127.0.0.1", {port, "/metrics"}, registry);
+  REQUIRE(endpoint != nullptr);
+  const auto ask = [&](const std::string& path) {
+    const auto raw = loopback::Raw::Dial(io, port);
+    raw->Write("GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n");
+    loopback::Until(io, [&] { return raw->got.find("\r\n\r\n") != std::string::npos; });
+    loopback::Turns(io, 10);
+    return raw->got;
+  };
+  const std::string told = ask("/metrics");
+  CHECK(told.find("HTTP/1.1 200") == 0);
+  CHECK(told.find("\ntests_total 3\n") != std::string::npos);
+  CHECK(ask("/other").find("HTTP/1.1 404") == 0);
+  // A process serves also where its metrics can't be read.
+  CHECK(OpenMetricsEndpoint(io, "127.0.0.1", {port, "/metrics"}, registry) == nullptr);
+  CHECK(OpenMetricsEndpoint(io, "127.0.0.1", {}, registry) == nullptr);
+}
+
 }  // namespace
 }  // namespace fennelhollow::node
