--- a/rig/cluster/link.hpp
+++ b/rig/cluster/link.hpp
@@ -23,19 +23,20 @@
     kRefuse,   // as a process that has died: open connections are reset, new ones refused
     kReset,    // new ones come up and are reset at once
     kDeaf,     // requests arrive, and answers are lost on the way back
+    kMute,     // requests are lost on the way, and answers come back
     kSlow,     // answers come kSlowBy later
     kSwallow,  // as a machine that is cut off: open ones stay and are silent, new ones come up and are too
   };
   // Some ten usual answers of the stand-ins.
   static constexpr std::chrono::milliseconds kSlowBy{150};
 
-  // Listens on loopback; `target` is asked anew for each connection.
+  // Listens on loopback, at a free address; `target` is asked anew for each connection.
   Link(boost::asio::io_context& io, std::function<Tcp::endpoint()> target);
   ~Link();
   Link(const Link&) = delete;
   Link& operator=(const Link&) = delete;
 
-  // Back from kSwallow or kDeaf, what is open is reset: a half that was lost can't be made good.
+  // Back from kSwallow, kDeaf or kMute, what is open is reset: a half that was lost can't be made good.
   void Set(Mode mode);
   Tcp::endpoint address() const { return address_; }
   // Connections that came up here.
--- a/rig/mesh/station.hpp
+++ b/rig/mesh/node_process.hpp
@@ -1,6 +1,6 @@
 // A machine of the mesh on loopback: the real program as a child process, with its settings file.
-#ifndef FENNELHOLLOW_RIG_MESH_STATION_HPP_
-#define FENNELHOLLOW_RIG_MESH_STATION_HPP_
+#ifndef FENNELHOLLOW_RIG_MESH_NODE_PROCESS_HPP_
+#define FENNELHOLLOW_RIG_MESH_NODE_PROCESS_HPP_
 
 #include <sys/types.h>
 
@@ -27,25 +27,35 @@
 // Ports that are free at all of these addresses; base 0: none were found.
 Ports FindPorts(const std::vector<std::string>& ips);
 
-class Station {
+class NodeProcess {
  public:
   enum class Role { kCore, kSidecar };
   struct Options {
     std::string program;
-    std::filesystem::path folder;  // of all stations; gets this one's settings, data and log
+    std::filesystem::path folder;  // of all processes; gets this one's settings, data and log
     std::string name;
     Role role = Role::kCore;
     std::string ip;
     std::string service;  // that runs beside a sidecar
     Ports ports;
     std::vector<std::string> seeds;  // IPs
+    // Where it listens for other processes; port 0: where they are told to come.
+    Address internal_listen;
+    std::vector<std::string> arguments;
   };
-  explicit Station(Options options) : options_(std::move(options)) {}
-  ~Station();  // kills and reaps it
-  Station(const Station&) = delete;
-  Station& operator=(const Station&) = delete;
+  explicit NodeProcess(Options options) : options_(std::move(options)) {}
+  ~NodeProcess();  // kills and reaps it
+  NodeProcess(const NodeProcess&) = delete;
+  NodeProcess& operator=(const NodeProcess&) = delete;
 
-  bool Start();  // false: no process could be started
+  // False: no process could be started. Again after its end: with the disk that it left, unless that was
+  // lost.
+  bool Start();
+  // At once, and waits for its end.
+  void Kill();
+  // Of one that does not run.
+  void LoseDisk();
+  bool runs() const { return pid_ > 0; }
   void Signal(int signal) const;
   // Looks whether it has ended, and reaps it.
   bool Ended();
@@ -61,11 +71,13 @@
 
  private:
   std::string Settings() const;
+  std::filesystem::path DataDirectory() const;
   const Options options_;
   pid_t pid_ = -1;
   int status_ = -1;
+  bool first_start_ = true;
 };
 
 }  // namespace fennelhollow::rig
 
-#endif  // FENNELHOLLOW_RIG_MESH_STATION_HPP_
+#endif  // FENNELHOLLOW_RIG_MESH_NODE_PROCESS_HPP_
--- a/rig/mesh/server.hpp
+++ b/rig/mesh/server.hpp
@@ -26,6 +26,7 @@
     int slots = 8, queue = 8;
     int connections = 100;
     milliseconds beat{500}, drain{1000};
+    milliseconds least_work{5}, most_work{20};
   };
   struct Counters {
     std::uint64_t ran = 0, not_executed = 0, wrong_instance = 0, beats_failed = 0;
@@ -37,6 +38,9 @@
   void Drain() { draining_ = true; }
   // At once: connections are reset, what it works on is never answered, nobody is told.
   void Die();
+  // Runs take so many times as long from now on.
+  void SlowDown(int times) { slow_down_ = times; }
+  bool ended() const { return ended_; }
   const Counters& counters() const { return counters_; }
   const Options& options() const { return options_; }
 
@@ -60,6 +64,7 @@
   std::mt19937 random_{7};
   std::uint64_t sequence_ = 0;
   int busy_ = 0, waiting_ = 0;
+  int slow_down_ = 1;
   bool draining_ = false, ended_ = false;
   asio::steady_timer room_;  // one of those that wait is woken by each end
   Counters counters_;
--- /dev/null
+++ b/rig/soak/clients.cpp
@@ -0,0 +1,96 @@
+#include "rig/soak/clients.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <cstdio>
+#include <utility>
+
+namespace fennelhollow::rig::soak {
+namespace {
+
+constexpr int kClientsEach = 8;
+constexpr milliseconds kPause{10}, kPauseAfterFailure{50};
+constexpr milliseconds kDeadline{2000};
+constexpr double kOrders = 0.3, kAdded = 0.05;  // of the requests
+
+}  // namespace
+
+Clients::Clients(asio::io_context& io, Cluster& cluster, const Operators& operators, Ledger& ledger,
+                 std::uint64_t seed)
+    : io_(io), cluster_(cluster), operators_(operators), ledger_(ledger), random_(seed) {}
+
+void Clients::Start() {
+  for (std::size_t i = 0; i < cluster_.sidecars(); ++i)
+    for (int j = 0; j < kClientsEach; ++j) asio::co_spawn(io_, Ask(i), asio::detached);
+}
+
+void Clients::Measure() {
+  measured_ = {};
+  measurement_ = ++measurements_;
+}
+
+Clients::Measured Clients::EndMeasure() {
+  measurement_ = 0;
+  return measured_;
+}
+
+Clients::Kind Clients::Draw() {
+  const double drawn = std::uniform_real_distribution<double>()(random_);
+  if (drawn < kOrders) return Kind::kOrder;
+  return drawn < kOrders + kAdded ? Kind::kAdded : Kind::kPlan;
+}
+
+std::string Clients::NewId() {
+  char text[17];
+  std::snprintf(text, sizeof text, "%016lx", 0x9e3779b97f4a7c15UL * ++sent_);
+  return text;
+}
+
+asio::awaitable<void> Clients::Ask(std::size_t sidecar) {
+  ++running_;
+  Caller caller(io_, cluster_.sidecar(sidecar).outbound());
+  while (!stopped_) {
+    const bool answered = co_await AskOnce(caller, sidecar);
+    co_await Sleep(io_, answered ? kPause : kPauseAfterFailure);
+  }
+  --running_;
+}
+
+asio::awaitable<bool> Clients::AskOnce(Caller& caller, std::size_t sidecar) {
+  const auto routes = operators_.LastingRoutes();
+  Kind kind = Draw();
+  if (kind == Kind::kAdded && routes.empty()) kind = Kind::kPlan;
+  const bool unsafe = kind == Kind::kOrder;
+  const std::string id = NewId();
+  std::string path = unsafe ? "/orders/new" : "/plans/of?dealer=7";
+  if (kind == Kind::kAdded) path = "/" + routes[random_() % routes.size()] + "/of";
+  // A route that was acknowledged just now may not be known yet.
+  const bool due = Clock::now() > operators_.last_acknowledged() + kApply || kind != Kind::kAdded;
+  Request request = MakeRequest(unsafe ? http::verb::post : http::verb::get, path, kHost,
+                                unsafe ? "{\"line\":\"" + id + "\"}" : "");
+  request.set("Attempt-Id", id);
+  request.set("Deadline-Remaining", std::to_string(kDeadline.count()));
+  if (unsafe) ledger_.OnUnsafeSent(id);
+  const std::uint64_t measurement = measurement_;
+  const auto answer = co_await caller.Call(std::move(request), kDeadline);
+  const unsigned status = answer ? answer->result_int() : 0;
+  const bool success = status / 100 == 2;
+  if (success) {
+    ++served_;
+    if (answer->body() != Server::Body(id) || (*answer)["Server-Seal"] != Server::Seal(id))
+      ledger_.Fault("an answer of " + cluster_.sidecar(sidecar).name() + " is not that of request " + id);
+  }
+  if (unsafe && (status == 503 || status == 429)) ledger_.OnUnsafeRefused(id);
+  if (measurement != 0 && measurement == measurement_) {
+    Tally& tally = kind == Kind::kAdded ? measured_.added : measured_.first;
+    ++tally.sent;
+    tally.served += success;
+    if (status == 404 && due) {
+      ++measured_.no_route;
+      ledger_.Fault(cluster_.sidecar(sidecar).name() + " knows no route " + path + " in a calm time");
+    }
+  }
+  co_return answer.has_value();
+}
+
+}  // namespace fennelhollow::rig::soak
--- /dev/null
+++ b/rig/soak/cluster.cpp
@@ -0,0 +1,140 @@
+#include "rig/soak/cluster.hpp"
+
+#include <unistd.h>
+
+#include <cstdio>
+
+namespace fennelhollow::rig::soak {
+namespace {
+
+constexpr int kServerSlots = 4;
+constexpr milliseconds kLeastWork{20}, kMostWork{60};
+constexpr milliseconds kStatusWithin{500};
+// Runs side by side have networks of their own: 127.16.0.* to 127.255.255.*.
+constexpr std::uint64_t kFirstNetwork = 16, kNetworks = 240;
+constexpr std::size_t kFirstHost = 11;
+
+std::string NetworkOf(std::uint64_t seed) {
+  const std::uint64_t drawn = (seed * 0x9e3779b97f4a7c15U + static_cast<std::uint64_t>(::getpid())) >> 8;
+  return "127." + std::to_string(kFirstNetwork + drawn % kNetworks) + "." +
+         std::to_string(drawn / kNetworks % 250) + ".";
+}
+
+}  // namespace
+
+Cluster::Cluster(asio::io_context& io, Options options, Ledger& ledger)
+    : io_(io), options_(std::move(options)), ledger_(ledger) {}
+
+Cluster::~Cluster() {
+  for (const auto& server : servers_) server->Die();
+  nodes_.clear();
+  std::error_code ignored;
+  if (!folder_.empty()) std::filesystem::remove_all(folder_, ignored);
+}
+
+bool Cluster::Start() {
+  std::vector<std::string> ips;
+  const std::string network = NetworkOf(options_.seed);
+  const std::size_t count = options_.cores + options_.sidecars;
+  for (std::size_t i = 0; i < count; ++i) ips.push_back(network + std::to_string(kFirstHost + i));
+  const Ports ports = FindPorts(ips);
+  if (ports.base == 0) return false;
+  std::string folder = (std::filesystem::temp_directory_path() / "fennelhollow-soak-XXXXXX").string();
+  if (::mkdtemp(folder.data()) == nullptr) return false;
+  folder_ = folder;
+  std::vector<RelayNetwork::Machine> machines;
+  const std::vector<std::string> seeds(ips.begin(), ips.begin() + 3);
+  for (std::size_t i = 0; i < count; ++i) {
+    const bool core = i < options_.cores;
+    NodeProcess::Options node;
+    node.program = options_.program;
+    node.folder = folder_;
+    node.name = core ? "core-" + std::to_string(i + 1) : "sidecar-" + std::to_string(i - options_.cores + 1);
+    node.role = core ? NodeProcess::Role::kCore : NodeProcess::Role::kSidecar;
+    node.ip = ips[i];
+    node.service = (i - options_.cores) % 2 == 0 ? kPlanService : kOrderService;
+    node.ports = ports;
+    node.seeds = seeds;
+    node.internal_listen = {ips[i], ports.last_internal()};
+    node.arguments = {"--abort-on-violation"};
+    machines.push_back({{ips[i], ports.first_internal()}, node.internal_listen});
+    nodes_.push_back(std::make_unique<NodeProcess>(node));
+  }
+  network_ = std::make_unique<RelayNetwork>(io_, machines);
+  wanted_.assign(count, true);
+  for (const auto& node : nodes_)
+    if (!node->Start()) return false;
+  servers_.resize(options_.sidecars);
+  for (std::size_t i = 0; i < options_.sidecars; ++i) StartServer(i);
+  return true;
+}
+
+void Cluster::StartServer(std::size_t sidecar) {
+  Server::Options server;
+  server.id = "i-" + std::to_string(++server_count_);
+  server.service = sidecar % 2 == 0 ? kPlanService : kOrderService;
+  server.address = this->sidecar(sidecar).application();
+  server.control = this->sidecar(sidecar).control();
+  server.slots = kServerSlots;
+  server.least_work = kLeastWork;
+  server.most_work = kMostWork;
+  servers_[sidecar] = std::make_shared<Server>(io_, server, runs_);
+  servers_[sidecar]->SlowDown(slow_down_);
+  servers_[sidecar]->Start();
+}
+
+void Cluster::Kill(std::size_t machine) {
+  wanted_[machine] = false;
+  nodes_[machine]->Kill();
+}
+
+void Cluster::Restart(std::size_t machine) {
+  if (wanted_[machine]) return;
+  wanted_[machine] = true;
+  if (!nodes_[machine]->Start()) ledger_.Fault(nodes_[machine]->name() + " can't be started again");
+}
+
+void Cluster::ReplaceServer(std::size_t sidecar) {
+  servers_[sidecar]->Die();
+  StartServer(sidecar);
+}
+
+void Cluster::SlowDownServers(int times) {
+  slow_down_ = times;
+  for (const auto& server : servers_) server->SlowDown(times);
+}
+
+double Cluster::RunsPerSecond() const {
+  const double run_s = std::chrono::duration<double>(kLeastWork + kMostWork).count() / 2 * slow_down_;
+  return static_cast<double>(servers_.size()) * kServerSlots / run_s;
+}
+
+void Cluster::CheckProcesses() {
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    if (!wanted_[i] || !nodes_[i]->Ended()) continue;
+    wanted_[i] = false;
+    ledger_.Fault(nodes_[i]->name() + " ended by itself, status " + std::to_string(nodes_[i]->status()));
+  }
+}
+
+asio::awaitable<std::optional<nlohmann::json>> Cluster::StatusOf(std::size_t machine) {
+  Caller caller(io_, nodes_[machine]->control());
+  const auto answer =
+      co_await caller.Call(MakeRequest(http::verb::get, "/-/Status", caller.address().Text()), kStatusWithin);
+  if (!answer || answer->result_int() != 200) co_return std::nullopt;
+  auto status = nlohmann::json::parse(answer->body(), nullptr, false);
+  if (!status.is_object()) co_return std::nullopt;
+  co_return status;
+}
+
+std::string Cluster::Logs() const {
+  constexpr std::size_t kLast = 6000;
+  std::string out;
+  for (const auto& node : nodes_) {
+    const std::string log = node->Log();
+    out += "---- " + node->name() + "\n" + log.substr(log.size() > kLast ? log.size() - kLast : 0);
+  }
+  return out;
+}
+
+}  // namespace fennelhollow::rig::soak
--- /dev/null
+++ b/rig/soak/cluster.hpp
@@ -0,0 +1,84 @@
+// The machines of a soak run: cores, sidecars with a stand-in server beside each, and the network between
+// them.
+#ifndef FENNELHOLLOW_RIG_SOAK_CLUSTER_HPP_
+#define FENNELHOLLOW_RIG_SOAK_CLUSTER_HPP_
+
+#include <cstddef>
+#include <cstdint>
+#include <filesystem>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "rig/mesh/node_process.hpp"
+#include "rig/mesh/server.hpp"
+#include "rig/soak/ledger.hpp"
+#include "rig/soak/relay_network.hpp"
+
+namespace fennelhollow::rig::soak {
+
+inline constexpr const char* kPlanService = "tariffs";
+inline constexpr const char* kOrderService = "activation";
+inline constexpr const char* kHost = "shop.example";
+
+class Cluster {
+ public:
+  struct Options {
+    std::string program;
+    std::uint64_t seed = 1;
+    std::size_t cores = 4;
+    std::size_t sidecars = 6;
+  };
+
+  Cluster(asio::io_context& io, Options options, Ledger& ledger);
+  ~Cluster();
+  Cluster(const Cluster&) = delete;
+  Cluster& operator=(const Cluster&) = delete;
+
+  // False: no ports, folder or process is to be had.
+  bool Start();
+  std::size_t cores() const { return options_.cores; }
+  std::size_t sidecars() const { return options_.sidecars; }
+  std::size_t size() const { return nodes_.size(); }  // cores first, then sidecars
+  NodeProcess& node(std::size_t machine) { return *nodes_[machine]; }
+  NodeProcess& sidecar(std::size_t i) { return node(cores() + i); }
+  RelayNetwork& network() { return *network_; }
+
+  // Ends a process by SIGKILL and starts it again.
+  void Kill(std::size_t machine);
+  void Restart(std::size_t machine);
+  // The server beside a sidecar dies and says nothing; another one starts in its place.
+  void ReplaceServer(std::size_t sidecar);
+  void SlowDownServers(int times);
+  // What all servers together can run.
+  double RunsPerSecond() const;
+  // Processes that ended though nobody ended them are faults.
+  void CheckProcesses();
+
+  asio::awaitable<std::optional<nlohmann::json>> StatusOf(std::size_t machine);
+  const Runs& runs() const { return runs_; }
+  // The ends of all logs, for people.
+  std::string Logs() const;
+  const std::filesystem::path& folder() const { return folder_; }
+
+ private:
+  void StartServer(std::size_t sidecar);
+
+  asio::io_context& io_;
+  const Options options_;
+  Ledger& ledger_;
+  std::filesystem::path folder_;
+  std::vector<std::unique_ptr<NodeProcess>> nodes_;
+  std::vector<bool> wanted_;  // that are to run
+  std::unique_ptr<RelayNetwork> network_;
+  std::vector<std::shared_ptr<Server>> servers_;  // by sidecar
+  int server_count_ = 0;
+  int slow_down_ = 1;
+  Runs runs_;
+};
+
+}  // namespace fennelhollow::rig::soak
+
+#endif  // FENNELHOLLOW_RIG_SOAK_CLUSTER_HPP_
--- a/src/mesh/node/core.cpp
+++ b/src/mesh/node/core.cpp
@@ -223,7 +223,7 @@
     disk_thread_ = std::make_unique<Worker>(io_);
     checks_ = std::make_unique<Worker>(io_);
     listener_ = std::make_unique<transport::Listener>(
-        io_, settings_.ip, settings_.first_port, Link::Limits{},
+        io_, settings_.InternalListen().ip, settings_.InternalListen().port, Link::Limits{},
         [this](const std::shared_ptr<Link>& link) { OnAccepted(link); });
     const auto address = settings_.listen.find("controlPlane");
     if (address != settings_.listen.end()) {
--- a/src/mesh/node/sidecar.cpp
+++ b/src/mesh/node/sidecar.cpp
@@ -102,7 +102,7 @@
     try {
       const auto& listen = settings_.listen;
       listener_ = std::make_unique<transport::Listener>(
-          io_, settings_.ip, settings_.first_port, transport::Link::Limits{},
+          io_, settings_.InternalListen().ip, settings_.InternalListen().port, transport::Link::Limits{},
           [this](const std::shared_ptr<transport::Link>& link) { OnLink(link); });
       if (const auto at = listen.find("controlPlane"); at != listen.end())
         control_ = std::make_unique<ControlListener>(
--- a/src/mesh/settings/settings.cpp
+++ b/src/mesh/settings/settings.cpp
@@ -76,7 +76,8 @@
             "inbound": {"description": "an address ip:port", "type": "string"},
             "outbound": {"description": "an address ip:port", "type": "string"},
             "readiness": {"description": "an address ip:port", "type": "string"},
-            "controlPlane": {"description": "an address ip:port", "type": "string"}
+            "controlPlane": {"description": "an address ip:port", "type": "string"},
+            "internal": {"description": "an address ip:port", "type": "string"}
           }
         },
         "internalPortRange": {
@@ -287,7 +288,7 @@
 
   const json& network = Table(file, "network");
   const json& listen = network["listenAddresses"];
-  for (const char* name : {"inbound", "outbound", "readiness", "controlPlane"}) {
+  for (const char* name : {"inbound", "outbound", "readiness", "controlPlane", "internal"}) {
     if (!listen.contains(name)) continue;
     const auto read =
         ReadAddress(listen[name], absl::StrCat("network.listenAddresses.", name), settings.listen[name]);
@@ -325,6 +326,11 @@
   return out;
 }
 
+Address Settings::InternalListen() const {
+  const auto told = listen.find("internal");
+  return told == listen.end() ? Internal() : told->second;
+}
+
 bool Settings::Serves(std::string_view what) const {
   return std::find(serves.begin(), serves.end(), what) != serves.end();
 }
--- a/src/mesh/settings/settings.hpp
+++ b/src/mesh/settings/settings.hpp
@@ -35,7 +35,7 @@
   std::vector<std::string> serves;
   bool loss_counted = false;
   bool first_start = false;
-  std::map<std::string, Address> listen;        // inbound, outbound, readiness, controlPlane
+  std::map<std::string, Address> listen;        // inbound, outbound, readiness, controlPlane, internal
   Address application;                          // port 0 = none
   std::uint16_t first_port = 0, last_port = 0;  // internalPortRange
   std::vector<Address> seeds;
@@ -47,8 +47,12 @@
   Bounds bounds;
   bool Serves(std::string_view what) const;
   bool HasDisk() const { return !data_directory.empty(); }
-  // Where this process listens for other stations, and where its seeds do: every machine uses the same ports.
+  // Where other processes of the system reach this one, and where its seeds do: every machine uses the same
+  // ports.
   Address Internal() const { return {ip, first_port}; }
+  // Where it listens for them: the same, unless listenAddresses.internal names another one, to which a relay
+  // in between passes on.
+  Address InternalListen() const;
   std::vector<std::string> SeedInternals() const;
 };
 
--- a/tests/mesh/settings_test.cpp
+++ b/tests/mesh/settings_test.cpp
@@ -182,5 +182,18 @@
   CHECK(Load("/").status().code() == absl::StatusCode::kUnavailable);
 }
 
+TEST_CASE("other processes are listened for where they are told to come, unless another address is named") {
+  const auto plain = Parse(kFile);
+  REQUIRE(plain.ok());
+  CHECK(plain->InternalListen() == Address{"10.1.0.40", 7640});
+  std::string relayed = kFile;
+  const std::string before = "    inbound: ";
+  relayed.insert(relayed.find(before), "    internal: \"10.1.0.40:9000\"\n");
+  const auto behind_relay = Parse(relayed);
+  REQUIRE(behind_relay.ok());
+  CHECK(behind_relay->Internal() == Address{"10.1.0.40", 7640});
+  CHECK(behind_relay->InternalListen() == Address{"10.1.0.40", 9000});
+}
+
 }  // namespace
 }  // namespace fennelhollow::settings
