--- a/src/mesh/node/sidecar.cpp
+++ b/src/mesh/node/sidecar.cpp
@@ -57,8 +57,10 @@
 constexpr Micros kReadinessSeen = 2300 * kMs;
 // After its server has been taken off the list, those on their way to it still come for so long.
 constexpr Micros kLeaveBefore = 500 * kMs;
-// What is still under way is cut this long before the grace period ends.
+// What is still under way is answered this long before the grace period ends, and within its last sixth: until
+// then a server may still finish.
 constexpr Micros kAnswerBefore = 700 * kMs;
+constexpr Micros kAnswerBeforePart = 7;
 // For so long after clients have been sent elsewhere new requests are still taken.
 constexpr Micros kLastTaken = 700 * kMs;
 constexpr Micros kCutBefore = 300 * kMs;
@@ -160,7 +162,7 @@
     done_ = std::move(done);
     stop_at_ = loop_.Now();
     if (front_) front_->SetDraining();
-    outbound_.EndBy(stop_at_ + Grace() - kAnswerBefore);
+    outbound_.EndBy(stop_at_ + Grace() - AnswerBefore());
     LOG(INFO) << "ends: not ready from here on, " << outbound_.under_way() << " requests and "
               << last_hop_.under_way() << " attempts under way";
   }
@@ -372,6 +374,8 @@
   }
 
   Micros Grace() const { return static_cast<Micros>(settings_.bounds.grace_period_s * 1e6); }
+  Micros CutBefore() const { return std::min(kCutBefore, AnswerBefore() / 2); }
+  Micros AnswerBefore() const { return std::min(kAnswerBefore, Grace() / kAnswerBeforePart); }
 
   // False once it has ended.
   bool Stopping(Micros now) {
@@ -384,10 +388,10 @@
     // may not be served in time is refused, and what has come is answered before the end, whatever its server
     // does.
     if (since >= seen + kLastTaken) outbound_.RefuseNew();
-    if (since >= grace - kAnswerBefore && !std::exchange(hurried_, true)) outbound_.Hurry();
+    if (since >= grace - AnswerBefore() && !std::exchange(hurried_, true)) outbound_.Hurry();
     const bool rests = (front_ == nullptr || front_->busy() == 0) && outbound_.under_way() == 0 &&
                        last_hop_.under_way() == 0;
-    if ((since < seen + kLeaveBefore || !rests) && since < grace - kCutBefore) return true;
+    if ((since < seen + kLeaveBefore || !rests) && since < grace - CutBefore()) return true;
     LOG(INFO) << "has ended: " << StatusText();
     const auto done = std::exchange(done_, nullptr);
     if (done) loop_.Post(done);
--- a/src/mesh/registry/beats.cpp
+++ b/src/mesh/registry/beats.cpp
@@ -134,8 +134,13 @@
 }
 
 void Beats::OnDeparture(Micros now, std::string_view id) {
-  const auto at = lives_.find(id);
-  if (at == lives_.end()) return;
+  if (id.empty() || id.size() > kMostName) return;
+  auto at = lives_.find(id);
+  if (at == lives_.end()) {  // of a life that was known to a process before this one: remembered all the same
+    MakeRoom();
+    at = lives_.emplace(std::string(id), Life{}).first;
+    at->second.server.id = id;
+  }
   at->second.ended = true;
   End(now, at->second);
 }
@@ -158,6 +163,7 @@
   std::vector<Server> lives;
   for (const auto& [id, life] : lives_) {
     if (life.server.state == State::kGone && now - life.gone_at > kTellGone) continue;
+    if (life.server.address.empty()) continue;  // departed before its first beat here: nothing to tell
     lives.push_back(life.server);
     auto& cold = lives.back().cold_remaining_ms;
     cold = std::max<std::int64_t>(0, cold - (now - life.beat_at) / 1000);
--- a/src/mesh/registry/registry.hpp
+++ b/src/mesh/registry/registry.hpp
@@ -63,6 +63,7 @@
   // (oldest ended ones go first).
   absl::Status OnBeat(Micros now, std::string_view id, std::string_view json, const std::string& hop,
                       const std::string& zone);
+  // No beat of this id counts any more, also if none has come yet: one may be seconds late.
   void OnDeparture(Micros now, std::string_view id);
   // Nothing listens at its address any more, or its beats have been silent for three intervals: gone until
   // the next beat.
--- a/tests/mesh/registry_test.cpp
+++ b/tests/mesh/registry_test.cpp
@@ -101,6 +101,17 @@
   for (Micros t = from; t <= to; t += 100 * kMs) registry.OnTick(t);
 }
 
+TEST_CASE("a departure of a life that is not known yet holds against its beats that come later") {
+  Beats beats;
+  beats.OnDeparture(1000, "i-1");
+  CHECK(beats.Lives(1000).empty());
+  REQUIRE(beats.OnBeat(2000, "i-1", Beat("10.0.0.1:1", 5), "hop", "z").ok());
+  const Server* server = beats.Find("i-1");
+  REQUIRE(server != nullptr);
+  CHECK(server->state == State::kGone);
+  CHECK(beats.Lives(2000).empty());
+}
+
 TEST_CASE("cold time is no change until it jumps or ends") {
   Registry registry(7, 1500 * kMs, 12 * kS);
   Server server = Told("a", 1);
