--- a/src/mesh/ingress/admission_queue.cpp
+++ b/src/mesh/ingress/admission_queue.cpp
@@ -179,7 +179,7 @@
 std::vector<Ticket> AdmissionQueue::OnServerGone(const std::string& server) {
   const auto it = upstreams_.find(server);
   if (it == upstreams_.end()) return {};
-  const std::vector<Ticket> out = it->second.queue.All();
+  std::vector<Ticket> out = it->second.queue.All();
   for (const Ticket& ticket : out) OnCancel(ticket);
   return out;
 }
--- a/src/mesh/node/sidecar.cpp
+++ b/src/mesh/node/sidecar.cpp
@@ -57,8 +57,8 @@
 constexpr Micros kReadinessSeen = 2300 * kMs;
 // After its server has been taken off the list, those on their way to it still come for so long.
 constexpr Micros kLeaveBefore = 500 * kMs;
-// What is still under way is answered this long before the grace period ends, and within its last sixth: until
-// then a server may still finish.
+// What is still under way is answered this long before the grace period ends, and within its last sixth:
+// until then a server may still finish.
 constexpr Micros kAnswerBefore = 700 * kMs;
 constexpr Micros kAnswerBeforePart = 7;
 // For so long after clients have been sent elsewhere new requests are still taken.
