A request's metrics live in its flight; nothing in the admission queue is worked out twice

Read over, behaviour as it was. Flights are on record until they are over now; two functions and the map go. The class of a request is looked up once, not twice. - RequestMetrics kept copies of the maps that prometheus-cpp has in each family. - A core set its gauges at each tick (25 to 50 ms), one of them by counting all sidecars: they are set when they are read. The check of the committed entry stays in the tick. - FairQueue counted who is ahead in two passes and searched the least served flow twice a turn; AdmissionQueue worked out a flow's cost and the places to wait in twice an attempt. Accessors that nobody called are gone. Measured: admission queue against its exact plain model, least share, outbound, lookup, metrics and node tests pass. Failed try: virtual time set before a turn is taken; its finish was reckoned from the time before, so it is set after.

--- a/src/mesh/egress/lookup.cpp
+++ b/src/mesh/egress/lookup.cpp
@@ -157,9 +157,9 @@
   return ((found.safe ? 0 : 1) * kPriorities + priority) * kAimCount + best;
 }
 
-const std::string& ClassName(const Found& found) {
+const std::string& ClassName(int request_class) {
   static const std::vector<merlinrun::RequestClass> grid = ClassGrid();
-  return grid[static_cast<std::size_t>(ClassOf(found))].name;
+  return grid[static_cast<std::size_t>(request_class)].name;
 }
 
 }  // namespace fennelhollow::egress
--- a/src/mesh/egress/lookup.hpp
+++ b/src/mesh/egress/lookup.hpp
@@ -55,7 +55,7 @@
 int ClassOf(const Found& found);
 // Its name in ClassGrid, as "safe-2-300": whether it may be repeated, its priority and its aim in
 // milliseconds.
-const std::string& ClassName(const Found& found);
+const std::string& ClassName(int request_class);
 
 }  // namespace fennelhollow::egress
 
--- a/src/mesh/egress/outbound.cpp
+++ b/src/mesh/egress/outbound.cpp
@@ -66,7 +66,7 @@
   std::uint64_t number = 0;  // this process's own; its text is the request's id in the module
   std::string method, target, body;
   Headers headers;
-  std::string route;  // its name
+  metrics::RequestLabels labels;
   std::uint8_t priority = 0;
   bool safe = false;
   int most_arrivals = 1;
@@ -79,6 +79,8 @@
   Micros deadline = 0;
   Micros due = 0;          // from then on its answer is late; the later the lower its priority
   core::MessagePtr error;  // what the last server said, if that was an error
+  std::optional<ingress::Why> turned_away;  // by the last hop that turned it away last
+  bool refused_by_server = false;           // the last refusal was a server's own
 };
 
 struct Outbound::Lane {
@@ -117,7 +119,6 @@
  public:
   Caller(Outbound& owner, std::shared_ptr<Outbound::Flight> flight)
       : owner_(owner), flight_(std::move(flight)) {}
-  ~Caller() override { owner_.flights_.erase(flight_->number); }
 
   void Serve(core::MessagePtr message) override {
     ++owner_.counters_.served;
@@ -198,7 +199,7 @@
         std::max<std::int64_t>(out.left_ms / 2, kLeastWaitMs));
     out.unsafe = !flight->safe;
     out.repeat = flight->may_have_run;
-    out.route = flight->route;
+    out.route = flight->labels.route;
     out.priority = flight->priority;
     out.due_ms = std::max<std::int64_t>((flight->due - owner_.loop_.Now()) / kMs, 0);
 
@@ -213,7 +214,8 @@
       --state->flight->unsettled;
       const Result result = why == ingress::Why::kUnreachable ? Result::kUnreachable : Result::kRefused;
       if (ingress::IsFull(why)) ++state->flight->full;
-      owner_.NoteTurnedAway(state->flight->number, why);
+      state->flight->turned_away = why;
+      state->flight->refused_by_server = false;
       Finish(attempt, state, result, nullptr);
     };
     events.broken = [this, attempt, state](bool never_ran, bool) {
@@ -327,7 +329,8 @@
   void Whole(AttemptId attempt, const StatePtr& state, bool executed) {
     AnswerMessage& answer = *state->answer;
     if (!executed && Promises(answer.status)) {
-      owner_.NoteRefusedByServer(state->flight->number);
+      state->flight->turned_away.reset();
+      state->flight->refused_by_server = true;
       return Finish(attempt, state, Result::kRefused, nullptr);
     }
     if (answer.status >= 500 || (Promises(answer.status) && !state->flight->safe)) {
@@ -409,7 +412,7 @@
   auto& why = counters_.why[service];
   lane->exchanges->OnEnded([this, &why](const core::Ended& ended) {
     if (ended.why) ++why[static_cast<std::size_t>(*ended.why)];
-    CountEnded(ended);
+    OnEnded(ended);
   });
   if (end_ > 0) lane->exchanges->EndBy(end_);
   Lane& out = *lane;
@@ -418,39 +421,27 @@
   return out;
 }
 
-void Outbound::CountUnrouted(metrics::Hop hop, std::string_view cause) {
-  request_metrics_.OnEnded({}, "refused");
-  request_metrics_.OnRefused({}, hop, cause);
+void Outbound::CountRefused(const metrics::RequestLabels& labels, std::string_view cause) {
+  request_metrics_.OnEnded(labels, ResultName(core::Ended::End::kRefused));
+  request_metrics_.OnRefused(labels, metrics::Hop::kOutbound, cause);
 }
 
-void Outbound::NoteTurnedAway(std::uint64_t flight, ingress::Why why) {
-  const auto it = accounts_.find(flight);
-  if (it == accounts_.end()) return;
-  it->second.turned_away = why;
-  it->second.refused_by_server = false;
-}
-
-void Outbound::NoteRefusedByServer(std::uint64_t flight) {
-  const auto it = accounts_.find(flight);
-  if (it == accounts_.end()) return;
-  it->second.turned_away.reset();
-  it->second.refused_by_server = true;
-}
-
-void Outbound::CountEnded(const core::Ended& ended) {
-  const auto it = accounts_.find(std::stoull(std::string(ended.id)));
-  if (it == accounts_.end()) return;
-  const Account account = std::move(it->second);
-  accounts_.erase(it);
-  request_metrics_.OnEnded(account.labels, ResultName(ended.end));
+// The request's message, which holds its flight, lives until after this.
+void Outbound::OnEnded(const core::Ended& ended) {
+  const auto it = flights_.find(std::stoull(std::string(ended.id)));
+  if (it == flights_.end()) return;
+  const auto flight = it->second.lock();
+  flights_.erase(it);
+  if (flight == nullptr) return;
+  request_metrics_.OnEnded(flight->labels, ResultName(ended.end));
   if (ended.end != core::Ended::End::kRefused || !ended.why) return;
   const bool turned_away = *ended.why == merlinrun::Cause::kTurnedAway;
-  if (turned_away && account.turned_away)
-    return request_metrics_.OnRefused(account.labels, metrics::Hop::kLastHop,
-                                      ingress::NameOf(*account.turned_away));
-  const auto hop = turned_away && account.refused_by_server ? metrics::Hop::kServer : metrics::Hop::kOutbound;
+  if (turned_away && flight->turned_away)
+    return request_metrics_.OnRefused(flight->labels, metrics::Hop::kLastHop,
+                                      ingress::NameOf(*flight->turned_away));
+  const auto hop = turned_away && flight->refused_by_server ? metrics::Hop::kServer : metrics::Hop::kOutbound;
   const auto cause = merlinrun::kCauseNames[static_cast<std::size_t>(*ended.why)];
-  request_metrics_.OnRefused(account.labels, hop, cause);
+  request_metrics_.OnRefused(flight->labels, hop, cause);
 }
 
 void Outbound::EndBy(Micros end) {
@@ -523,37 +514,37 @@
   ++counters_.requests;
   if (refuses_) {
     ++counters_.refused;
-    CountUnrouted(metrics::Hop::kOutbound, "ending");
+    CountRefused({}, "ending");
     return Refuse(session, 503, "this sidecar ends: it has not run", kNotReadyRetry);
   }
   if (tables_ == nullptr) {
     ++counters_.not_ready;
-    CountUnrouted(metrics::Hop::kOutbound, "not_ready");
+    CountRefused({}, "not_ready");
     return Refuse(session, 503, "no configuration yet: it has not run", kNotReadyRetry);
   }
   const Found found = Find(*tables_, in.host, in.target, in.headers);
   switch (found.kind) {
     case Found::Kind::kMalformed:
       ++counters_.malformed;
-      CountUnrouted(metrics::Hop::kOutbound, "malformed");
+      CountRefused({}, "malformed");
       return Refuse(session, 400, "Attempt-Id or Deadline-Remaining is missing or malformed", 0);
     case Found::Kind::kNoRoute:
       ++counters_.no_route;
-      CountUnrouted(metrics::Hop::kOutbound, "no_route");
+      CountRefused({}, "no_route");
       return Refuse(session, 404, "no such route", 0);
     case Found::Kind::kNoKey:
       ++counters_.no_key;
-      CountUnrouted(metrics::Hop::kOutbound, "no_key");
+      CountRefused({}, "no_key");
       return Refuse(session, 401, "unknown key", 0);
     case Found::Kind::kGo:
       break;
   }
   const Micros now = loop_.Now();
+  const int request_class = ClassOf(found);
+  const metrics::RequestLabels labels{found.route->name, ClassName(request_class)};
   if (found.tenant != nullptr && !gauge_.Take(now, found.tenant->name)) {
     ++counters_.over_quota;
-    const metrics::RequestLabels labels{found.route->name, ClassName(found)};
-    request_metrics_.OnEnded(labels, "refused");
-    request_metrics_.OnRefused(labels, metrics::Hop::kOutbound, "over_quota");
+    CountRefused(labels, "over_quota");
     return Refuse(session, 429, "over the tenant's limit: it has not run",
                   std::max<Micros>(gauge_.RetryAfter(now, found.tenant->name), 50 * kMs));
   }
@@ -570,7 +561,7 @@
   flight->method = std::move(in.method);
   flight->target = std::move(in.target);
   flight->body = std::move(in.body);
-  flight->route = found.route->name;
+  flight->labels = labels;
   flight->priority = static_cast<std::uint8_t>(std::clamp(found.priority, 0, kLowestPriority));
   flight->safe = found.safe;
   flight->most_arrivals = std::max(1, found.route->attempts);
@@ -581,7 +572,7 @@
 
   core::Arrival arrival;
   arrival.id = std::to_string(flight->number);
-  arrival.request_class = ClassOf(found);
+  arrival.request_class = request_class;
   std::int64_t left = found.route->timeout_ms > 0 ? found.route->timeout_ms : kDefaultTimeoutMs;
   if (found.deadline_ms) left = std::min(left, *found.deadline_ms);
   arrival.deadline = left * kMs;
@@ -592,7 +583,6 @@
   arrival.caller = std::make_unique<Caller>(*this, flight);
   arrival.egress = lane.egress.get();
   flights_[flight->number] = flight;
-  accounts_[flight->number].labels = {found.route->name, ClassName(found)};
   lane.exchanges->Take(std::move(arrival));
 }
 
--- a/src/mesh/egress/outbound.hpp
+++ b/src/mesh/egress/outbound.hpp
@@ -9,7 +9,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -78,17 +77,10 @@
   struct Lane;  // of a service
   struct Flight;
   class Egress;
-  // What is kept of a request until it is over, for its metrics.
-  struct Account {
-    metrics::RequestLabels labels;
-    std::optional<ingress::Why> turned_away;  // by the last hop that turned it away last
-    bool refused_by_server = false;           // the last refusal was a server's own
-  };
   Lane& LaneOf(const std::string& service);
-  void CountUnrouted(metrics::Hop hop, std::string_view cause);
-  void NoteTurnedAway(std::uint64_t flight, ingress::Why why);
-  void NoteRefusedByServer(std::uint64_t flight);
-  void CountEnded(const merlinrun::core::Ended& ended);
+  // Counts one that is refused before it has a flight.
+  void CountRefused(const metrics::RequestLabels& labels, std::string_view cause);
+  void OnEnded(const merlinrun::core::Ended& ended);
   void Feed(Lane& lane);
   void Refuse(const HttpServer::SessionPtr& session, unsigned status, const char* why, Micros retry_after);
 
@@ -105,8 +97,7 @@
   std::unordered_map<std::string, std::string> hop_of_;  // server id -> last hop
   std::map<std::string, Micros> started_;                // server id -> when it started, as far as told
   std::map<std::string, int> zone_index_;
-  std::unordered_map<std::uint64_t, std::weak_ptr<Flight>> flights_;  // by the session's tag
-  std::unordered_map<std::uint64_t, Account> accounts_;               // by the flight's number
+  std::unordered_map<std::uint64_t, std::weak_ptr<Flight>> flights_;  // until they are over, by number
   std::map<std::string, std::unique_ptr<Lane>, std::less<>> lanes_;
   std::function<double()> repeats_share_;
   Micros end_ = 0;  // 0 = none
--- a/src/mesh/ingress/admission_queue.cpp
+++ b/src/mesh/ingress/admission_queue.cpp
@@ -53,12 +53,15 @@
   return run > 0 && upstream.run > 0 ? run / upstream.run : 1;
 }
 
-bool AdmissionQueue::HasRoomInTime(Micros now, const Upstream& upstream, const Attempt& attempt,
-                                   Micros until) const {
-  const std::size_t ahead = upstream.queue.Ahead(attempt.flow, attempt.due, CostOf(upstream, attempt.flow));
-  const auto most = static_cast<std::size_t>(room_.waiting_per_slot * upstream.slots);
+std::size_t AdmissionQueue::MostWaiting(const Upstream& upstream) const {
+  return static_cast<std::size_t>(room_.waiting_per_slot * upstream.slots);
+}
+
+bool AdmissionQueue::HasRoomInTime(Micros now, const Upstream& upstream,
+                                   const FairQueue::Entry& entry) const {
+  const std::size_t ahead = upstream.queue.Ahead(entry.flow, entry.due, entry.cost);
   const double wait = static_cast<double>(ahead + 1) * upstream.run / Most(upstream);
-  return ahead < most && now + static_cast<Micros>(wait) < until;
+  return ahead < MostWaiting(upstream) && now + static_cast<Micros>(wait) < entry.until;
 }
 
 AdmissionQueue::Decision AdmissionQueue::OnAttempt(Micros now, const Attempt& attempt) {
@@ -76,17 +79,17 @@
   }
   const bool starves = upstream.account.Starves(attempt.flow);
   const Micros until = starves ? std::max(attempt.until, attempt.due) : attempt.until;
-  if (!HasRoomInTime(now, upstream, attempt, until)) {
+  FairQueue::Entry entry{attempt.ticket, attempt.flow, attempt.due, until, CostOf(upstream, attempt.flow)};
+  if (!HasRoomInTime(now, upstream, entry)) {
     record.state = State::kNever;
     Judge(upstream, attempt.flow);
     DropIfEmpty(attempt.server);
     return Decision::kTurnAway;
   }
   record.state = State::kWaiting;
-  record.handle =
-      upstream.queue.Push({attempt.ticket, attempt.flow, attempt.due, until, CostOf(upstream, attempt.flow)});
+  record.handle = upstream.queue.Push(std::move(entry));
   ++waiting_;
-  MakeRoom(upstream);
+  if (const auto gives_way = upstream.queue.Overflow(MostWaiting(upstream))) evicted_.push_back(*gives_way);
   return Decision::kWait;
 }
 
@@ -104,11 +107,6 @@
   if (span && on_span_) on_span_(*span);
 }
 
-void AdmissionQueue::MakeRoom(Upstream& upstream) {
-  const auto most = static_cast<std::size_t>(room_.waiting_per_slot * upstream.slots);
-  if (const auto gives_way = upstream.queue.Overflow(most)) evicted_.push_back(*gives_way);
-}
-
 void AdmissionQueue::OnDone(Micros now, const Ticket& ticket) {
   const auto it = records_.find(ticket);
   if (it == records_.end() || it->second.state != State::kPassed || it->second.over) return;
@@ -116,9 +114,10 @@
   const auto upstream = upstreams_.find(it->second.server);
   if (upstream == upstreams_.end()) return;
   --upstream->second.passed;
-  const double took = static_cast<double>(now - it->second.passed_at);
-  upstream->second.account.OnRan(it->second.flow, now - it->second.passed_at);
-  upstream->second.run += (took - upstream->second.run) / (upstream->second.run > 0 ? kRunMemory : 1);
+  const Micros took = now - it->second.passed_at;
+  upstream->second.account.OnRan(it->second.flow, took);
+  upstream->second.run +=
+      (static_cast<double>(took) - upstream->second.run) / (upstream->second.run > 0 ? kRunMemory : 1);
   DropIfEmpty(it->second.server);
 }
 
@@ -161,14 +160,13 @@
 
 std::vector<AdmissionQueue::TurnedAway> AdmissionQueue::Overdue(Micros now) {
   std::vector<TurnedAway> out;
-  for (const Ticket& ticket : std::exchange(evicted_, {}))
-    if (Waits(ticket)) out.push_back({ticket, Why::kEvicted});
+  for (const Ticket& ticket : std::exchange(evicted_, {})) out.push_back({ticket, Why::kEvicted});
   if (waiting_ > 0)
     for (const auto& [server, upstream] : upstreams_)
       for (const Ticket& ticket : upstream.queue.Overdue(now)) out.push_back({ticket, Why::kWaitedOut});
   std::erase_if(out, [&](const TurnedAway& turned) {
+    if (!Waits(turned.ticket)) return true;  // it has gone since, or is told already
     const Record& record = records_.at(turned.ticket);
-    if (record.state != State::kWaiting) return true;  // told twice
     Upstream& upstream = upstreams_.at(record.server);
     Judge(upstream, upstream.queue.FlowOf(*record.handle));
     return !OnCancel(turned.ticket);
--- a/src/mesh/ingress/admission_queue.hpp
+++ b/src/mesh/ingress/admission_queue.hpp
@@ -42,8 +42,8 @@
     int slots = 1;       // of that server
     Flow flow;
     Micros due = 0;  // its answer is late from then on
-    Micros until =
-        0;  // it is turned away if it has no room by then, or would not by the time that runs take here
+    // It is turned away if it has no room by then, or would not by the time that runs take here.
+    Micros until = 0;
   };
   struct TurnedAway {
     Ticket ticket;
@@ -100,10 +100,10 @@
   int Most(const Upstream& upstream) const { return upstream.slots + room_.beyond_slots; }
   // Of a run of the flow, in usual runs of the server.
   static double CostOf(const Upstream& upstream, const Flow& flow);
-  bool HasRoomInTime(Micros now, const Upstream& upstream, const Attempt& attempt, Micros until) const;
+  std::size_t MostWaiting(const Upstream& upstream) const;
+  bool HasRoomInTime(Micros now, const Upstream& upstream, const FairQueue::Entry& entry) const;
   void Pass(Micros now, Upstream& upstream, Record& record, const Flow& flow);
   void Judge(Upstream& upstream, const Flow& flow);
-  void MakeRoom(Upstream& upstream);
   Record& Keep(Micros now, const Ticket& ticket);
   void Forget(Micros now);
   bool Waits(const Ticket& ticket) const;
--- a/src/mesh/ingress/fair_queue.cpp
+++ b/src/mesh/ingress/fair_queue.cpp
@@ -26,14 +26,14 @@
 
 std::size_t FairQueue::Ahead(const Flow& flow, Micros due, double cost) const {
   cost = std::clamp(cost, kLeastCost, kMostCost);
-  const auto due_first = static_cast<std::size_t>(std::count_if(
-      entries_.begin(), entries_.end(), [&](const auto& entry) { return entry.first.first <= due; }));
+  std::size_t due_first = 0, own = 0;  // that wait and are due no later, and those of its own flow
+  for (const auto& [handle, entry] : entries_) {
+    if (handle.first > due) break;
+    ++due_first;
+    own += entry.flow == flow;
+  }
   const auto known = services_.find(flow);
   const Service mine = known == services_.end() ? Service{} : known->second;
-  const auto own =
-      static_cast<std::size_t>(std::count_if(entries_.begin(), entries_.end(), [&](const auto& entry) {
-        return entry.second.flow == flow && entry.first.first <= due;
-      }));
   const double start = StartOf(mine) + static_cast<double>(own) * cost;
   std::size_t fair_turns = own;
   double needed = static_cast<double>(own + 1) * cost;
@@ -82,45 +82,40 @@
   });
 }
 
-// Of the flows that wait, the one whose next turn starts first, and of those the one served longest ago.
-const Flow* FairQueue::LeastServed() const {
-  const Flow* least = nullptr;
-  std::pair<double, std::uint64_t> least_key;
-  for (const auto& [flow, service] : services_) {
-    if (service.waiting == 0) continue;
-    const std::pair<double, std::uint64_t> key{StartOf(service), service.last_turn};
-    if (least != nullptr && key >= least_key) continue;
-    least = &flow;
-    least_key = key;
+// Of the flows that wait, the one whose next turn starts first, and of those the one served longest ago. One
+// waits.
+const std::pair<const Flow, FairQueue::Service>& FairQueue::LeastServed() const {
+  auto least = services_.end();
+  const auto key = [&](const Service& service) { return std::pair(StartOf(service), service.last_turn); };
+  for (auto it = services_.begin(); it != services_.end(); ++it) {
+    if (it->second.waiting == 0) continue;
+    if (least == services_.end() || key(it->second) < key(least->second)) least = it;
   }
-  return least;
+  return *least;
 }
 
 std::optional<FairQueue::Entry> FairQueue::Pop(Micros now) {
   const auto due_first = FirstDue(now);
   if (due_first == entries_.end()) return std::nullopt;
-  const Flow least = *LeastServed();
+  const auto& [least, service] = LeastServed();
+  const double least_start = StartOf(service);
   const auto least_served = FirstOf(least, now);
   const bool has_turn = least_served != entries_.end() && !(least == due_first->second.flow) &&
                         reserve_ + kLeastShare >= least_served->second.cost;
   if (has_turn) reserve_ -= least_served->second.cost;
   Entry taken = Take(has_turn ? least_served : due_first);
   reserve_ = std::min(reserve_ + kLeastShare * taken.cost, kMostReserve);
+  virtual_time_ = least_start;  // where the least served of those that waited stood
   return taken;
 }
 
 FairQueue::Entry FairQueue::Take(Entries::iterator at) {
   Entry entry = std::move(at->second);
   entries_.erase(at);
-  // Virtual time is where the least served of those that waited stood.
-  double least = StartOf(services_.at(entry.flow));
-  for (const auto& [flow, service] : services_)
-    if (service.waiting > 0) least = std::min(least, StartOf(service));
   Service& service = services_.at(entry.flow);
   service.finish = StartOf(service) + entry.cost;
   service.last_turn = ++turns_;
   --service.waiting;
-  virtual_time_ = std::max(virtual_time_, least);
   return entry;
 }
 
--- a/src/mesh/ingress/fair_queue.hpp
+++ b/src/mesh/ingress/fair_queue.hpp
@@ -12,7 +12,6 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <optional>
 #include <utility>
@@ -54,10 +53,7 @@
   // Of one that waits.
   const Flow& FlowOf(const Handle& handle) const { return entries_.at(handle).flow; }
 
-  std::size_t size() const { return entries_.size(); }
   bool empty() const { return entries_.empty(); }
-  // Flows whose service is remembered; bounded.
-  std::size_t flows() const { return services_.size(); }
 
  private:
   // What a flow has been given, in virtual time.
@@ -70,7 +66,7 @@
   using Entries = std::map<Handle, Entry>;
 
   double StartOf(const Service& service) const;
-  const Flow* LeastServed() const;
+  const std::pair<const Flow, Service>& LeastServed() const;
   Entries::iterator FirstOf(const Flow& flow, Micros now);
   Entries::iterator FirstDue(Micros now);
   Entry Take(Entries::iterator at);
--- a/src/mesh/ingress/flow_account.hpp
+++ b/src/mesh/ingress/flow_account.hpp
@@ -42,7 +42,6 @@
 
   // Several of its attempts in a row were turned away while others were passed on many times.
   bool Starves(const Flow& flow) const;
-  std::size_t flows() const { return records_.size(); }
 
  private:
   struct Record {
--- a/src/mesh/metrics/invariants.hpp
+++ b/src/mesh/metrics/invariants.hpp
@@ -18,8 +18,7 @@
 
 enum class Invariant {
   // Admission to a server: while others are passed on, a kind of request that keeps being turned away for
-  // want of
-  // room gets at least a part of its least share.
+  // want of room gets at least a part of its least share.
   kAdmissionLeastShare,
   // Within one life of a sidecar the configuration in force never gets older.
   kConfigurationMonotonic,
--- a/src/mesh/metrics/request_metrics.cpp
+++ b/src/mesh/metrics/request_metrics.cpp
@@ -33,23 +33,20 @@
 }
 
 void RequestMetrics::OnEnded(const RequestLabels& request, std::string_view result) {
-  const std::string route = RouteLabel(request.route);
-  prometheus::Counter*& counter = request_counters_[{route, request.request_class, std::string(result)}];
-  if (counter == nullptr)
-    counter =
-        &requests_.Add({{"route", route}, {"class", request.request_class}, {"result", std::string(result)}});
-  counter->Increment();
+  requests_
+      .Add({{"route", RouteLabel(request.route)},
+            {"class", request.request_class},
+            {"result", std::string(result)}})
+      .Increment();
 }
 
 void RequestMetrics::OnRefused(const RequestLabels& request, Hop hop, std::string_view cause) {
-  const std::string route = RouteLabel(request.route);
-  prometheus::Counter*& counter = refusal_counters_[{route, request.request_class, hop, std::string(cause)}];
-  if (counter == nullptr)
-    counter = &refusals_.Add({{"route", route},
-                              {"class", request.request_class},
-                              {"hop", std::string(NameOf(hop))},
-                              {"cause", std::string(cause)}});
-  counter->Increment();
+  refusals_
+      .Add({{"route", RouteLabel(request.route)},
+            {"class", request.request_class},
+            {"hop", std::string(NameOf(hop))},
+            {"cause", std::string(cause)}})
+      .Increment();
 }
 
 }  // namespace fennelhollow::metrics
--- a/src/mesh/metrics/request_metrics.hpp
+++ b/src/mesh/metrics/request_metrics.hpp
@@ -10,11 +10,9 @@
 #include <prometheus/registry.h>
 
 #include <cstddef>
-#include <map>
 #include <set>
 #include <string>
 #include <string_view>
-#include <tuple>
 
 namespace fennelhollow::metrics {
 
@@ -49,9 +47,6 @@
   prometheus::Family<prometheus::Counter>& requests_;
   prometheus::Family<prometheus::Counter>& refusals_;
   std::set<std::string> routes_;  // at most kMostRoutes
-  // Counters that exist, by their label values: a lookup here is cheaper than one in the family.
-  std::map<std::tuple<std::string, std::string, std::string>, prometheus::Counter*> request_counters_;
-  std::map<std::tuple<std::string, std::string, Hop, std::string>, prometheus::Counter*> refusal_counters_;
 };
 
 }  // namespace fennelhollow::metrics
--- a/src/mesh/node/core.cpp
+++ b/src/mesh/node/core.cpp
@@ -175,6 +175,7 @@
   void OnOpened(Opened opened);
   void OnWritten(std::uint64_t token, const absl::Status& status);
   void OnTick();
+  void CheckCommitted();
   void UpdateMetrics();
 
   void OnAccepted(const std::shared_ptr<Link>& link);
@@ -222,9 +223,9 @@
   try {
     disk_thread_ = std::make_unique<Worker>(io_);
     checks_ = std::make_unique<Worker>(io_);
+    const settings::Address at = settings_.InternalListen();
     listener_ = std::make_unique<transport::Listener>(
-        io_, settings_.InternalListen().ip, settings_.InternalListen().port, Link::Limits{},
-        [this](const std::shared_ptr<Link>& link) { OnAccepted(link); });
+        io_, at.ip, at.port, Link::Limits{}, [this](const std::shared_ptr<Link>& link) { OnAccepted(link); });
     const auto address = settings_.listen.find("controlPlane");
     if (address != settings_.listen.end()) {
       const auto endpoint = merlinrun::net::ParseAddress(address->second.Text(), true);
@@ -240,7 +241,8 @@
   } catch (const std::exception& error) {  // of the system, and of Asio
     return absl::UnavailableError(absl::StrCat("a core can't start: ", error.what()));
   }
-  metrics_endpoint_ = OpenMetricsEndpoint(io_, settings_.ip, metrics_address_, registry_);
+  metrics_endpoint_ =
+      OpenMetricsEndpoint(io_, settings_.ip, metrics_address_, registry_, [this] { UpdateMetrics(); });
   OpenDisk();
   tick_->Start(kTickBusy, [this] { OnTick(); });
   return absl::OkStatus();
@@ -315,18 +317,21 @@
   replica_.OnTick();
   event_waiters_.OnTick(loop_.Now());
   CloseSilent();
-  UpdateMetrics();
+  CheckCommitted();
   const bool busy = replica_.Busy() || stopping_;
   tick_->Start(busy ? kTickBusy : kTickCalm, [this] { OnTick(); });
   if (stopping_) EndIfStopped();
 }
 
-void Core::Impl::UpdateMetrics() {
-  const consensus::Replica* replica = replica_.replica();
+void Core::Impl::CheckCommitted() {
   const std::uint64_t committed = replica_.entry().number;
   invariants_.Check(metrics::Invariant::kCommittedEntryMonotonic, committed >= committed_,
                     [&] { return absl::StrCat("entry ", committed, " after entry ", committed_); });
   committed_ = std::max(committed_, committed);
+}
+
+void Core::Impl::UpdateMetrics() {
+  const consensus::Replica* replica = replica_.replica();
   metrics_.leads.Set(replica_.Leads() ? 1 : 0);
   metrics_.term.Set(replica ? static_cast<double>(replica->term()) : 0);
   metrics_.entry.Set(static_cast<double>(replica_.entry().number));
--- a/src/mesh/node/metrics_endpoint.cpp
+++ b/src/mesh/node/metrics_endpoint.cpp
@@ -33,14 +33,15 @@
                     port <= kHighestPort;
   if (!good)
     return absl::InvalidArgumentError(
-        absl::StrCat("--metrics takes PORT/PATH, as 9464/metrics, not \"", std::string(text), "\""));
+        absl::StrCat("--metrics takes PORT/PATH, as 19464/metrics, not \"", std::string(text), "\""));
   return MetricsAddress{static_cast<std::uint16_t>(port), std::string(text.substr(slash))};
 }
 
 MetricsEndpoint::MetricsEndpoint(egress::asio::io_context& io, const std::string& ip, MetricsAddress address,
-                                 const prometheus::Registry& registry)
+                                 const prometheus::Registry& registry, std::function<void()> before)
     : address_(std::move(address)),
       registry_(registry),
+      before_(std::move(before)),
       server_(io, settings::Address{ip, address_.port}, ServerLimits(),
               {[this](const egress::HttpServer::SessionPtr& session, const egress::Incoming& request) {
                  Answer(session, request);
@@ -52,16 +53,18 @@
   const bool found = request.method == "GET" && request.target == address_.path;
   if (!found)
     return egress::HttpServer::Respond(session, 404, {{"Content-Type", "text/plain"}}, "no such path\n");
+  if (before_) before_();
   const std::string text = prometheus::TextSerializer().Serialize(registry_.Collect());
   egress::HttpServer::Respond(session, 200, {{"Content-Type", kTextFormat}}, text);
 }
 
 std::unique_ptr<MetricsEndpoint> OpenMetricsEndpoint(egress::asio::io_context& io, const std::string& ip,
                                                      const MetricsAddress& address,
-                                                     const prometheus::Registry& registry) {
+                                                     const prometheus::Registry& registry,
+                                                     std::function<void()> before) {
   if (address.port == 0) return nullptr;
   try {
-    return std::make_unique<MetricsEndpoint>(io, ip, address, registry);
+    return std::make_unique<MetricsEndpoint>(io, ip, address, registry, std::move(before));
   } catch (const boost::system::system_error& error) {
     LOG(WARNING) << "metrics are not told: " << error.what();
     return nullptr;
--- a/src/mesh/node/metrics_endpoint.hpp
+++ b/src/mesh/node/metrics_endpoint.hpp
@@ -5,6 +5,7 @@
 #include <absl/status/statusor.h>
 #include <prometheus/registry.h>
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -26,22 +27,25 @@
 // Answers GET at one path, 404 elsewhere. Threading: all of it on the thread of `io`.
 class MetricsEndpoint {
  public:
-  // `registry` must outlive it. Throws boost::system::system_error if the address can't be listened on.
+  // `registry` must outlive it. `before`: called before each reading, to bring gauges up to date; may be
+  // empty. Throws boost::system::system_error if the address can't be listened on.
   MetricsEndpoint(egress::asio::io_context& io, const std::string& ip, MetricsAddress address,
-                  const prometheus::Registry& registry);
+                  const prometheus::Registry& registry, std::function<void()> before);
 
  private:
   void Answer(const egress::HttpServer::SessionPtr& session, const egress::Incoming& request) const;
 
   const MetricsAddress address_;
   const prometheus::Registry& registry_;
+  const std::function<void()> before_;
   egress::HttpServer server_;
 };
 
 // Null, with a line in the log, if it can't listen: a process serves also where its metrics can't be read.
 std::unique_ptr<MetricsEndpoint> OpenMetricsEndpoint(egress::asio::io_context& io, const std::string& ip,
                                                      const MetricsAddress& address,
-                                                     const prometheus::Registry& registry);
+                                                     const prometheus::Registry& registry,
+                                                     std::function<void()> before = {});
 
 }  // namespace fennelhollow::node
 
--- a/src/mesh/node/sidecar.cpp
+++ b/src/mesh/node/sidecar.cpp
@@ -103,8 +103,9 @@
   absl::Status Start() {
     try {
       const auto& listen = settings_.listen;
+      const settings::Address internal = settings_.InternalListen();
       listener_ = std::make_unique<transport::Listener>(
-          io_, settings_.InternalListen().ip, settings_.InternalListen().port, transport::Link::Limits{},
+          io_, internal.ip, internal.port, transport::Link::Limits{},
           [this](const std::shared_ptr<transport::Link>& link) { OnLink(link); });
       if (const auto at = listen.find("controlPlane"); at != listen.end())
         control_ = std::make_unique<ControlListener>(
