Demo and soak share one shop; the invariants have a test, and the demo aborts on one

Read over. rig/mesh/shop has the configuration, the ids and the requests that demo and soak wrote twice; the soak's unused parts go.

--- a/rig/mesh/demo.cpp
+++ b/rig/mesh/demo.cpp
@@ -19,6 +19,7 @@
 #include "rig/mesh/http.hpp"
 #include "rig/mesh/node_process.hpp"
 #include "rig/mesh/server.hpp"
+#include "rig/mesh/shop.hpp"
 
 namespace fennelhollow::rig {
 namespace {
@@ -30,45 +31,13 @@
 constexpr milliseconds kDeadline{2000};
 constexpr milliseconds kProbe{10};
 constexpr double kServedAtLeast = 0.95;
-constexpr const char* kHost = "shop.example";
 
 struct Row {
   std::uint64_t sent = 0, served = 0, refused = 0, failed = 0;
 };
 
-nlohmann::json Item(const char* kind, const std::string& name, nlohmann::json specification) {
-  nlohmann::json metadata = nlohmann::json::object();
-  if (!name.empty()) metadata["name"] = name;
-  return {{"resourceKind", kind}, {"metadata", metadata}, {"specification", std::move(specification)}};
-}
-
-nlohmann::json Route(const std::string& name, const char* kind, const std::string& service) {
-  return Item("routes", name,
-              {{"host", kHost},
-               {"pathPrefix", "/" + name + "/"},
-               {"kind", kind},
-               {"timeoutMs", 2000},
-               {"targetLatencyMs", 300},
-               {"priority", 1},
-               {"service", service},
-               {"attempts", 2}});
-}
-
-std::string FirstConfiguration() {
-  const nlohmann::json service = {
-      {"healthPath", "/health"}, {"connectionLimit", 100}, {"protocol", "h1"}, {"transportSecurity", false}};
-  const nlohmann::json limits = {{"maximumHeaderBytes", 16384},
-                                 {"maximumBodyBytes", 1 << 20},
-                                 {"headerTimeoutMs", 3000},
-                                 {"idleTimeoutMs", 15000}};
-  const nlohmann::json list = {Route("plans", "safe", "tariffs"), Route("orders", "unsafe", "activation"),
-                               Item("services", "tariffs", service), Item("services", "activation", service),
-                               Item("limits", "", limits)};
-  return nlohmann::json{{"version", 3}, {"baseVersion", 0}, {"resourceList", list}}.dump();
-}
-
 std::string SecondConfiguration() {
-  const nlohmann::json upsert = {{"resourceList", {Route("stock", "safe", "activation")}}};
+  const nlohmann::json upsert = {{"resourceList", {ConfigurationRoute("stock", "safe", kOrderService)}}};
   return nlohmann::json{{"version", 5}, {"baseVersion", 3}, {"upsert", upsert}}.dump();
 }
 
@@ -116,9 +85,10 @@
       options.name = core ? "core-" + std::to_string(i + 1) : "sidecar-" + std::to_string(i - kCores + 1);
       options.role = core ? NodeProcess::Role::kCore : NodeProcess::Role::kSidecar;
       options.ip = ips[static_cast<std::size_t>(i)];
-      options.service = i < kCores + kSidecars / 2 ? "tariffs" : "activation";
+      options.service = i < kCores + kSidecars / 2 ? kPlanService : kOrderService;
       options.ports = ports;
       options.seeds = seeds;
+      options.arguments = {"--abort-on-violation"};
       nodes_.push_back(std::make_unique<NodeProcess>(options));
       if (!nodes_.back()->Start()) return Fail("a process can't be started");
       if (core) continue;
@@ -139,7 +109,7 @@
 
   asio::awaitable<void> Play() {
     started_ = Clock::now();
-    bool up = co_await Put("/-/Configuration.Replace", FirstConfiguration());
+    bool up = co_await Put("/-/Configuration.Replace", FirstConfiguration().dump());
     for (int i = 0; up && i < kSidecars; ++i) up = co_await Serves(i);
     if (up) {
       std::printf("%6.2f s  all sidecars are ready and serve\n", At());
@@ -189,11 +159,7 @@
   asio::awaitable<void> Ask(Caller& caller, bool unsafe) {
     const std::string id = NewId();
     if (unsafe) unsafe_.insert(id);
-    Request request = MakeRequest(unsafe ? http::verb::post : http::verb::get,
-                                  unsafe ? "/orders/new" : "/plans/of?dealer=7", kHost,
-                                  unsafe ? "{\"line\":\"" + id + "\"}" : "");
-    request.set("Attempt-Id", id);
-    request.set("Deadline-Remaining", std::to_string(kDeadline.count()));
+    Request request = ShopRequest(unsafe, unsafe ? "/orders/new" : "/plans/of?dealer=7", id, kDeadline);
     Row& row = rows_[unsafe ? 1 : 0];
     ++row.sent;
     const auto answer = co_await caller.Call(std::move(request), kDeadline);
@@ -245,9 +211,7 @@
   // The status of a request on this route; 0: none came.
   asio::awaitable<unsigned> Probe(int sidecar, std::string path) {
     Caller caller(io_, Sidecar(sidecar).outbound());
-    Request request = MakeRequest(http::verb::get, path, kHost);
-    request.set("Attempt-Id", NewId());
-    request.set("Deadline-Remaining", "1000");
+    Request request = ShopRequest(false, path, NewId(), milliseconds(1000));
     const auto answer = co_await caller.Call(std::move(request), milliseconds(1000));
     co_return answer ? answer->result_int() : 0;
   }
@@ -358,11 +322,7 @@
     return false;
   }
   double At() const { return std::chrono::duration<double>(Clock::now() - started_).count(); }
-  std::string NewId() {
-    char text[17];
-    std::snprintf(text, sizeof text, "%016lx", 0x9e3779b97f4a7c15UL * ++last_id_);
-    return text;
-  }
+  std::string NewId() { return AttemptId(++last_id_); }
 
   const std::string program_;
   std::filesystem::path folder_;
--- a/rig/mesh/server.hpp
+++ b/rig/mesh/server.hpp
@@ -40,7 +40,6 @@
   void Die();
   // Runs take so many times as long from now on.
   void SlowDown(int times) { slow_down_ = times; }
-  bool ended() const { return ended_; }
   const Counters& counters() const { return counters_; }
   const Options& options() const { return options_; }
 
--- a/rig/soak/clients.cpp
+++ b/rig/soak/clients.cpp
@@ -2,7 +2,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <cstdio>
 #include <utility>
 
 namespace fennelhollow::rig::soak {
@@ -40,12 +39,6 @@
   return drawn < kOrders + kAdded ? Kind::kAdded : Kind::kPlan;
 }
 
-std::string Clients::NewId() {
-  char text[17];
-  std::snprintf(text, sizeof text, "%016lx", 0x9e3779b97f4a7c15UL * ++sent_);
-  return text;
-}
-
 asio::awaitable<void> Clients::Ask(std::size_t sidecar) {
   ++running_;
   Caller caller(io_, cluster_.sidecar(sidecar).outbound());
@@ -61,15 +54,12 @@
   Kind kind = Draw();
   if (kind == Kind::kAdded && routes.empty()) kind = Kind::kPlan;
   const bool unsafe = kind == Kind::kOrder;
-  const std::string id = NewId();
+  const std::string id = AttemptId(++sent_);
   std::string path = unsafe ? "/orders/new" : "/plans/of?dealer=7";
   if (kind == Kind::kAdded) path = "/" + routes[random_() % routes.size()] + "/of";
   // A route that was acknowledged just now may not be known yet.
   const bool due = Clock::now() > operators_.last_acknowledged() + kApply || kind != Kind::kAdded;
-  Request request = MakeRequest(unsafe ? http::verb::post : http::verb::get, path, kHost,
-                                unsafe ? "{\"line\":\"" + id + "\"}" : "");
-  request.set("Attempt-Id", id);
-  request.set("Deadline-Remaining", std::to_string(kDeadline.count()));
+  Request request = ShopRequest(unsafe, path, id, kDeadline);
   if (unsafe) ledger_.OnUnsafeSent(id);
   const std::uint64_t measurement = measurement_;
   const auto answer = co_await caller.Call(std::move(request), kDeadline);
@@ -85,10 +75,8 @@
     Tally& tally = kind == Kind::kAdded ? measured_.added : measured_.first;
     ++tally.sent;
     tally.served += success;
-    if (status == 404 && due) {
-      ++measured_.no_route;
+    if (status == 404 && due)
       ledger_.Fault(cluster_.sidecar(sidecar).name() + " knows no route " + path + " in a calm time");
-    }
   }
   co_return answer.has_value();
 }
--- a/rig/soak/clients.hpp
+++ b/rig/soak/clients.hpp
@@ -18,7 +18,6 @@
   struct Measured {
     Tally first;  // requests on the routes of the first configuration
     Tally added;  // on routes that were added later
-    std::uint64_t no_route = 0;
   };
 
   Clients(asio::io_context& io, Cluster& cluster, const Operators& operators, Ledger& ledger,
@@ -39,7 +38,6 @@
   asio::awaitable<void> Ask(std::size_t sidecar);
   asio::awaitable<bool> AskOnce(Caller& caller, std::size_t sidecar);
   Kind Draw();
-  std::string NewId();
 
   asio::io_context& io_;
   Cluster& cluster_;
--- a/rig/soak/cluster.hpp
+++ b/rig/soak/cluster.hpp
@@ -14,15 +14,12 @@
 
 #include "rig/mesh/node_process.hpp"
 #include "rig/mesh/server.hpp"
+#include "rig/mesh/shop.hpp"
 #include "rig/soak/ledger.hpp"
 #include "rig/soak/relay_network.hpp"
 
 namespace fennelhollow::rig::soak {
 
-inline constexpr const char* kPlanService = "tariffs";
-inline constexpr const char* kOrderService = "activation";
-inline constexpr const char* kHost = "shop.example";
-
 class Cluster {
  public:
   struct Options {
@@ -61,7 +58,6 @@
   const Runs& runs() const { return runs_; }
   // The ends of all logs, for people.
   std::string Logs() const;
-  const std::filesystem::path& folder() const { return folder_; }
 
  private:
   void StartServer(std::size_t sidecar);
--- a/rig/soak/faults.hpp
+++ b/rig/soak/faults.hpp
@@ -18,7 +18,7 @@
 
   // Faults come for so long; returns when the last is over and everything runs and is connected again.
   asio::awaitable<void> Storm(milliseconds length);
-  // One process of the system after the other has ended, all at once, and started again.
+  // All processes of the system are killed at once, and start again.
   asio::awaitable<void> AllDark();
   std::uint64_t count() const { return count_; }
   const std::vector<std::string>& story() const { return story_; }
--- a/rig/soak/main.cpp
+++ b/rig/soak/main.cpp
@@ -13,7 +13,6 @@
 #include <csignal>
 #include <cstdio>
 #include <cstring>
-#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -70,15 +69,16 @@
 
 // Each run is a process of its own. The number of broken ones.
 int PlayAll(const Arguments& arguments) {
-  std::map<pid_t, std::uint64_t> running;
+  std::uint64_t running = 0;
   int broken = 0;
   const auto wait = [&] {
     int status = 0;
-    const pid_t ended = ::wait(&status);
-    if (running.erase(ended) > 0 && (!WIFEXITED(status) || WEXITSTATUS(status) != 0)) ++broken;
+    ::wait(&status);
+    --running;
+    if (!WIFEXITED(status) || WEXITSTATUS(status) != 0) ++broken;
   };
   for (std::uint64_t i = 0; i < arguments.seeds; ++i) {
-    while (running.size() >= arguments.jobs) wait();
+    while (running >= arguments.jobs) wait();
     RunOptions run = arguments.run;
     run.seed += i;
     std::fflush(stdout);
@@ -88,9 +88,9 @@
       std::fflush(stdout);
       ::_exit(good ? 0 : 1);
     }
-    running[child] = run.seed;
+    ++running;
   }
-  while (!running.empty()) wait();
+  while (running > 0) wait();
   return broken;
 }
 
--- a/rig/soak/operators.cpp
+++ b/rig/soak/operators.cpp
@@ -24,46 +24,14 @@
 constexpr std::size_t kLasting = 4;
 constexpr const char* kReadPath = "/-/Configuration.Read";
 
-nlohmann::json Item(const char* kind, const std::string& name, nlohmann::json specification) {
-  nlohmann::json metadata = nlohmann::json::object();
-  if (!name.empty()) metadata["name"] = name;
-  return {{"resourceKind", kind}, {"metadata", metadata}, {"specification", std::move(specification)}};
-}
-
-nlohmann::json FirstRoute(const std::string& name, const char* kind, const char* service) {
-  return Item("routes", name,
-              {{"host", kHost},
-               {"pathPrefix", "/" + name + "/"},
-               {"kind", kind},
-               {"timeoutMs", 2000},
-               {"targetLatencyMs", 300},
-               {"priority", 1},
-               {"service", service},
-               {"attempts", 2}});
-}
-
 // As operators add routes: no aim, no priority, no timeout.
 nlohmann::json AddedRoute(const std::string& name) {
-  return Item("routes", name,
-              {{"host", kHost},
-               {"pathPrefix", "/" + name + "/"},
-               {"kind", "safe"},
-               {"service", kPlanService},
-               {"attempts", 2}});
-}
-
-nlohmann::json FirstConfiguration() {
-  const nlohmann::json service = {
-      {"healthPath", "/health"}, {"connectionLimit", 100}, {"protocol", "h1"}, {"transportSecurity", false}};
-  const nlohmann::json limits = {{"maximumHeaderBytes", 16384},
-                                 {"maximumBodyBytes", 1 << 20},
-                                 {"headerTimeoutMs", 3000},
-                                 {"idleTimeoutMs", 15000}};
-  const nlohmann::json list = {FirstRoute("plans", "safe", kPlanService),
-                               FirstRoute("orders", "unsafe", kOrderService),
-                               Item("services", kPlanService, service),
-                               Item("services", kOrderService, service), Item("limits", "", limits)};
-  return {{"version", 3}, {"baseVersion", 0}, {"resourceList", list}};
+  return ConfigurationItem("routes", name,
+                           {{"host", kHost},
+                            {"pathPrefix", "/" + name + "/"},
+                            {"kind", "safe"},
+                            {"service", kPlanService},
+                            {"attempts", 2}});
 }
 
 Ledger::Routes SetOf(const std::vector<std::string>& names) { return {names.begin(), names.end()}; }
--- /dev/null
+++ b/tests/mesh/metrics_invariants_test.cpp
@@ -0,0 +1,54 @@
+#include <prometheus/text_serializer.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <string>
+
+#include "mesh/metrics/invariants.hpp"
+
+namespace fennelhollow::metrics {
+namespace {
+
+TEST_CASE(
+    "a violation is counted under its name, and what was seen is asked for at the first of a kind alone") {
+  prometheus::Registry registry;
+  Invariants invariants(registry, Invariants::OnViolation::kCount);
+  int told = 0;
+  const auto saw = [&] { return "the " + std::to_string(++told) + ". time"; };
+  invariants.Check(Invariant::kAdmissionLeastShare, true, saw);
+  CHECK(told == 0);
+  for (int i = 0; i < 3; ++i) invariants.Check(Invariant::kAdmissionLeastShare, false, saw);
+  CHECK(told == 1);
+  invariants.Check(Invariant::kConfigurationMonotonic, false, saw);
+  CHECK(told == 2);
+  CHECK(invariants.violations(Invariant::kAdmissionLeastShare) == 3);
+  CHECK(invariants.violations(Invariant::kCommittedEntryMonotonic) == 0);
+  const std::string text = prometheus::TextSerializer().Serialize(registry.Collect());
+  INFO(text);
+  CHECK(text.find("fennelhollow_invariant_violations_total{invariant=\"admission_least_share\"} 3") !=
+        std::string::npos);
+  CHECK(text.find("{invariant=\"committed_entry_monotonic\"} 0") != std::string::npos);
+}
+
+TEST_CASE("under tests a violation ends the process, and what holds does not") {
+  for (const bool holds : {true, false}) {
+    const pid_t child = ::fork();
+    REQUIRE(child >= 0);
+    if (child == 0) {
+      std::signal(SIGABRT, SIG_DFL);  // not the test runner's
+      prometheus::Registry registry;
+      Invariants(registry, Invariants::OnViolation::kAbort)
+          .Check(Invariant::kConfigurationMonotonic, holds, [] { return std::string("version 3 after 5"); });
+      ::_exit(0);
+    }
+    int status = 0;
+    REQUIRE(::waitpid(child, &status, 0) == child);
+    CHECK(WIFEXITED(status) == holds);
+    CHECK((WIFSIGNALED(status) && WTERMSIG(status) == SIGABRT) == !holds);
+  }
+}
+
+}  // namespace
+}  // namespace fennelhollow::metrics
