--- /dev/null
+++ b/review/second/stand_ins/application_server.hpp
@@ -0,0 +1,100 @@
+// Stand-in of an application server as PROTOCOL.md describes it: slots and a queue, heartbeats to the sidecar
+// of its machine, Expected-Instance, Not-Executed, Server-Seal. It can lose answers that it has worked out,
+// send long answers in pieces or their head apart, and fail a share of what it has run.
+#ifndef SECOND_REVIEW_STAND_INS_APPLICATION_SERVER_HPP_
+#define SECOND_REVIEW_STAND_INS_APPLICATION_SERVER_HPP_
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+
+#include "rig/mesh/http.hpp"
+
+namespace review {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using fennelhollow::rig::Address;
+using fennelhollow::rig::milliseconds;
+using fennelhollow::rig::Request;
+using fennelhollow::rig::Response;
+
+struct ServerOptions {
+  std::string id, service, version = "v1";
+  Address address;
+  Address control;  // of the sidecar on its machine
+  int slots = 18, queue = 72;
+  milliseconds work_time{20}, heartbeat_interval{1500};
+  std::size_t body_bytes = 200;
+  std::size_t piece_bytes = std::size_t{64} * 1024;  // a longer body is sent in pieces of this size
+  milliseconds piece_pause{0};                       // before each further piece
+  milliseconds head_pause{0};                        // between the head of an answer and its body
+  std::size_t lost_after_bytes = 0;                  // so much of a lost answer's body is sent all the same
+  milliseconds drain_time{2'500};                    // drainMs
+};
+
+// What a server tells of its work on one request.
+struct ServerObserver {
+  std::function<void(const std::string& id, const Request& request)> on_begin = [](auto&, auto&) {};
+  // `sent_whole`: the answer was written to its end.
+  std::function<void(const std::string& id, bool sent_whole)> on_end = [](auto&, bool) {};
+  // It has run the request and answers with this status.
+  std::function<void(const std::string& id, int status)> on_failed = [](auto&, int) {};
+};
+
+class ApplicationServer : public std::enable_shared_from_this<ApplicationServer> {
+ public:
+  ApplicationServer(asio::io_context& io, ServerOptions options, ServerObserver observer);
+  void Start();
+  void Stop();
+  // From now on it loses the answers of this share of the requests that it runs: their connections stay
+  // silent.
+  void LoseAnswers(double share) { lost_share_ = share; }
+  // From now on it ends this share of the requests that it runs with the status and without Not-Executed.
+  void FailRequests(double share, http::status status) {
+    failed_share_ = share;
+    failure_ = status;
+  }
+  // Says that it drains, serves on for the drain time after the acknowledgement, departs and stops.
+  void Drain() { draining_ = true; }
+  bool stopped() const { return stopped_; }
+  int at_work() const { return at_work_; }
+  std::uint64_t answers_lost() const { return answers_lost_; }
+  const ServerOptions& options() const { return options_; }
+
+  static std::string Seal(const std::string& id) { return "seal." + id; }
+
+ private:
+  using Stream = std::shared_ptr<beast::tcp_stream>;
+  static asio::awaitable<void> Accept(std::shared_ptr<ApplicationServer> self);
+  static asio::awaitable<void> Serve(std::shared_ptr<ApplicationServer> self, Stream stream);
+  static asio::awaitable<void> SendHeartbeats(std::shared_ptr<ApplicationServer> self);
+  // Answers one request; false if the connection can't be used any more.
+  asio::awaitable<bool> Answer(const Stream& stream, const Request& request);
+  asio::awaitable<bool> LoseAnswer(const Stream& stream, Response& response, const std::string& id);
+  asio::awaitable<bool> Run(const Stream& stream, const Request& request, const std::string& id);
+  // Writes the answer's head and so many bytes of its body.
+  asio::awaitable<bool> WriteInPieces(const Stream& stream, const Response& head, std::size_t body_bytes);
+  std::string HeartbeatBody();
+  bool Draw(double share) { return std::uniform_real_distribution<double>(0, 1)(random_) < share; }
+
+  asio::io_context& io_;
+  const ServerOptions options_;
+  const ServerObserver observer_;
+  fennelhollow::rig::Tcp::acceptor acceptor_;
+  std::set<Stream> streams_;
+  std::mt19937 random_{11};
+  asio::steady_timer slot_available_;
+  int at_work_ = 0, waiting_ = 0;
+  std::uint64_t sequence_ = 0, answers_lost_ = 0;
+  double lost_share_ = 0, failed_share_ = 0;
+  http::status failure_ = http::status::internal_server_error;
+  bool draining_ = false, stopped_ = false;
+};
+
+}  // namespace review
+
+#endif  // SECOND_REVIEW_STAND_INS_APPLICATION_SERVER_HPP_
--- /dev/null
+++ b/review/second/stand_ins/scenario.hpp
@@ -0,0 +1,89 @@
+// What the cases have in common: a deployment with three cores, a sidecar and a server for each service
+// named, a first configuration, and clients that ask at a steady rate.
+#ifndef SECOND_REVIEW_STAND_INS_SCENARIO_HPP_
+#define SECOND_REVIEW_STAND_INS_SCENARIO_HPP_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "stand_ins/application_server.hpp"
+#include "stand_ins/case_runner.hpp"
+#include "stand_ins/client.hpp"
+#include "stand_ins/operator.hpp"
+
+namespace review {
+
+using fennelhollow::rig::Sleep;
+
+// core-1 to core-3, and sidecar-1, sidecar-2, ... beside a server of each of these services.
+std::vector<MachineOptions> CoresAndSidecars(const std::vector<std::string>& services);
+
+class Scenario {
+ public:
+  Scenario(CaseContext context, const std::vector<MachineOptions>& machines)
+      : context_(context), deployment_(machines) {}
+  virtual ~Scenario() = default;
+  Scenario(const Scenario&) = delete;
+  Scenario& operator=(const Scenario&) = delete;
+  virtual asio::awaitable<Verdict> Run() = 0;
+
+ protected:
+  // Starts the processes and a server on each of their machines, and has the operator send the routes,
+  // services and tenants. True once all sidecars are ready and know the servers.
+  asio::awaitable<bool> Start(std::vector<nlohmann::json> items);
+  // Starts the server of a machine.
+  void StartServer(const Machine& machine);
+  // Changes what is special about a server before it starts.
+  virtual void Configure(ServerOptions&) {}
+  virtual void OnRun(const std::string& /*request*/, const Request& /*message*/) {}
+  virtual void OnRunEnd(const std::string& /*request*/) {}
+  virtual void OnRunFailed(const std::string& /*request*/, int /*status*/) {}
+
+  // Calls `ask` `each` times at every `pause`, without waiting for the answers, until StopAsking.
+  void AskSteadily(milliseconds pause, int each, std::function<asio::awaitable<void>()> ask);
+  void StopAsking() { asking_ = false; }
+  // Writes a try that has ended to the record.
+  void RecordTry(const Try& ended, const std::string& where);
+
+  CaseContext context_;
+  Deployment deployment_;
+  std::map<std::string, std::shared_ptr<ApplicationServer>> servers_;  // by machine
+
+ private:
+  asio::awaitable<void> Ask(milliseconds pause, int each, std::function<asio::awaitable<void>()> ask);
+  bool asking_ = true;
+};
+
+// Number of tries by status.
+using StatusCounts = std::map<int, std::uint64_t>;
+std::string TextOf(const StatusCounts& statuses);
+
+// Requests of one kind, for the rules of the gate.
+struct KindOfRequest {
+  std::string name;
+  Call call;
+  std::uint64_t asked = 0, served = 0;
+  StatusCounts statuses = {};
+  double ServedShare() const {
+    return asked == 0 ? 1 : static_cast<double>(served) / static_cast<double>(asked);
+  }
+};
+// Gate: refused and failed requests of at most 60% of those owed. Starved: a kind of request is served less
+// than a quarter as often as all requests. Writes the shares to the record.
+Verdict JudgeGate(Record& record, const std::vector<const KindOfRequest*>& kinds);
+
+// Plays the scenario that `make` makes, from main.
+int RunScenario(int argc, char** argv, std::function<std::shared_ptr<Scenario>(CaseContext)> make);
+
+template <class S>
+int RunScenario(int argc, char** argv) {
+  return RunScenario(argc, argv, [](CaseContext context) { return std::make_shared<S>(context); });
+}
+
+}  // namespace review
+
+#endif  // SECOND_REVIEW_STAND_INS_SCENARIO_HPP_
