--- a/review/second/stand_ins/operator.cpp
+++ b/review/second/stand_ins/operator.cpp
@@ -72,7 +72,7 @@
                                      milliseconds timeout) {
   const auto until = Clock::now() + timeout;
   for (const Machine* machine : deployment.Sidecars()) {
-    bool ready = !machine->started();
+    bool ready = false;
     while (!ready && Clock::now() < until) {
       HttpConnection connection(io, machine->readiness());
       const auto answer = co_await connection.Call(
--- a/review/second/stand_ins/operator.hpp
+++ b/review/second/stand_ins/operator.hpp
@@ -28,7 +28,7 @@
 // True once a core has acknowledged the configuration.
 asio::awaitable<bool> Replace(asio::io_context& io, const Deployment& deployment, std::string configuration,
                               milliseconds timeout);
-// True once every sidecar that was started answers 200 at its readiness address.
+// True once every sidecar answers 200 at its readiness address.
 asio::awaitable<bool> WaitUntilReady(asio::io_context& io, const Deployment& deployment,
                                      milliseconds timeout);
 
