--- a/review/second/cases/lost_answers.cpp
+++ b/review/second/cases/lost_answers.cpp
@@ -15,6 +15,7 @@
 constexpr milliseconds kAskPause{10};
 constexpr int kReadsEach = 1, kOrdersEach = 4;  // 100 reads and 400 orders a second
 constexpr int kFurtherTries = 2;
+constexpr double kMinCalmShare = 0.8;  // the rest may be under way
 
 std::vector<nlohmann::json> Items() {
   return {
@@ -34,9 +35,16 @@
     reads_.call.path = "/reads/1";
     orders_.call.path = "/orders/1";
     orders_.call.unsafe = true;
+    const bool reached = co_await WaitUntilServed(Probes(), Probed());
+    if (!reached) co_return Verdict::kCouldNotRun;
     AskSteadily(kAskPause, kReadsEach, [this] { return AskOnce(reads_); });
     AskSteadily(kAskPause, kOrdersEach, [this] { return AskOnce(orders_); });
     co_await Sleep(context_.io, kCalmBefore);
+    for (const KindOfRequest* kind : {&reads_, &orders_}) {
+      context_.record.Summary(kind->name + " in the calm: served " + std::to_string(kind->served) + " of " +
+                              std::to_string(kind->asked));
+      if (kind->ServedShare() < kMinCalmShare) co_return Verdict::kCouldNotRun;  // too slow a machine
+    }
     for (int round = 0; round < kLossRounds; ++round)
       for (const char* machine : {"sidecar-3", "sidecar-4"}) co_await LoseAnswersOf(*servers_[machine]);
     sound_again_ = true;
@@ -54,6 +62,9 @@
   }
 
  private:
+  std::vector<Call> Probes() const { return {reads_.call, orders_.call}; }
+  static std::vector<std::string> Probed() { return {"sidecar-1", "sidecar-2", "sidecar-3", "sidecar-4"}; }
+
   asio::awaitable<void> LoseAnswersOf(ApplicationServer& server) {
     if (context_.trouble) server.LoseAnswers(kLostShare);
     co_await Sleep(context_.io, kLossTime);
--- a/review/second/cases/quota_after_core_kill.cpp
+++ b/review/second/cases/quota_after_core_kill.cpp
@@ -44,6 +44,8 @@
       relays_.push_back(std::make_unique<Relay>(context_.io, core->internal(), core->behind_relay()));
     const bool started = co_await Start(Items());
     if (!started) co_return Verdict::kCouldNotRun;
+    const bool reached = co_await WaitUntilServed(Probes(), Probed());
+    if (!reached) co_return Verdict::kCouldNotRun;
     for (const Machine* machine : deployment_.Sidecars()) {
       const auto client = std::make_shared<Client>(context_.io, machine->outbound());
       const std::string name = machine->name();
@@ -63,6 +65,9 @@
   }
 
  private:
+  std::vector<Call> Probes() const { return {Read()}; }
+  static std::vector<std::string> Probed() { return {}; }
+
   asio::awaitable<void> Disrupt() {
     context_.record.Summary(std::string(kMainMachine) + " is cut off from the cores");
     for (const auto& relay : relays_) relay->Cut(kMainMachine);
@@ -77,12 +82,16 @@
     context_.record.Summary(std::string(kMainMachine) + " reaches the cores again");
   }
 
-  asio::awaitable<void> AskOnce(std::shared_ptr<Client> client, std::string machine) {
+  static Call Read() {
     Call call;
     call.host = kHost;
     call.path = "/reads/1";
     call.key = kKey;
-    co_await client->Send(call, [&](const Try& ended) {
+    return call;
+  }
+
+  asio::awaitable<void> AskOnce(std::shared_ptr<Client> client, std::string machine) {
+    co_await client->Send(Read(), [&](const Try& ended) {
       ++statuses_[ended.status];
       RecordTry(ended, "at " + machine);
       if (ended.status == 200) served_.push_back({ended.sent, Clock::now()});
--- a/review/second/stand_ins/scenario.cpp
+++ b/review/second/stand_ins/scenario.cpp
@@ -12,6 +12,8 @@
 constexpr milliseconds kStartTimeout{15'000};
 constexpr milliseconds kListDelay{1'500};  // until the list of servers has reached all sidecars
 
+constexpr milliseconds kProbePause{20};
+
 constexpr double kStarvedFraction = 0.25;
 constexpr double kMaxUnservedShare = 0.6;
 
@@ -40,6 +42,23 @@
   co_return true;
 }
 
+asio::awaitable<bool> Scenario::WaitUntilServed(std::vector<Call> probes, std::vector<std::string> machines) {
+  Client client(context_.io, deployment_.Find("sidecar-1").outbound());
+  const auto until = Clock::now() + kStartTimeout;
+  while (Clock::now() < until) {
+    bool served = true;
+    for (const Call& probe : probes) {
+      const Try last = co_await client.Send(probe, [this](const Try& ended) { RecordTry(ended, "probe"); });
+      served = served && last.status == 200;
+    }
+    for (const std::string& machine : machines) served = served && runs_[machine] > 0;
+    if (served) co_return true;
+    co_await Sleep(context_.io, kProbePause);
+  }
+  context_.record.Summary("not all servers are reached in time");
+  co_return false;
+}
+
 void Scenario::StartServer(const Machine& machine) {
   ServerOptions options;
   options.id = "i-" + machine.name();
@@ -51,6 +70,7 @@
   ServerObserver observer;
   observer.on_begin = [this, server, at = machine.name()](const std::string& request, const Request&) {
     context_.record.Line(server + " runs " + request);
+    ++runs_[at];
     OnRun(at);
   };
   observer.on_end = [this, server](const std::string& request, bool whole) {
--- a/review/second/stand_ins/scenario.hpp
+++ b/review/second/stand_ins/scenario.hpp
@@ -35,6 +35,9 @@
   // Starts the processes and a server on each of their machines, and has the operator send the routes,
   // services and tenants. True once all sidecars are ready and know the servers.
   asio::awaitable<bool> Start(std::vector<nlohmann::json> items);
+  // Sends probes from the first sidecar until each kind has been served and the servers of these machines
+  // have all run one, so that a slow start is not taken for a broken rule. False if that takes too long.
+  asio::awaitable<bool> WaitUntilServed(std::vector<Call> probes, std::vector<std::string> machines);
   // Starts the server of a machine.
   void StartServer(const Machine& machine);
   // Changes what is special about a server before it starts.
@@ -51,6 +54,7 @@
   CaseContext context_;
   Deployment deployment_;
   std::map<std::string, std::shared_ptr<ApplicationServer>> servers_;  // by machine
+  std::map<std::string, std::uint64_t> runs_;                          // by machine
 
  private:
   asio::awaitable<void> Ask(milliseconds pause, int each, std::function<asio::awaitable<void>()> ask);
