--- a/rig/mesh/node_process.cpp
+++ b/rig/mesh/node_process.cpp
@@ -88,7 +88,7 @@
       << "platformSettings: {heartbeatIntervalMs: 500}\n"
       << "contractTerms:\n"
       << "  faultTolerance: {machineLosses: 1}\n"
-      << "  bounds: {drainMs: 1000, gracePeriodS: 3}\n";
+      << "  bounds: {drainMs: 1000, gracePeriodS: " << options_.grace_period_s << "}\n";
   return out.str();
 }
 
--- a/rig/mesh/node_process.hpp
+++ b/rig/mesh/node_process.hpp
@@ -39,6 +39,7 @@
     std::string service;  // of the application beside a sidecar
     Ports ports;
     std::vector<std::string> seeds;  // IPs
+    int grace_period_s = 3;          // from SIGTERM to the end
     // Listen address for other nodes; port 0: the announced address.
     Address internal_listen;
     std::vector<std::string> arguments;
--- a/rig/soak/cluster.cpp
+++ b/rig/soak/cluster.cpp
@@ -55,6 +55,7 @@
     node.service = (i - options_.cores) % 2 == 0 ? kPlanService : kOrderService;
     node.ports = ports;
     node.seeds = seeds;
+    node.grace_period_s = options_.grace_period_s;
     node.internal_listen = {ips[i], ports.last_internal()};
     node.arguments = {"--abort-on-violation"};
     machines.push_back({{ips[i], ports.first_internal()}, node.internal_listen});
--- a/rig/soak/cluster.hpp
+++ b/rig/soak/cluster.hpp
@@ -26,6 +26,7 @@
     std::uint64_t seed = 1;
     std::size_t cores = 4;
     std::size_t sidecars = 6;
+    int grace_period_s = 3;
   };
 
   Cluster(asio::io_context& io, Options options, ConsistencyChecker& checker);
--- a/src/mesh/egress/outbound_proxy.cpp
+++ b/src/mesh/egress/outbound_proxy.cpp
@@ -78,6 +78,7 @@
   bool budget_reserved = false;  // a retry was taken from the retry budget
   int full_servers = 0;          // servers that rejected it for lack of capacity
   Micros latency_target = 0;
+  Micros accepted_at = 0;
   Micros deadline = 0;
   Micros due = 0;          // when the response misses its latency target, adjusted for priority
   core::MessagePtr error;  // the last server's error response, if any
@@ -133,6 +134,7 @@
     if (pending_request_->error != nullptr)
       return Fail(core::FailureReason::kNoSafeRetry, std::move(pending_request_->error));
     ++owner_.counters_.refused;
+    owner_.CountIfGivenUp(*pending_request_);
     owner_.Refuse(pending_request_->session, 503, "refused: it has not run",
                   std::max<Micros>(retry_after, 20 * kMs));
   }
@@ -147,6 +149,7 @@
       ++owner_.counters_.served;
       return Write(response);
     }
+    owner_.CountIfGivenUp(*pending_request_);
     if (pending_request_->safe ||
         (pending_request_->server_arrivals == 0 && !pending_request_->may_have_run &&
          pending_request_->unresolved_attempts == 0)) {
@@ -445,6 +448,13 @@
   request_metrics_.OnRefused(labels, metrics::Hop::kOutbound, cause);
 }
 
+void OutboundProxy::CountIfGivenUp(const PendingRequest& pending) {
+  if (!terminating_in_flight_) return;
+  const Micros accepted_after = pending.accepted_at - shutdown_started_at_;
+  Micros& last = shutdown_counters_.last_given_up_accepted_after;
+  last = shutdown_counters_.given_up++ == 0 ? accepted_after : std::max(last, accepted_after);
+}
+
 // The RequestMessage, which owns the PendingRequest, outlives this call.
 void OutboundProxy::OnCompleted(const core::CompletedRequest& completed) {
   const auto it = pending_requests_.find(std::stoull(std::string(completed.id)));
@@ -465,14 +475,17 @@
 }
 
 void OutboundProxy::SetShutdownDeadline(Micros shutdown_deadline) {
+  shutdown_started_at_ = loop_.Now();
   shutdown_deadline_ = shutdown_deadline;
   for (auto& [service, service_context] : service_contexts_)
     service_context->request_manager->SetShutdownDeadline(shutdown_deadline);
 }
 
 void OutboundProxy::TerminateInFlight() {
+  terminating_in_flight_ = true;
   for (auto& [service, service_context] : service_contexts_)
     service_context->request_manager->EnforceShutdownDeadline();
+  terminating_in_flight_ = false;
 }
 
 void OutboundProxy::OnConfiguration(std::shared_ptr<const configuration::RoutingTables> tables) {
@@ -536,6 +549,7 @@
   ++counters_.requests;
   if (refuse_new_) {
     ++counters_.refused;
+    ++shutdown_counters_.refused;
     CountRefused({}, "ending");
     return Refuse(session, 503, "this sidecar ends: it has not run", kNotReadyRetry);
   }
@@ -587,6 +601,8 @@
   pending->priority = static_cast<std::uint8_t>(std::clamp(match.priority, 0, kLowestPriority));
   pending->safe = match.safe;
   pending->max_server_arrivals = std::max(1, match.route->max_attempts);
+  pending->accepted_at = now;
+  if (shutdown_started_at_ > 0) ++shutdown_counters_.accepted;
   pending->latency_target =
       (match.route->target_latency_ms > 0 ? match.route->target_latency_ms : 1000) * kMs;
   pending->due = now + static_cast<Micros>(static_cast<double>(pending->latency_target) *
--- a/src/mesh/egress/outbound_proxy.hpp
+++ b/src/mesh/egress/outbound_proxy.hpp
@@ -44,6 +44,16 @@
     std::map<std::string, std::array<std::uint64_t, merlinrun::kCauseCount>> requests_by_end_cause;
   };
 
+  // Requests from the start of the shutdown on.
+  struct ShutdownCounters {
+    std::uint64_t accepted = 0;  // passed on, or queued for a server
+    std::uint64_t refused = 0;   // because of the shutdown
+    std::uint64_t given_up = 0;  // answered without a server's response by TerminateInFlight
+    // When the given-up request that arrived last was accepted, from the start of the shutdown; negative if
+    // before it. Meaningful if `given_up` is not 0.
+    Micros last_given_up_accepted_after = 0;
+  };
+
   // The references must outlive the proxy.
   OutboundProxy(merlinrun::core::Loop& loop, Settings settings, InboundProxyClient& proxy_client,
                 quota::Limiter& limiter, metrics::RequestMetrics& request_metrics);
@@ -71,6 +81,7 @@
 
   std::size_t in_flight() const { return pending_requests_.size(); }
   const Counters& counters() const { return counters_; }
+  const ShutdownCounters& shutdown_counters() const { return shutdown_counters_; }
   std::int64_t version() const { return tables_ == nullptr ? 0 : tables_->version(); }
 
  private:
@@ -82,6 +93,8 @@
   ServiceContext& ContextFor(const std::string& service);
   // Counts a request that is refused before it becomes a PendingRequest.
   void CountRefused(const metrics::RequestLabels& labels, std::string_view cause);
+  // Counts a request that is answered without a server's response.
+  void CountIfGivenUp(const PendingRequest& pending);
   void OnCompleted(const merlinrun::core::CompletedRequest& completed);
   void UpdateServers(ServiceContext& service_context);
   void Refuse(const HttpServer::SessionPtr& session, unsigned status, const char* detail, Micros retry_after);
@@ -93,6 +106,7 @@
   metrics::RequestMetrics& request_metrics_;
   merlinrun::Random random_;
   Counters counters_;
+  ShutdownCounters shutdown_counters_;
   std::shared_ptr<const configuration::RoutingTables> tables_;
   registry::Snapshot snapshot_;
   std::size_t rank_ = 0, sidecar_count_ = 1;
@@ -102,8 +116,8 @@
   std::unordered_map<std::uint64_t, std::weak_ptr<PendingRequest>> pending_requests_;     // by sequence
   std::map<std::string, std::unique_ptr<ServiceContext>, std::less<>> service_contexts_;  // by service
   std::function<double()> retry_share_;
-  Micros shutdown_deadline_ = 0;  // 0 if none
-  bool refuse_new_ = false;
+  Micros shutdown_started_at_ = 0, shutdown_deadline_ = 0;  // 0 if none
+  bool refuse_new_ = false, terminating_in_flight_ = false;
   std::uint64_t last_sequence_ = 0;
 };
 
--- a/src/mesh/ingress/inbound_proxy.cpp
+++ b/src/mesh/ingress/inbound_proxy.cpp
@@ -321,6 +321,12 @@
     Reject(attempt_key, RejectReason::kDraining);
 }
 
+std::size_t InboundProxy::unsent_bytes() const {
+  std::size_t bytes = 0;
+  for (const SessionPtr& session : sessions_) bytes += session->link->queued_bytes();
+  return bytes;
+}
+
 double InboundProxy::retry_share() const {
   return running_ == 0 ? 0 : static_cast<double>(retries_running_) / static_cast<double>(running_);
 }
--- a/src/mesh/ingress/inbound_proxy.hpp
+++ b/src/mesh/ingress/inbound_proxy.hpp
@@ -49,6 +49,8 @@
   // The server instance accepts no more work; the attempts queued for it are rejected.
   void OnServerNotReady(const std::string& id);
   std::size_t in_flight() const { return active_.size(); }
+  // Bytes of responses that wait in the links to outbound proxies.
+  std::size_t unsent_bytes() const;
   // Fraction (0 to 1) of the requests running at the server that may have run before.
   double retry_share() const;
   const Counters& counters() const { return counters_; }
--- a/src/mesh/node/sidecar.cpp
+++ b/src/mesh/node/sidecar.cpp
@@ -225,6 +225,7 @@
                             {"malformed", gossip_view_.counters().malformed},
                             {"overRate", gossip_view_.counters().over_rate},
                             {"lostNeighbours", gossip_view_.counters().lost_neighbours}}}};
+    if (stopping_) out["shutdown"] = ShutdownStatus();
     for (const auto& [service, causes] : outbound_counters.requests_by_end_cause) {
       nlohmann::json& to = out["refusedFor"][service] = nlohmann::json::object();
       for (std::size_t i = 0; i < causes.size(); ++i)
@@ -278,6 +279,21 @@
     Impl& owner;
   };
 
+  // For the log line at the end, from which an operator can tell what the shutdown did to requests.
+  nlohmann::json ShutdownStatus() const {
+    const auto& counters = outbound_proxy_.shutdown_counters();
+    nlohmann::json out = {{"accepted", counters.accepted},
+                          {"refused", counters.refused},
+                          {"givenUp", counters.given_up},
+                          {"busyConnections", outbound_listener_ ? outbound_listener_->busy() : 0},
+                          {"attempts", inbound_proxy_.in_flight()},
+                          {"unsentBytes", inbound_proxy_.unsent_bytes()},
+                          {"loopDelayMs", longest_loop_delay_ / kMillisecond}};
+    if (counters.given_up > 0)
+      out["lastGivenUpAcceptedAfterMs"] = counters.last_given_up_accepted_after / kMillisecond;
+    return out;
+  }
+
   bool IsReady() const { return !stopping_ && outbound_proxy_.version() > 0; }
 
   // ---- Calls of the local server, and of operators, who are redirected to a core ----
@@ -360,6 +376,9 @@
 
   void Tick() {
     const Micros now = loop_.Now();
+    if (last_tick_at_ > 0)
+      longest_loop_delay_ = std::max(longest_loop_delay_, now - last_tick_at_ - kTickInterval);
+    last_tick_at_ = now;
     heartbeats_.OnTick(now, settings_.heartbeat_interval_ms * kMillisecond);
     OnInstancesChanged(now);
     client_.OnTick(now);
@@ -546,7 +565,8 @@
   std::unique_ptr<ControlListener> control_listener_;
   std::unique_ptr<HttpServer> outbound_listener_, readiness_listener_;
   std::unique_ptr<merlinrun::core::Timer> tick_timer_;
-  Micros inbound_proxy_client_ticked_at_ = 0, stop_requested_at_ = 0;
+  Micros inbound_proxy_client_ticked_at_ = 0, stop_requested_at_ = 0, last_tick_at_ = 0;
+  Micros longest_loop_delay_ = 0;  // of a tick, since the start of the process
   bool stopping_ = false, leave_sent_ = false, refuse_attempts_ = false, finishing_ = false;
   std::function<void()> on_stopped_;
   std::uint64_t rejected_links_ = 0, malformed_updates_ = 0;
