A request refused while it waits for a retry is complete: in-flight counts fall to 0

Cause: the balancer may end a request from one of its timers (no server, no further attempt). RequestManager then gave the response but never erased the request: only the calls about that very request did. The request, its body and its connection's session stayed for the life of the process, it was missing from requests_total, and in_flight() never reached 0 again, so that a sidecar ended by the longest way (5.7 s after SIGTERM).

The new test failed before (1 request active, none completed) and passes.

Class: an end that is reported in one place and booked in another. Now each call of the balancer is followed by erasing what it ended.

--- a/src/core/request_manager.cpp
+++ b/src/core/request_manager.cpp
@@ -80,7 +80,7 @@
   in.key = incoming.key;
   in.protocol = incoming.protocol;
   balancer_->OnRequest(now, in);
-  EraseIfComplete(id);
+  EraseEnded();
 }
 
 void RequestManager::OnUploadComplete(const std::string& id) {
@@ -97,6 +97,7 @@
   }
   ArmTimer(id, active);
   balancer_->OnUploadComplete(now, id, active.budget);
+  EraseEnded();
 }
 
 void RequestManager::OnClientGone(const std::string& id) {
@@ -104,6 +105,7 @@
   if (it == requests_.end()) return;
   TakeSink(it->second, CompletedRequest::Disposition::kClientGone);
   balancer_->OnClientGone(loop_.Now(), id);
+  EraseEnded();
   EraseIfComplete(id);
 }
 
@@ -136,6 +138,7 @@
   if (on_attempt_completed_)
     on_attempt_completed_({ended.server, result, outcome.elapsed, it->second.request_class});
   balancer_->OnOutcome(now, outcome);
+  EraseEnded();
   EraseIfComplete(id);
 }
 
@@ -164,6 +167,7 @@
     TakeSink(it->second, CompletedRequest::Disposition::kFailed)
         ->Fail(FailureReason::kDeadlineExceeded, nullptr);
     balancer_->OnClientGone(now, id);
+    EraseEnded();
     return EraseIfComplete(id);
   }
   if (now < it->second.deadline) ArmTimer(id, it->second);
@@ -193,6 +197,10 @@
   if (requests_.empty() && on_empty_) on_empty_();
 }
 
+void RequestManager::EraseEnded() {
+  for (const std::string& id : std::exchange(ended_, {})) EraseIfComplete(id);
+}
+
 // ---- ActionSink; must not call back into the balancer ----
 
 void RequestManager::Send(std::string_view request, const std::string& server, Micros timeout) {
@@ -235,18 +243,23 @@
 void RequestManager::Refuse(std::string_view request, Micros retry_after, Cause why) {
   const auto it = requests_.find(std::string(request));
   if (it == requests_.end() || it->second.response_sink == nullptr) return;
+  ended_.push_back(it->first);
   TakeSink(it->second, CompletedRequest::Disposition::kRefused, why)->Refuse(retry_after);
 }
 
 void RequestManager::Fail(std::string_view request, Cause why) {
   const auto it = requests_.find(std::string(request));
   if (it == requests_.end() || it->second.response_sink == nullptr) return;
+  ended_.push_back(it->first);
   TakeSink(it->second, CompletedRequest::Disposition::kFailed, why)
       ->Fail(FailureReason::kNoSafeRetry, std::move(it->second.error));
 }
 
 void RequestManager::SetTimer(Micros delay, std::uint64_t token) {
-  loop_.After(std::max<Micros>(delay, 0), [this, token] { balancer_->OnTimer(loop_.Now(), token); });
+  loop_.After(std::max<Micros>(delay, 0), [this, token] {
+    balancer_->OnTimer(loop_.Now(), token);
+    EraseEnded();
+  });
 }
 
 void RequestManager::Subscribe() { loop_.Post(subscribe_); }
--- a/src/core/request_manager.hpp
+++ b/src/core/request_manager.hpp
@@ -206,6 +206,9 @@
   void ArmTimer(const std::string& id, ActiveRequest& active);
   void OnTimerExpired(const std::string& id);
   void EraseIfComplete(const std::string& id);
+  // Erases the requests that the balancer has ended. Call after each call of the balancer: it may end
+  // requests other than the one that the call is about.
+  void EraseEnded();
   // Returns the request's sink and records how the request ended; the request has no sink after this.
   std::unique_ptr<ResponseSink> TakeSink(ActiveRequest& active, CompletedRequest::Disposition disposition,
                                          std::optional<Cause> why = {});
@@ -217,6 +220,7 @@
   std::function<void()> on_empty_;
   std::function<void(const CompletedRequest&)> on_request_completed_;
   std::function<void(const CompletedAttempt&)> on_attempt_completed_;
+  std::vector<std::string> ended_;  // requests that the balancer has refused or failed; see EraseEnded
   std::unique_ptr<Balancer> balancer_;
   ActiveRequests requests_;
   Micros shutdown_deadline_ = 0;  // 0 = none
--- a/tests/core/request_manager_test.cpp
+++ b/tests/core/request_manager_test.cpp
@@ -109,6 +109,17 @@
   EXPECT_EQ(request_manager.active_requests(), 0U);
 }
 
+TEST_F(RequestManagerTest, ARequestRefusedWhileItWaitsToBeRetriedIsComplete) {
+  std::size_t completed = 0;
+  request_manager.SetCompletionObserver([&](const CompletedRequest&) { ++completed; });
+  request_manager.OnServers({ListUpdate::Kind::kFull, 2, {}});
+  Submit("r1", kSafeClass);
+  loop.Run(60 * kSec);
+  EXPECT_EQ(responses.For("r1").size(), 1U);
+  EXPECT_EQ(completed, 1U);
+  EXPECT_EQ(request_manager.active_requests(), 0U);
+}
+
 TEST_F(RequestManagerTest, AResultAfterTheFinalResponseIsIgnored) {
   Submit("r1", kPortClass, 1 * kSec);
   auto done = egress.sent[0].done;
