A sidecar that ends accepts only what it can finish, and ends in one event

Callers saw: a request sent more than 3 s after SIGTERM was passed on and answered 503 or 504 in its server's place 5.3 s after the signal.

Cause: the end of accepting was a flag that a 50 ms timer set at 3.0 s, counted from when the signal was handled, while the limit is 3 s from the signal itself: no margin for the signal's way, the timer or a busy loop, and nothing asked whether the request could be finished. Class: a bound that is enforced by polling, at the bound.

Change: node/shutdown_schedule has the times; from 2.3 s on (clients have moved) a request is accepted only if its time limit ends before the time to finish, checked with each request. The exit is decided and carried out in one event, after what has arrived was refused; it also waits for response bytes in the links to other sidecars, which it did not count.

--- a/src/mesh/egress/http_server.cpp
+++ b/src/mesh/egress/http_server.cpp
@@ -117,6 +117,10 @@
   }
   std::size_t queued_bytes() const { return write_buffer_.size() - written_bytes_; }
 
+  void HandleArrived() {
+    if (state_ == State::kReading || state_ == State::kLingering) OnReadable();
+  }
+
   void Close() {
     if (state_ == State::kClosed) return;
     const auto self = shared_from_this();
@@ -467,6 +471,12 @@
   acceptor_.close(error);
 }
 
+void HttpServer::HandleArrived() {
+  StopAccepting();
+  const std::list<SessionPtr> open_sessions = sessions_;  // a session may close and leave the list
+  for (const SessionPtr& session : open_sessions) session->HandleArrived();
+}
+
 void HttpServer::Respond(const SessionPtr& s, unsigned status, const Headers& headers,
                          std::string_view body) {
   s->Respond(status, headers, body);
--- a/src/mesh/egress/http_server.hpp
+++ b/src/mesh/egress/http_server.hpp
@@ -79,6 +79,9 @@
   void SetDraining();
   // Accepts the connections that are already established, then stops listening.
   void StopAccepting();
+  // Stops accepting and handles the input that has already arrived on all connections. Call before the
+  // process exits, so that it does not cut off requests whose bytes it has.
+  void HandleArrived();
   std::size_t sessions() const { return sessions_.size(); }
   std::size_t busy() const { return busy_; }  // connections with an unfinished request or response
 
--- a/src/mesh/egress/outbound_proxy.cpp
+++ b/src/mesh/egress/outbound_proxy.cpp
@@ -157,9 +157,8 @@
       ++owner_.counters_.refused;
       return owner_.Refuse(pending_request_->session, 503, "refused", 20 * kMs);
     }
-    const Micros due = owner_.shutdown_deadline_ > 0
-                           ? std::min(owner_.shutdown_deadline_, pending_request_->deadline)
-                           : pending_request_->deadline;
+    const Micros due = owner_.shutdown_ ? std::min(owner_.shutdown_->deadline, pending_request_->deadline)
+                                        : pending_request_->deadline;
     const bool out_of_time =
         reason == core::FailureReason::kDeadlineExceeded || owner_.loop_.Now() + kResponseMargin >= due;
     ++(out_of_time ? owner_.counters_.deadline_exceeded : owner_.counters_.failed);
@@ -436,7 +435,7 @@
         if (completed.end_cause) ++causes[static_cast<std::size_t>(*completed.end_cause)];
         OnCompleted(completed);
       });
-  if (shutdown_deadline_ > 0) service_context->request_manager->SetShutdownDeadline(shutdown_deadline_);
+  if (shutdown_) service_context->request_manager->SetShutdownDeadline(shutdown_->deadline);
   ServiceContext& out = *service_context;
   service_contexts_[service] = std::move(service_context);
   UpdateServers(out);
@@ -474,11 +473,23 @@
   request_metrics_.OnRefused(pending->labels, refused_at, cause);
 }
 
-void OutboundProxy::SetShutdownDeadline(Micros shutdown_deadline) {
+void OutboundProxy::BeginShutdown(const ShutdownLimits& limits) {
   shutdown_started_at_ = loop_.Now();
-  shutdown_deadline_ = shutdown_deadline;
+  shutdown_ = limits;
   for (auto& [service, service_context] : service_contexts_)
-    service_context->request_manager->SetShutdownDeadline(shutdown_deadline);
+    service_context->request_manager->SetShutdownDeadline(limits.deadline);
+}
+
+bool OutboundProxy::ComesTooLate(Micros now, Micros time_limit) const {
+  return shutdown_ && now >= shutdown_->accept_all_until && now + time_limit > shutdown_->deadline;
+}
+
+void OutboundProxy::RefuseForShutdown(const HttpServer::SessionPtr& session,
+                                      const metrics::RequestLabels& labels) {
+  ++counters_.refused;
+  ++shutdown_counters_.refused;
+  CountRefused(labels, "ending");
+  Refuse(session, 503, "this sidecar ends: it has not run", kNotReadyRetry);
 }
 
 void OutboundProxy::TerminateInFlight() {
@@ -547,12 +558,7 @@
 
 void OutboundProxy::OnRequest(const HttpServer::SessionPtr& session, HttpRequest http_request) {
   ++counters_.requests;
-  if (refuse_new_) {
-    ++counters_.refused;
-    ++shutdown_counters_.refused;
-    CountRefused({}, "ending");
-    return Refuse(session, 503, "this sidecar ends: it has not run", kNotReadyRetry);
-  }
+  if (refuse_new_) return RefuseForShutdown(session, {});
   if (tables_ == nullptr) {
     ++counters_.not_ready;
     CountRefused({}, "not_ready");
@@ -578,6 +584,9 @@
   const Micros now = loop_.Now();
   const int request_class = RequestClassOf(match);
   const metrics::RequestLabels labels{match.route->name, RequestClassName(request_class)};
+  std::int64_t time_limit_ms = match.route->timeout_ms > 0 ? match.route->timeout_ms : kDefaultTimeoutMs;
+  if (match.deadline_ms) time_limit_ms = std::min(time_limit_ms, *match.deadline_ms);
+  if (ComesTooLate(now, time_limit_ms * kMs)) return RefuseForShutdown(session, labels);
   if (match.tenant != nullptr && !limiter_.TryAcquire(now, match.tenant->name)) {
     ++counters_.over_quota;
     CountRefused(labels, "over_quota");
@@ -602,7 +611,7 @@
   pending->safe = match.safe;
   pending->max_server_arrivals = std::max(1, match.route->max_attempts);
   pending->accepted_at = now;
-  if (shutdown_started_at_ > 0) ++shutdown_counters_.accepted;
+  if (shutdown_) ++shutdown_counters_.accepted;
   pending->latency_target =
       (match.route->target_latency_ms > 0 ? match.route->target_latency_ms : 1000) * kMs;
   pending->due = now + static_cast<Micros>(static_cast<double>(pending->latency_target) *
@@ -612,8 +621,6 @@
   core::IncomingRequest incoming;
   incoming.id = std::to_string(pending->sequence);
   incoming.request_class = request_class;
-  std::int64_t time_limit_ms = match.route->timeout_ms > 0 ? match.route->timeout_ms : kDefaultTimeoutMs;
-  if (match.deadline_ms) time_limit_ms = std::min(time_limit_ms, *match.deadline_ms);
   incoming.client_timeout = time_limit_ms * kMs;
   pending->deadline = now + time_limit_ms * kMs;
   auto message = std::make_unique<RequestMessage>();
--- a/src/mesh/egress/outbound_proxy.hpp
+++ b/src/mesh/egress/outbound_proxy.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -44,6 +45,12 @@
     std::map<std::string, std::array<std::uint64_t, merlinrun::kCauseCount>> requests_by_end_cause;
   };
 
+  struct ShutdownLimits {
+    // Until then all requests are accepted, because clients still send new ones here. Later ones are accepted
+    // only if their time limit ends before the deadline, so that none is given up because of the shutdown.
+    Micros accept_all_until = 0;
+    Micros deadline = 0;
+  };
   // Requests from the start of the shutdown on.
   struct ShutdownCounters {
     std::uint64_t accepted = 0;  // passed on, or queued for a server
@@ -70,10 +77,10 @@
   // these make are charged to the retry budget in the same proportion.
   void SetRetryShare(std::function<double()> share) { retry_share_ = std::move(share); }
 
-  // From now on all responses are sent by `shutdown_deadline`; it also limits the time of new requests.
-  void SetShutdownDeadline(Micros shutdown_deadline);
-  // From now on new requests are refused at once with 503, which promises that they were not executed,
-  // because there is no time left to serve them.
+  // From now on all responses are sent by `limits.deadline`, which also limits the time of new requests, and
+  // late requests are refused; see ShutdownLimits.
+  void BeginShutdown(const ShutdownLimits& limits);
+  // From now on all new requests are refused at once with 503, which promises that they were not executed.
   void RefuseNewRequests() { refuse_new_ = true; }
   // Responds to all requests in flight: 503 if the request is safe or was not sent, 504 if it may have been
   // executed.
@@ -93,6 +100,9 @@
   ServiceContext& ContextFor(const std::string& service);
   // Counts a request that is refused before it becomes a PendingRequest.
   void CountRefused(const metrics::RequestLabels& labels, std::string_view cause);
+  // Whether a new request with this time limit comes too late to be served before the shutdown's deadline.
+  bool ComesTooLate(Micros now, Micros time_limit) const;
+  void RefuseForShutdown(const HttpServer::SessionPtr& session, const metrics::RequestLabels& labels);
   // Counts a request that is answered without a server's response.
   void CountIfGivenUp(const PendingRequest& pending);
   void OnCompleted(const merlinrun::core::CompletedRequest& completed);
@@ -116,7 +126,8 @@
   std::unordered_map<std::uint64_t, std::weak_ptr<PendingRequest>> pending_requests_;     // by sequence
   std::map<std::string, std::unique_ptr<ServiceContext>, std::less<>> service_contexts_;  // by service
   std::function<double()> retry_share_;
-  Micros shutdown_started_at_ = 0, shutdown_deadline_ = 0;  // 0 if none
+  Micros shutdown_started_at_ = 0;
+  std::optional<ShutdownLimits> shutdown_;
   bool refuse_new_ = false, terminating_in_flight_ = false;
   std::uint64_t last_sequence_ = 0;
 };
--- a/src/mesh/node/sidecar.cpp
+++ b/src/mesh/node/sidecar.cpp
@@ -7,6 +7,7 @@
 #include <boost/system/system_error.hpp>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <set>
 #include <utility>
 #include <variant>
@@ -22,6 +23,7 @@
 #include "mesh/ingress/inbound_proxy.hpp"
 #include "mesh/metrics/request_metrics.hpp"
 #include "mesh/node/control_listener.hpp"
+#include "mesh/node/shutdown_schedule.hpp"
 #include "mesh/push/client.hpp"
 #include "mesh/quota/quota.hpp"
 #include "mesh/registry/registry.hpp"
@@ -54,20 +56,6 @@
 // Share of the retry budget used here: calls made by retried requests count against it too, and this sidecar
 // does not see all of them.
 constexpr double kRetryBudgetShare = 0.5;
-// Time until clients are sent elsewhere: the platform probes readiness every second and needs two failures.
-constexpr Micros kReadinessPropagation = 2300 * kMillisecond;
-// Time in which requests may still arrive after its server was removed from the registry.
-constexpr Micros kRemovalPropagation = 500 * kMillisecond;
-// Remaining requests are answered with 503 or 504 this long, at most a seventh of the grace period, before it
-// ends; until then their servers may finish them.
-constexpr Micros kMaxFinishMargin = 700 * kMillisecond;
-constexpr Micros kFinishMarginDivisor = 7;
-// Time in which new requests are still accepted after clients have been sent elsewhere.
-constexpr Micros kLateRequestWindow = 700 * kMillisecond;
-// The process exits at the latest this long, or half of the finish margin if that is less, before the grace
-// period ends.
-constexpr Micros kMaxExitMargin = 300 * kMillisecond;
-
 std::string Ip(const std::string& address) { return address.substr(0, address.rfind(':')); }
 
 }  // namespace
@@ -167,9 +155,10 @@
     if (stopping_) return;
     stopping_ = true;
     on_stopped_ = std::move(done);
-    stop_requested_at_ = loop_.Now();
+    shutdown_.emplace(loop_.Now(), static_cast<Micros>(settings_.bounds.grace_period_s * 1e6));
     if (outbound_listener_) outbound_listener_->SetDraining();
-    outbound_proxy_.SetShutdownDeadline(stop_requested_at_ + GracePeriod() - FinishMargin());
+    outbound_proxy_.BeginShutdown(
+        {.accept_all_until = shutdown_->clients_moved_at, .deadline = shutdown_->finish_at});
     LOG(INFO) << "draining, no longer ready: " << outbound_proxy_.in_flight() << " requests and "
               << inbound_proxy_.in_flight() << " attempts in flight";
   }
@@ -404,30 +393,29 @@
     tick_timer_->Start(kTickInterval, [this] { Tick(); });
   }
 
-  Micros GracePeriod() const { return static_cast<Micros>(settings_.bounds.grace_period_s * 1e6); }
-  Micros ExitMargin() const { return std::min(kMaxExitMargin, FinishMargin() / 2); }
-  Micros FinishMargin() const { return std::min(kMaxFinishMargin, GracePeriod() / kFinishMarginDivisor); }
+  // Whether no response is unfinished, neither to clients nor to outbound proxies.
+  bool IsIdle() const {
+    return (outbound_listener_ == nullptr || outbound_listener_->busy() == 0) &&
+           outbound_proxy_.in_flight() == 0 && inbound_proxy_.in_flight() == 0 &&
+           inbound_proxy_.unsent_bytes() == 0;
+  }
 
   // Advances the shutdown; false once it is complete.
   bool ContinueStop(Micros now) {
-    const Micros elapsed = now - stop_requested_at_;
-    const Micros grace = GracePeriod();
-    const Micros readiness_delay = std::min(kReadinessPropagation, grace / 2);
-    if (elapsed >= readiness_delay - kRemovalPropagation && !std::exchange(leave_sent_, true))
-      client_.Leave(now);
-    if (elapsed >= readiness_delay) refuse_attempts_ = true;
-    // Guards against requests that are read but never answered: late ones are rejected, and those in flight
-    // are answered before the process exits, whatever their servers do.
-    if (elapsed >= readiness_delay + kLateRequestWindow) outbound_proxy_.RefuseNewRequests();
-    if (elapsed >= grace - FinishMargin() && !std::exchange(finishing_, true))
+    if (now >= shutdown_->leave_at && !std::exchange(leave_sent_, true)) client_.Leave(now);
+    if (now >= shutdown_->clients_moved_at) refuse_attempts_ = true;
+    if (now >= shutdown_->finish_at && !std::exchange(finishing_, true)) {
+      outbound_proxy_.RefuseNewRequests();
       outbound_proxy_.TerminateInFlight();
-    const bool idle = (outbound_listener_ == nullptr || outbound_listener_->busy() == 0) &&
-                      outbound_proxy_.in_flight() == 0 && inbound_proxy_.in_flight() == 0;
-    if ((elapsed < readiness_delay + kRemovalPropagation || !idle) && elapsed < grace - ExitMargin())
-      return true;
+    }
+    if (now < shutdown_->earliest_exit_at || (!IsIdle() && now < shutdown_->latest_exit_at)) return true;
+    // Requests that have arrived since are refused, not cut off by the exit.
+    outbound_proxy_.RefuseNewRequests();
+    if (outbound_listener_) outbound_listener_->HandleArrived();
+    if (!IsIdle() && now < shutdown_->latest_exit_at) return true;
     LOG(INFO) << "stopped: " << StatusText();
-    const auto done = std::exchange(on_stopped_, nullptr);
-    if (done) loop_.Post(done);
+    // Called here and not posted: a handler in between could accept a request that nobody would answer.
+    if (const auto done = std::exchange(on_stopped_, nullptr)) done();
     return false;
   }
 
@@ -565,9 +553,10 @@
   std::unique_ptr<ControlListener> control_listener_;
   std::unique_ptr<HttpServer> outbound_listener_, readiness_listener_;
   std::unique_ptr<merlinrun::core::Timer> tick_timer_;
-  Micros inbound_proxy_client_ticked_at_ = 0, stop_requested_at_ = 0, last_tick_at_ = 0;
+  Micros inbound_proxy_client_ticked_at_ = 0, last_tick_at_ = 0;
   Micros longest_loop_delay_ = 0;  // of a tick, since the start of the process
   bool stopping_ = false, leave_sent_ = false, refuse_attempts_ = false, finishing_ = false;
+  std::optional<ShutdownSchedule> shutdown_;  // set once the process is stopping
   std::function<void()> on_stopped_;
   std::uint64_t rejected_links_ = 0, malformed_updates_ = 0;
 };
--- a/tests/mesh/egress_outbound_test.cpp
+++ b/tests/mesh/egress_outbound_test.cpp
@@ -437,7 +437,7 @@
   MeshFixture mesh(1, [](std::size_t, RawConnection&, const std::string&) {});
   const auto safe = mesh.Send("safe"), unsafe = mesh.Send("unsafe");
   REQUIRE(RunUntil(mesh.io, [&] { return mesh.arrivals.size() == 2; }));
-  mesh.outbound_proxy->SetShutdownDeadline(mesh.loop.Now());
+  mesh.outbound_proxy->BeginShutdown({.accept_all_until = mesh.loop.Now(), .deadline = mesh.loop.Now()});
   mesh.outbound_proxy->RefuseNewRequests();
   mesh.outbound_proxy->TerminateInFlight();
   const auto answered = [](const RawConnectionPtr& connection) {
