SIGHUP does not kill a process that starts or ends

Cause: the handlers of signals were installed after the settings had been read and removed before the process was over, and SIGHUP kills a process without a handler: a reload that reaches a whole fleet kills those that are just starting, and ends one that is shutting down with a failure. Now they are installed first and, once they are removed, the signals are blocked.

--- a/rig/mesh/node_process.cpp
+++ b/rig/mesh/node_process.cpp
@@ -5,13 +5,20 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
 #include <iterator>
 #include <random>
 #include <sstream>
+#include <string_view>
 
 namespace fennelhollow::rig {
+namespace {
+
+constexpr std::string_view kCaughtSignals = "SigCgt:";  // a mask, in /proc/PID/status
+
+}  // namespace
 
 Ports FindPorts(const std::vector<std::string>& ips) {
   asio::io_context io;
@@ -92,14 +99,30 @@
   return out.str();
 }
 
+// Replaces the file at once, so that the process never reads a part of it.
+void NodeProcess::WriteSettings() const {
+  const auto file = options_.folder / (options_.name + ".yaml");
+  const auto next = options_.folder / (options_.name + ".yaml.next");
+  std::ofstream(next) << Settings();
+  std::filesystem::rename(next, file);
+}
+
+void NodeProcess::Reload(std::uint64_t seed) {
+  std::mt19937_64 random(seed);
+  std::shuffle(options_.seeds.begin(), options_.seeds.end(), random);
+  WriteSettings();
+  Signal(SIGHUP);
+}
+
 bool NodeProcess::Start() {
   const auto file = options_.folder / (options_.name + ".yaml");
-  std::ofstream(file) << Settings();
+  WriteSettings();
   if (options_.role == Role::kCore) std::filesystem::create_directories(DataDirectory());
   const std::string log = (options_.folder / (options_.name + ".log")).string();
   const std::string variable = "FENNELHOLLOW_CONFIG=" + file.string();
   first_start_ = false;
   status_ = -1;
+  signal_ = 0;
   std::vector<const char*> arguments = {options_.program.c_str()};
   for (const std::string& argument : options_.arguments) arguments.push_back(argument.c_str());
   arguments.push_back(nullptr);
@@ -129,9 +152,25 @@
   if (::waitpid(pid_, &status, WNOHANG) != pid_) return false;
   pid_ = -1;
   if (WIFEXITED(status)) status_ = WEXITSTATUS(status);
+  if (WIFSIGNALED(status)) signal_ = WTERMSIG(status);
   return true;
 }
 
+std::string NodeProcess::EndText() const {
+  return signal_ != 0 ? "signal " + std::to_string(signal_) : "status " + std::to_string(status_);
+}
+
+bool NodeProcess::HandlesSignals() const {
+  if (pid_ <= 0) return false;
+  std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+  const auto bit = [](int signal) { return std::uint64_t{1} << (signal - 1); };
+  const std::uint64_t wanted = bit(SIGTERM) | bit(SIGHUP);
+  for (std::string line; std::getline(status, line);)
+    if (line.rfind(kCaughtSignals, 0) == 0)
+      return (std::stoull(line.substr(kCaughtSignals.size()), nullptr, 16) & wanted) == wanted;
+  return false;
+}
+
 std::string NodeProcess::Log() const {
   std::ifstream file(options_.folder / (options_.name + ".log"));
   return {std::istreambuf_iterator<char>(file), {}};
--- a/rig/mesh/node_process.hpp
+++ b/rig/mesh/node_process.hpp
@@ -57,9 +57,16 @@
   void LoseDisk();
   bool runs() const { return pid_ > 0; }
   void Signal(int signal) const;
+  // Writes a settings file with the seeds in another order, drawn with `seed`, and sends SIGHUP.
+  void Reload(std::uint64_t seed);
   // True if the process has exited; reaps it.
   bool Ended();
   int status() const { return status_; }  // exit status; -1: running or killed by a signal
+  // How the process ended: its exit status or the signal that killed it.
+  std::string EndText() const;
+  // Whether the process has installed its handlers of SIGTERM and SIGHUP. Before that, while it is loaded, a
+  // signal has its default action.
+  bool HandlesSignals() const;
 
   Address outbound() const { return {options_.ip, options_.ports.outbound()}; }
   Address readiness() const { return {options_.ip, options_.ports.readiness()}; }
@@ -72,9 +79,11 @@
  private:
   std::string Settings() const;
   std::filesystem::path DataDirectory() const;
-  const Options options_;
+  void WriteSettings() const;
+  Options options_;
   pid_t pid_ = -1;
   int status_ = -1;
+  int signal_ = 0;  // that killed the process; 0: none
   bool first_start_ = true;
 };
 
--- a/src/mesh/node/main.cpp
+++ b/src/mesh/node/main.cpp
@@ -34,12 +34,31 @@
 // For changes of the settings file without a signal.
 constexpr auto kSettingsPollInterval = std::chrono::seconds(2);
 
+// Handles the signals of the platform from the start of the process to its end. Signals that arrive before
+// they are waited for are kept.
+class ProcessSignals {
+ public:
+  explicit ProcessSignals(boost::asio::io_context& io) : stop(io, SIGTERM, SIGINT), reload(io, SIGHUP) {}
+  // Call from the last thread. Blocks the signals, as without a handler they would kill the process.
+  ~ProcessSignals() {
+    sigset_t signals;
+    ::sigemptyset(&signals);
+    for (const int signal : {SIGTERM, SIGINT, SIGHUP}) ::sigaddset(&signals, signal);
+    ::pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  }
+  ProcessSignals(const ProcessSignals&) = delete;
+  ProcessSignals& operator=(const ProcessSignals&) = delete;
+
+  boost::asio::signal_set stop, reload;
+};
+
 // Reloads the settings file at SIGHUP and when it has changed; invalid settings are ignored.
 class Reloader {
  public:
-  Reloader(boost::asio::io_context& io, std::string path,
+  // `signals` must outlive it.
+  Reloader(boost::asio::io_context& io, boost::asio::signal_set& signals, std::string path,
            std::function<void(const settings::Settings&)> on_change)
-      : signals_(io, SIGHUP),
+      : signals_(signals),
         timer_(io),
         path_(std::move(path)),
         on_change_(std::move(on_change)),
@@ -86,7 +105,7 @@
     on_change_(*settings);
   }
 
-  boost::asio::signal_set signals_;
+  boost::asio::signal_set& signals_;
   boost::asio::steady_timer timer_;
   const std::string path_;
   const std::function<void(const settings::Settings&)> on_change_;
@@ -115,13 +134,13 @@
   const std::function<std::string()> status_;
 };
 
-int Run(const std::string& path, int report_interval_s, const ProcessOptions& options) {
+int Run(boost::asio::io_context& io, ProcessSignals& signals, const std::string& path, int report_interval_s,
+        const ProcessOptions& options) {
   const auto settings = settings::Load(path);
   if (!settings.ok()) {
     std::fprintf(stderr, "fennelhollow-node: %s\n", std::string(settings.status().message()).c_str());
     return 2;
   }
-  boost::asio::io_context io(1);
   std::random_device device;
   const std::uint64_t incarnation = (static_cast<std::uint64_t>(device()) << 32 | device()) | 1;
   std::unique_ptr<Sidecar> sidecar;
@@ -130,12 +149,11 @@
     sidecar = std::make_unique<Sidecar>(io, *settings, incarnation, options);
   else
     core = std::make_unique<Core>(io, *settings, incarnation, options);
-  Reloader reloader(io, path, [&](const settings::Settings& changed) {
+  Reloader reloader(io, signals.reload, path, [&](const settings::Settings& changed) {
     if (sidecar) sidecar->OnSettings(changed);
     if (core) core->OnSettings(changed);
   });
-  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
-  signals.async_wait([&](const boost::system::error_code& error, int) {
+  signals.stop.async_wait([&](const boost::system::error_code& error, int) {
     if (error) return;
     if (sidecar) sidecar->Stop([&io] { io.stop(); });
     if (core) core->Stop([&io] { io.stop(); });
@@ -153,6 +171,8 @@
 }
 
 int Main(int argc, char** argv) {
+  boost::asio::io_context io(1);
+  ProcessSignals signals(io);
   std::signal(SIGPIPE, SIG_IGN);  // writing to a closed connection returns an error instead
   FLAGS_logtostderr = true;
   google::InitGoogleLogging(argv[0]);
@@ -206,7 +226,7 @@
     std::fprintf(stderr, "fennelhollow-node: %s is not set\n", kSettingsVariable);
     return 2;
   }
-  return Run(path, report_interval_s, options);
+  return Run(io, signals, path, report_interval_s, options);
 }
 
 }  // namespace
--- a/tests/soak/shutdown_test.cpp
+++ b/tests/soak/shutdown_test.cpp
@@ -142,5 +142,20 @@
   CHECK(fixture.sidecar().status() == 0);
 }
 
+TEST_CASE("SIGHUP does not kill a process that is ending") {
+  ShutdownFixture fixture;
+  for (const std::size_t machine : {fixture.cluster.cores(), std::size_t{0}}) {
+    NodeProcess& node = fixture.cluster.node(machine);
+    INFO(node.name());
+    node.Signal(SIGTERM);
+    const auto until = Clock::now() + std::chrono::seconds(kGracePeriodS);
+    while (!node.Ended() && Clock::now() < until) {
+      node.Signal(SIGHUP);
+      fixture.WaitUntil(Clock::now() + milliseconds(1));
+    }
+    CHECK(node.EndText() == "status 0");
+  }
+}
+
 }  // namespace
 }  // namespace fennelhollow::rig::soak
