An ending sidecar takes no unsafe attempt that may outlast it

Cause: the last hop accepted attempts until 2.3 s after SIGTERM however long they might take. A safe attempt can go to another server afterwards, an unsafe one can't, so from SIGTERM on the last hop rejects unsafe attempts whose time limit ends after the process; the promise lets the sidecar in front try another server at once.

--- a/src/mesh/ingress/inbound_proxy.cpp
+++ b/src/mesh/ingress/inbound_proxy.cpp
@@ -159,7 +159,7 @@
   active_[attempt_key] = std::move(active);
   const Micros now = loop_.Now();
   const registry::Server* server = callbacks_.find_server(received.attempt.server);
-  if (!callbacks_.accepts_new())
+  if (!callbacks_.accepts_new(received.attempt))
     return admission_.OnStatusQuery(now, attempt_key), Reject(attempt_key, RejectReason::kShuttingDown);
   if (server == nullptr)
     return admission_.OnStatusQuery(now, attempt_key), Reject(attempt_key, RejectReason::kUnknownInstance);
--- a/src/mesh/ingress/inbound_proxy.hpp
+++ b/src/mesh/ingress/inbound_proxy.hpp
@@ -31,8 +31,8 @@
     // A request could not be sent to the server instance: no connection could be established, or a pooled
     // one was closed before a byte was written.
     std::function<void(const std::string& id)> on_unreachable;
-    // False while the process shuts down: new attempts are rejected.
-    std::function<bool()> accepts_new;
+    // False for attempts that are rejected because the process shuts down.
+    std::function<bool(const Attempt&)> accepts_new;
     // Reports each finished interval of a flow's statistics. May be empty.
     std::function<void(const FlowInterval&)> on_interval;
   };
--- a/src/mesh/node/shutdown_schedule.cpp
+++ b/src/mesh/node/shutdown_schedule.cpp
@@ -27,9 +27,9 @@
   const Micros exit_margin = std::min(kMaxExitMargin, finish_margin / 2);
   clients_moved_at = requested_at + std::min(kReadinessPropagation, grace_period / 2);
   leave_at = std::max(requested_at, clients_moved_at - kRemovalPropagation);
-  earliest_exit_at = clients_moved_at + kRemovalPropagation;
   finish_at = requested_at + grace_period - finish_margin;
   latest_exit_at = requested_at + grace_period - exit_margin;
+  earliest_exit_at = std::min(latest_exit_at, clients_moved_at + kRemovalPropagation);
 }
 
 }  // namespace fennelhollow::node
--- a/src/mesh/node/shutdown_schedule.hpp
+++ b/src/mesh/node/shutdown_schedule.hpp
@@ -7,7 +7,7 @@
 
 namespace fennelhollow::node {
 
-// All times are on the clock of the event loop, in microseconds, in ascending order.
+// All times are on the clock of the event loop, in microseconds.
 struct ShutdownSchedule {
   // `requested_at`: when the process handled SIGTERM. `grace_period`: from SIGTERM until SIGKILL.
   ShutdownSchedule(merlinrun::Micros requested_at, merlinrun::Micros grace_period);
--- a/src/mesh/node/sidecar.cpp
+++ b/src/mesh/node/sidecar.cpp
@@ -76,11 +76,11 @@
         request_metrics_(registry_),
         invariants_(registry_, options.on_violation),
         inbound_proxy_client_(io, loop_, {settings.node_name, self_, incarnation, 300, 400}),
-        inbound_proxy_(
-            io, loop_, {incarnation, {}},
-            {[this](const std::string& id) { return heartbeats_.Find(id); },
-             [this](const std::string& id) { OnUnreachable(id); }, [this] { return !refuse_attempts_; },
-             [this](const ingress::FlowInterval& interval) { CheckMinimumShare(interval); }}),
+        inbound_proxy_(io, loop_, {incarnation, {}},
+                       {[this](const std::string& id) { return heartbeats_.Find(id); },
+                        [this](const std::string& id) { OnUnreachable(id); },
+                        [this](const ingress::Attempt& attempt) { return AcceptsAttempt(attempt); },
+                        [this](const ingress::FlowInterval& interval) { CheckMinimumShare(interval); }}),
         outbound_proxy_(loop_, OutboundSettings(), inbound_proxy_client_, limiter_, request_metrics_),
         metrics_address_(options.metrics),
         tick_timer_(loop_.NewTimer()) {
@@ -393,6 +393,14 @@
     tick_timer_->Start(kTickInterval, [this] { Tick(); });
   }
 
+  // An unsafe attempt that runs when the process exits could not be repeated at another server.
+  bool AcceptsAttempt(const ingress::Attempt& attempt) const {
+    if (refuse_attempts_) return false;
+    const bool may_outlast =
+        shutdown_ && loop_.Now() + attempt.remaining_ms * kMillisecond > shutdown_->latest_exit_at;
+    return !attempt.unsafe || !may_outlast;
+  }
+
   // Whether no response is unfinished, neither to clients nor to outbound proxies.
   bool IsIdle() const {
     return (outbound_listener_ == nullptr || outbound_listener_->busy() == 0) &&
--- a/tests/mesh/egress_outbound_test.cpp
+++ b/tests/mesh/egress_outbound_test.cpp
@@ -186,7 +186,7 @@
             io, loop, {port, {}},
             {[this](const std::string& requested) { return requested == instance.id ? &instance : nullptr; },
              [this](const std::string&) { ++unreachable_reports; },
-             [this] { return accepts_new; },
+             [this](const ingress::Attempt&) { return accepts_new; },
              {}}),
         listener(io, "127.0.0.1", port, {}, [this](std::shared_ptr<transport::Link> link) {
           transport::Link* raw_link = link.get();
--- a/tests/soak/shutdown_test.cpp
+++ b/tests/soak/shutdown_test.cpp
@@ -142,6 +142,15 @@
   CHECK(fixture.sidecar().status() == 0);
 }
 
+TEST_CASE("an unsafe request is not passed on to a server whose sidecar may end before it") {
+  ShutdownFixture fixture;
+  fixture.cluster.SlowDownServers(400);
+  fixture.cluster.sidecar(1).Signal(SIGTERM);
+  fixture.WaitUntil(Clock::now() + milliseconds(500));
+  CHECK(fixture.SendAndWait(kLongTimeLimit) == 503);
+  CHECK(fixture.Executions() == 0);
+}
+
 TEST_CASE("SIGHUP does not kill a process that is ending") {
   ShutdownFixture fixture;
   for (const std::size_t machine : {fixture.cluster.cores(), std::size_t{0}}) {
