--- a/src/main.cpp
+++ b/src/main.cpp
@@ -9,6 +9,7 @@
 
 #include "net/asio_loop.hpp"
 #include "net/config.hpp"
+#include "net/process_signals.hpp"
 #include "net/sidecar.hpp"
 
 namespace {
@@ -20,7 +21,8 @@
 // Reloads the configuration on SIGHUP. Invalid configurations are logged and change nothing.
 class Reloader {
  public:
-  explicit Reloader(boost::asio::io_context& io) : signals_(io, SIGHUP) {}
+  // `signals` must outlive it.
+  explicit Reloader(boost::asio::signal_set& signals) : signals_(signals) {}
 
   void Watch(Sidecar& sidecar) {
     signals_.async_wait([this, &sidecar](const boost::system::error_code& stopped, int) {
@@ -35,16 +37,16 @@
   }
 
  private:
-  boost::asio::signal_set signals_;
+  boost::asio::signal_set& signals_;
 };
 
 int Run() {
   boost::asio::io_context io(1);
-  Reloader reloader(io);  // first, so that a SIGHUP during the start does not end the process
+  merlinrun::net::ProcessSignals signals(io);
+  Reloader reloader(signals.reload);
   Sidecar sidecar(io, merlinrun::net::LoadConfig(ReadEnvironment));
   reloader.Watch(sidecar);
-  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
-  signals.async_wait([&](const boost::system::error_code& error, int) {
+  signals.stop.async_wait([&](const boost::system::error_code& error, int) {
     if (!error) sidecar.Stop([&io] { io.stop(); });
   });
   sidecar.OnReplaced([&] { sidecar.Stop([&io] { io.stop(); }); });
--- a/src/mesh/egress/http_server.cpp
+++ b/src/mesh/egress/http_server.cpp
@@ -61,7 +61,7 @@
     if (state_ == State::kLingering && now - phase_start_ > kLingerTimeout) return Close();
     if (state_ != State::kReading) return;
     if (idle()) {
-      if (now - phase_start_ > std::chrono::milliseconds(owner_.limits_.idle_timeout_ms)) Close();
+      if (now - phase_start_ > std::chrono::milliseconds(owner_.limits_.idle_timeout_ms)) CloseIdle();
       return;
     }
     if (!head_parsed_) {
@@ -136,6 +136,12 @@
  private:
   enum class State { kReading, kBusy, kWriting, kLingering, kClosed };
 
+  // Unless a request has arrived that has not been read yet.
+  void CloseIdle() {
+    ErrorCode ignored;
+    if (socket_.available(ignored) == 0) Close();
+  }
+
   void SetBusy(bool busy) {
     if (busy == counted_busy_) return;
     counted_busy_ = busy;
--- a/src/mesh/node/core.cpp
+++ b/src/mesh/node/core.cpp
@@ -488,7 +488,8 @@
   if (!replica_.ReadyForShutdown() && now < leave_deadline_) return;
   if (flush_deadline_ == 0) flush_deadline_ = now + kFlushTimeout;
   if ((replica_.IsLeader() || peers_.queued_bytes() > 0) && now < flush_deadline_) return;
-  asio::post(io_, std::exchange(on_stopped_, nullptr));
+  // Called here and not posted, so that nothing is accepted in between.
+  std::exchange(on_stopped_, nullptr)();
 }
 
 std::string Core::Impl::StatusText() const {
--- a/src/mesh/node/main.cpp
+++ b/src/mesh/node/main.cpp
@@ -21,6 +21,7 @@
 #include "mesh/node/sidecar.hpp"
 #include "mesh/settings/settings.hpp"
 #include "net/asio_loop.hpp"
+#include "net/process_signals.hpp"
 
 namespace {
 
@@ -34,24 +35,6 @@
 // For changes of the settings file without a signal.
 constexpr auto kSettingsPollInterval = std::chrono::seconds(2);
 
-// Handles the signals of the platform from the start of the process to its end. Signals that arrive before
-// they are waited for are kept.
-class ProcessSignals {
- public:
-  explicit ProcessSignals(boost::asio::io_context& io) : stop(io, SIGTERM, SIGINT), reload(io, SIGHUP) {}
-  // Call from the last thread. Blocks the signals, as without a handler they would kill the process.
-  ~ProcessSignals() {
-    sigset_t signals;
-    ::sigemptyset(&signals);
-    for (const int signal : {SIGTERM, SIGINT, SIGHUP}) ::sigaddset(&signals, signal);
-    ::pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  }
-  ProcessSignals(const ProcessSignals&) = delete;
-  ProcessSignals& operator=(const ProcessSignals&) = delete;
-
-  boost::asio::signal_set stop, reload;
-};
-
 // Reloads the settings file at SIGHUP and when it has changed; invalid settings are ignored.
 class Reloader {
  public:
@@ -134,8 +117,8 @@
   const std::function<std::string()> status_;
 };
 
-int Run(boost::asio::io_context& io, ProcessSignals& signals, const std::string& path, int report_interval_s,
-        const ProcessOptions& options) {
+int Run(boost::asio::io_context& io, merlinrun::net::ProcessSignals& signals, const std::string& path,
+        int report_interval_s, const ProcessOptions& options) {
   const auto settings = settings::Load(path);
   if (!settings.ok()) {
     std::fprintf(stderr, "fennelhollow-node: %s\n", std::string(settings.status().message()).c_str());
@@ -172,7 +155,7 @@
 
 int Main(int argc, char** argv) {
   boost::asio::io_context io(1);
-  ProcessSignals signals(io);
+  merlinrun::net::ProcessSignals signals(io);
   std::signal(SIGPIPE, SIG_IGN);  // writing to a closed connection returns an error instead
   FLAGS_logtostderr = true;
   google::InitGoogleLogging(argv[0]);
--- a/tests/mesh/egress_http_server_test.cpp
+++ b/tests/mesh/egress_http_server_test.cpp
@@ -382,6 +382,21 @@
   CHECK(fixture.WaitForText(busy, "200 OK"));
 }
 
+TEST_CASE("requests that have arrived by the end are answered, on kept connections and on new ones") {
+  ServerFixture fixture({}, Echo);
+  const auto kept = fixture.SendBytes(Get("/first"));
+  REQUIRE(fixture.WaitForText(kept, "GET /first"));
+  fixture.server.SetDraining();
+  kept->WriteNow(Get("/kept"));
+  const auto fresh = fixture.Connect();  // in the listener's queue, as the loop does not run
+  fresh->WriteNow(Get("/fresh"));
+  fixture.server.HandleArrived();
+  REQUIRE(fixture.requests.size() == 3);
+  CHECK(fixture.server.busy() == 0);
+  CHECK(fixture.WaitForText(kept, "GET /kept"));
+  CHECK(fixture.WaitForText(fresh, "GET /fresh"));
+}
+
 TEST_CASE("responses carry Connection: close while draining") {
   ServerFixture fixture({}, Echo);
   const auto connection = fixture.SendBytes(Get("/1"));
