Comments: reasons behind constants of the decision module, put back

In consensus, push, quota and the proxies the reasons are still there in other words; in the decision module's constants some numbers and reasons were lost and stand again in a few words each. Not compared: control, registry, storage, gossip, the program in service.

--- a/include/merlinrun/balancer.hpp
+++ b/include/merlinrun/balancer.hpp
@@ -64,10 +64,12 @@
 // Algorithm parameters. They are the same for every deployment and are exposed so that the fleet model can
 // compare alternatives.
 struct Tuning {
-  // Minimum number of servers in the window, the subset of servers that this sidecar sends to.
+  // Minimum number of servers in the window, the subset of servers that this sidecar sends to. Few, so that
+  // each server holds connections from few sidecars, but enough to leave a choice.
   std::size_t window_width = 3;
   // With few sidecars per server the window grows until each server is in about this many windows, up to 16
-  // servers per window.
+  // servers per window. It follows the ratio, so it stays the same when both numbers grow together. 15
+  // windows of sidecars that keep two connections each are 30 of the 64 to 80 that a server takes.
   double windows_per_server = 15;
   // A busy sidecar's window grows by this many servers per attempt that was recently in flight.
   double servers_per_in_flight = 0.25;
@@ -76,7 +78,8 @@
   Micros retry_cap = 30'000'000;
   double jitter = 1;  // randomized share of the delay, 0 to 1
   // Concurrency limit: load shedding starts when the attempts in flight exceed the expected number by the
-  // first factor, and reaches its maximum at the second. Both move up where the expected number is small.
+  // first factor, and reaches its maximum at the second. With 24 expected, random variation (twice the square
+  // root) alone reaches the first; both move up where the expected number is small.
   double in_flight_shed_start = 1.4;
   double in_flight_shed_full = 2.0;
   // The same start factor while part of the server capacity is lost, relative to the remaining capacity.
--- a/src/policy/admission.cpp
+++ b/src/policy/admission.cpp
@@ -19,9 +19,9 @@
 constexpr double kAdmissionGain = 0.2;
 // Latency ratio assumed for refused and timed out attempts.
 constexpr double kFailedRatio = 1.5;
-// The n-th consecutive late outcome counts n times, up to this.
+// The n-th consecutive late outcome counts n times, up to this; a server's only once in such a row.
 constexpr double kMaxLateStreak = 4;
-// Where attempts time out at the latency target: weight of the first, and limit of the others.
+// Where attempts time out at the latency target: weight of the first; the n-th counts n - 1, up to this.
 constexpr double kFirstTimeout = 0.3;
 constexpr double kMaxTimeoutStreak = 8;
 // The target stays this far above the unloaded latency, averaged over kLatencySamples responses.
--- a/src/policy/choice.cpp
+++ b/src/policy/choice.cpp
@@ -11,9 +11,9 @@
 
 // The second server of a key is chosen if its load score is lower by this factor.
 constexpr double kAffinityFactor = 1.6;
-// Random draws before the whole window is searched.
+// Random draws before the whole window is searched: bounds the work of an ordinary choice.
 constexpr int kDraws = 8;
-// Multiple of the expected response time after which silence raises the load score.
+// Multiple of the expected response time after which silence raises the load score; by chance 1 in 50.
 constexpr double kSilenceFactor = 4;
 
 }  // namespace
--- a/src/policy/cold_start.cpp
+++ b/src/policy/cold_start.cpp
@@ -7,7 +7,7 @@
 namespace merlinrun {
 namespace {
 
-// Used share of Settings::overload_factor, a margin for slower servers.
+// Used share of Settings::overload_factor: a server may be a third slower than others.
 constexpr double kOverloadShare = 0.75;
 
 }  // namespace
--- a/src/policy/concurrency.cpp
+++ b/src/policy/concurrency.cpp
@@ -10,7 +10,7 @@
 constexpr double kLimitFrom = 8;
 // Lower bound of the expected attempts, as a share of the usual ones; a pause does not lower the limit.
 constexpr double kMinUsualShare = 0.75;
-// Below this share of the usual servers capacity counts as lost.
+// Below this share of the usual servers capacity counts as lost: one zone of three is, a release is not.
 constexpr double kIntactShare = 0.7;
 // Load shedding then starts at Tuning::capacity_loss_shed_start and is complete this much above.
 constexpr double kLossShedSpan = 0.6;
@@ -18,7 +18,7 @@
 constexpr double kMinShareFactor = 0.8;
 // Lower bound of the expected attempts in flight, for sidecars that are mostly idle.
 constexpr double kMinExpected = 0.25;
-// Multiple of the usual duration after which an attempt counts as stuck and is left out.
+// Multiple of the usual duration after which an attempt counts as stuck and is left out; by chance 1 in 50.
 constexpr double kStuckAfter = 4;
 
 }  // namespace
--- a/src/policy/health.cpp
+++ b/src/policy/health.cpp
@@ -26,7 +26,7 @@
 constexpr double kRefusalWindow = 3;
 constexpr double kSuccessWindow = 10;
 constexpr double kMaxRate = 0.95;
-// Averaging window of the error rate.
+// Averaging window of the error rate: one error in a thousand is usual, so a single one must count little.
 constexpr double kErrorWindow = 4;
 
 double LatencyWindow(const Pool& pool) {
--- a/src/policy/window.cpp
+++ b/src/policy/window.cpp
@@ -8,9 +8,9 @@
 
 // Replaces Tuning::servers_per_in_flight where connections have no cost.
 constexpr double kServersPerInFlightFree = 1;
-// Largest window with key affinity.
+// Largest window with key affinity: bounds the work of a choice.
 constexpr std::size_t kAffinityWidth = 64;
-// Largest window due to Tuning::windows_per_server.
+// Largest window due to Tuning::windows_per_server: two of sixteen find a good server as surely.
 constexpr std::size_t kMaxSharedWidth = 16;
 // Cost from which other zones serve only what the own zone cannot.
 constexpr double kCrossZoneCostly = 0.05;
