--- a/rig/soak/cluster.cpp
+++ b/rig/soak/cluster.cpp
@@ -106,7 +106,8 @@
 }
 
 void Cluster::Restart(std::size_t machine) {
-  if (should_run_[machine]) return;
+  // Another fault may have terminated it meanwhile: that one starts it again once it has ended.
+  if (should_run_[machine] || nodes_[machine]->runs()) return;
   should_run_[machine] = true;
   ++lives_[machine];
   if (!nodes_[machine]->Start())
