Sidecar: the time to reject attempts is checked with each one; one state for the shutdown

The flags stopping_ and refuse_attempts_ said what the shutdown's times say and are gone. A test's name says what it guards, a comment stands with its function again; no assertion changed.

--- a/rig/soak/clients.hpp
+++ b/rig/soak/clients.hpp
@@ -29,11 +29,11 @@
 
   // Starts a measurement. Call without active faults, when acknowledged routes are known everywhere.
   void Measure();
+  // Ends it and returns the counts.
+  Measured EndMeasure();
   // From now on responses are checked as those during planned work are, or not any more. An exchange counts
   // if it starts and ends between the two.
   void SetChecked(bool checked);
-  // Ends it and returns the counts.
-  Measured EndMeasure();
   std::uint64_t sent() const { return sent_; }
   std::uint64_t served() const { return served_; }
 
--- a/src/mesh/node/sidecar.cpp
+++ b/src/mesh/node/sidecar.cpp
@@ -152,8 +152,7 @@
   }
 
   void Stop(std::function<void()> done) {
-    if (stopping_) return;
-    stopping_ = true;
+    if (shutdown_) return;
     on_stopped_ = std::move(done);
     shutdown_.emplace(loop_.Now(), static_cast<Micros>(settings_.bounds.grace_period_s * 1e6));
     if (outbound_listener_) outbound_listener_->SetDraining();
@@ -214,7 +213,7 @@
                             {"malformed", gossip_view_.counters().malformed},
                             {"overRate", gossip_view_.counters().over_rate},
                             {"lostNeighbours", gossip_view_.counters().lost_neighbours}}}};
-    if (stopping_) out["shutdown"] = ShutdownStatus();
+    if (shutdown_) out["shutdown"] = ShutdownStatus();
     for (const auto& [service, causes] : outbound_counters.requests_by_end_cause) {
       nlohmann::json& to = out["refusedFor"][service] = nlohmann::json::object();
       for (std::size_t i = 0; i < causes.size(); ++i)
@@ -283,7 +282,7 @@
     return out;
   }
 
-  bool IsReady() const { return !stopping_ && outbound_proxy_.version() > 0; }
+  bool IsReady() const { return !shutdown_ && outbound_proxy_.version() > 0; }
 
   // ---- Calls of the local server, and of operators, who are redirected to a core ----
 
@@ -389,16 +388,16 @@
       inbound_proxy_client_ticked_at_ = now;
       inbound_proxy_client_.OnTick(now);
     }
-    if (stopping_ && !ContinueStop(now)) return;
+    if (shutdown_ && !ContinueStop(now)) return;
     tick_timer_->Start(kTickInterval, [this] { Tick(); });
   }
 
   // An unsafe attempt that runs when the process exits could not be repeated at another server.
   bool AcceptsAttempt(const ingress::Attempt& attempt) const {
-    if (refuse_attempts_) return false;
-    const bool may_outlast =
-        shutdown_ && loop_.Now() + attempt.remaining_ms * kMillisecond > shutdown_->latest_exit_at;
-    return !attempt.unsafe || !may_outlast;
+    if (!shutdown_) return true;
+    const Micros now = loop_.Now();
+    if (now >= shutdown_->clients_moved_at) return false;
+    return !attempt.unsafe || now + attempt.remaining_ms * kMillisecond <= shutdown_->latest_exit_at;
   }
 
   // Whether no response is unfinished, neither to clients nor to outbound proxies.
@@ -411,7 +410,6 @@
   // Advances the shutdown; false once it is complete.
   bool ContinueStop(Micros now) {
     if (now >= shutdown_->leave_at && !std::exchange(leave_sent_, true)) client_.Leave(now);
-    if (now >= shutdown_->clients_moved_at) refuse_attempts_ = true;
     if (now >= shutdown_->finish_at && !std::exchange(finishing_, true)) {
       outbound_proxy_.RefuseNewRequests();
       outbound_proxy_.TerminateInFlight();
@@ -563,7 +561,7 @@
   std::unique_ptr<merlinrun::core::Timer> tick_timer_;
   Micros inbound_proxy_client_ticked_at_ = 0, last_tick_at_ = 0;
   Micros longest_loop_delay_ = 0;  // of a tick, since the start of the process
-  bool stopping_ = false, leave_sent_ = false, refuse_attempts_ = false, finishing_ = false;
+  bool leave_sent_ = false, finishing_ = false;
   std::optional<ShutdownSchedule> shutdown_;  // set once the process is stopping
   std::function<void()> on_stopped_;
   std::uint64_t rejected_links_ = 0, malformed_updates_ = 0;
--- a/tests/mesh/node_shutdown_schedule_test.cpp
+++ b/tests/mesh/node_shutdown_schedule_test.cpp
@@ -22,10 +22,11 @@
   CHECK(schedule.latest_exit_at <= kRequestedAt + grace_period);
 }
 
-TEST_CASE("late requests are refused well before the half of the grace period that must not be cut") {
+TEST_CASE(
+    "late requests are refused before half of the grace period, those in flight are given up in its last "
+    "sixth") {
   const ShutdownSchedule schedule(kRequestedAt, 6 * kSecond);
   CHECK(schedule.clients_moved_at <= kRequestedAt + 5 * kSecond / 2);
-  // Requests in flight are given up only in the last sixth.
   CHECK(schedule.finish_at >= kRequestedAt + 5 * kSecond);
 }
 
