An ending sidecar takes no attempt that may outlast it, safe ones included

Traced in its logs: sidecar-5 got SIGTERM at 77.45 s and passed the safe request to sidecar-1, which had got SIGTERM at 75.94 s and accepted it as safe; sidecar-1 ended 5.74 s after its signal with one attempt at its server ('attempts':1), sidecar-5 tried other servers, which were full, and answered 503 0.12 s later. The mend of the last hop had left safe attempts out, since they can be repeated elsewhere; with full servers they can't.

--- a/src/mesh/node/sidecar.cpp
+++ b/src/mesh/node/sidecar.cpp
@@ -392,12 +392,12 @@
     tick_timer_->Start(kTickInterval, [this] { Tick(); });
   }
 
-  // An unsafe attempt that runs when the process exits could not be repeated at another server.
+  // During a shutdown only attempts that end before the process exits: the exit would cut off others.
   bool AcceptsAttempt(const ingress::Attempt& attempt) const {
     if (!shutdown_) return true;
     const Micros now = loop_.Now();
-    if (now >= shutdown_->clients_moved_at) return false;
-    return !attempt.unsafe || now + attempt.remaining_ms * kMillisecond <= shutdown_->latest_exit_at;
+    return now < shutdown_->clients_moved_at &&
+           now + attempt.remaining_ms * kMillisecond <= shutdown_->latest_exit_at;
   }
 
   // Whether no response is unfinished, neither to clients nor to outbound proxies.
--- a/tests/soak/shutdown_test.cpp
+++ b/tests/soak/shutdown_test.cpp
@@ -26,16 +26,18 @@
   return program != nullptr ? program : FENNELHOLLOW_NODE;
 }
 
-// A configuration whose unsafe route /slow/ may take kLongTimeLimit.
-std::string ConfigurationWithSlowRoute() {
+// A configuration whose routes /unsafe/ and /safe/ may take kLongTimeLimit.
+std::string ConfigurationWithSlowRoutes() {
   nlohmann::json configuration = FirstConfiguration();
-  nlohmann::json route = ConfigurationRoute("slow", "unsafe", kOrderService);
-  route["specification"]["timeoutMs"] = kLongTimeLimit.count();
-  configuration["resourceList"].push_back(route);
+  for (const char* kind : {"unsafe", "safe"}) {
+    nlohmann::json route = ConfigurationRoute(kind, kind, kOrderService);
+    route["specification"]["timeoutMs"] = kLongTimeLimit.count();
+    configuration["resourceList"].push_back(route);
+  }
   return configuration.dump();
 }
 
-// Two sidecars; the second one's server serves the unsafe routes, and requests are sent to the first one.
+// Two sidecars; the second one's server serves both routes, and requests are sent to the first one.
 struct ShutdownFixture {
   ShutdownFixture()
       : cluster(io, {.program = Program(), .cores = 3, .sidecars = 2, .grace_period_s = kGracePeriodS},
@@ -62,7 +64,7 @@
   }
 
   asio::awaitable<bool> ApplyConfiguration() {
-    const std::string body = ConfigurationWithSlowRoute();
+    const std::string body = ConfigurationWithSlowRoutes();
     const auto until = Clock::now() + kSetupTimeout;
     while (Clock::now() < until) {
       HttpConnection connection(io, cluster.node(0).control());
@@ -86,7 +88,8 @@
   }
   asio::awaitable<std::optional<Response>> Send(HttpConnection& connection, milliseconds time_limit) {
     last_id = AttemptId(++sent);
-    return connection.Call(ShopRequest(true, "/slow/x", last_id, time_limit), kResponseTimeout);
+    return connection.Call(ShopRequest(unsafe, unsafe ? "/unsafe/x" : "/safe/x", last_id, time_limit),
+                           kResponseTimeout);
   }
   // Status of the response to a request on a new connection; 0: none.
   int SendAndWait(milliseconds time_limit) {
@@ -103,6 +106,7 @@
   asio::io_context io{1};
   ConsistencyChecker checker;
   Cluster cluster;
+  bool unsafe = true;  // the kind of the next requests
   std::uint64_t sent = 0;
   std::string last_id;
 };
@@ -142,8 +146,10 @@
   CHECK(fixture.sidecar().status() == 0);
 }
 
-TEST_CASE("an unsafe request is not passed on to a server whose sidecar may end before it") {
+TEST_CASE("a request is not passed on to a server whose sidecar may end before it") {
   ShutdownFixture fixture;
+  fixture.unsafe = GENERATE(true, false);
+  INFO(fixture.unsafe);
   fixture.cluster.SlowDownServers(400);
   fixture.cluster.sidecar(1).Signal(SIGTERM);
   fixture.WaitUntil(Clock::now() + milliseconds(500));
