--- a/rig/soak/clients.cpp
+++ b/rig/soak/clients.cpp
@@ -63,6 +63,21 @@
   --running_;
 }
 
+asio::awaitable<std::optional<Response>> Clients::Call(HttpConnection& connection, std::size_t sidecar,
+                                                       Exchange exchange, Request request) {
+  const std::size_t machine = cluster_.cores() + sidecar;
+  const int life = cluster_.life(machine);
+  const std::uint64_t checked_period = checked_period_;
+  exchange.sent = Clock::now();
+  auto response = co_await connection.Call(std::move(request), exchange.deadline + kResponseSlack);
+  exchange.ended = Clock::now();
+  exchange.status = response ? response->result_int() : 0;
+  exchange.from_server = response && !(*response)["Server-Seal"].empty();
+  exchange.terminated_at = cluster_.terminated_at(machine, life);
+  if (checked_period != 0 && checked_period == checked_period_) responses_.OnEnded(exchange);
+  co_return response;
+}
+
 asio::awaitable<bool> Clients::SendRequest(HttpConnection& connection, std::size_t sidecar) {
   const auto routes = operators_.StableRoutes();
   Kind kind = Draw();
@@ -78,20 +93,11 @@
   exchange.id = id;
   exchange.sidecar = cluster_.sidecar(sidecar).name();
   exchange.deadline = patient ? kLongDeadline : kShortDeadline;
-  const std::size_t machine = cluster_.cores() + sidecar;
-  const int life = cluster_.life(machine);
   Request request = ShopRequest(unsafe, path, id, exchange.deadline);
   if (unsafe) checker_.OnUnsafeSent(id);
   const std::uint64_t measurement = measurement_;
-  const std::uint64_t checked_period = checked_period_;
-  exchange.sent = Clock::now();
-  const auto answer = co_await connection.Call(std::move(request), exchange.deadline + kResponseSlack);
+  const auto answer = co_await Call(connection, sidecar, exchange, std::move(request));
   const unsigned status = answer ? answer->result_int() : 0;
-  exchange.ended = Clock::now();
-  exchange.status = status;
-  exchange.from_server = answer && !(*answer)["Server-Seal"].empty();
-  exchange.terminated_at = cluster_.terminated_at(machine, life);
-  if (checked_period != 0 && checked_period == checked_period_) responses_.OnEnded(exchange);
   const bool success = status / 100 == 2;
   if (success) {
     ++served_;
--- a/rig/soak/clients.hpp
+++ b/rig/soak/clients.hpp
@@ -3,6 +3,7 @@
 #define FENNELHOLLOW_RIG_SOAK_CLIENTS_HPP_
 
 #include <cstdint>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -41,6 +42,9 @@
   enum class Kind { kPlan, kOrder, kAdded };
   asio::awaitable<void> RunClient(std::size_t sidecar);
   asio::awaitable<bool> SendRequest(HttpConnection& connection, std::size_t sidecar);
+  // Sends the request of an exchange, records its end, and has it checked if checks are on throughout.
+  asio::awaitable<std::optional<Response>> Call(HttpConnection& connection, std::size_t sidecar,
+                                                Exchange exchange, Request request);
   Kind Draw();
 
   asio::io_context& io_;
--- a/rig/soak/main.cpp
+++ b/rig/soak/main.cpp
@@ -2,8 +2,7 @@
 // status: 0: no violation, 1: violations, 2: invalid arguments.
 //
 //   fennelhollow_soak PROGRAM [--seed N] [--for SECONDS] [--seeds COUNT] [--jobs N] [--sidecars N]
-//   [--planned]
-//                     [--verbose]
+//                     [--planned] [--verbose]
 //
 // --sidecars: of each run; without it their number is drawn with the seed. --planned: no faults, only
 // signals, restarts and changes of the configuration.
--- a/rig/soak/planned_work.cpp
+++ b/rig/soak/planned_work.cpp
@@ -36,17 +36,18 @@
 }
 
 asio::awaitable<void> PlannedWork::TerminateAndRestart(std::size_t machine, bool strict) {
-  const NodeProcess& node = cluster_.node(machine);
-  while (node.runs() && !node.HandlesSignals()) co_await Sleep(io_, kPollInterval);
+  NodeProcess& node = cluster_.node(machine);
+  while (!node.Ended() && !node.HandlesSignals()) co_await Sleep(io_, kPollInterval);
   if (!cluster_.should_run(machine)) co_return;  // it has been terminated or killed meanwhile
+  if (node.Ended()) co_return;                   // by itself: Cluster::CheckProcesses reports it
   ++terminations_;
   log_.Add(node.name() + " gets SIGTERM");
   const int life = cluster_.Terminate(machine);
   const auto end = Clock::now() + cluster_.grace_period() + kExitSlack;
-  while (cluster_.life(machine) == life && !cluster_.node(machine).Ended() && Clock::now() < end)
+  while (cluster_.life(machine) == life && !node.Ended() && Clock::now() < end)
     co_await Sleep(io_, kPollInterval);
   if (cluster_.life(machine) != life) co_return;  // another fault has killed and restarted it
-  if (strict && !cluster_.node(machine).Ended())
+  if (strict && !node.Ended())
     checker_.ReportViolation(node.name() + " is still there at the end of the grace period");
   else if (strict && node.status() != 0)
     checker_.ReportViolation(node.name() + " ended with " + node.EndText() + " after SIGTERM");
--- a/rig/soak/run.cpp
+++ b/rig/soak/run.cpp
@@ -111,8 +111,7 @@
     responses_.CheckUnanswered();
     cluster_.CheckProcesses();
     ++planned_rounds_;
-    const bool recovered = co_await Recovered("the planned work");
-    if (!recovered) co_return;
+    co_await Recovered("the planned work");
   }
 
   // Injects faults, waits for recovery, then measures a fault-free interval with possibly overloaded servers.
--- a/src/core/request_manager.hpp
+++ b/src/core/request_manager.hpp
@@ -206,8 +206,8 @@
   void ArmTimer(const std::string& id, ActiveRequest& active);
   void OnTimerExpired(const std::string& id);
   void EraseIfComplete(const std::string& id);
-  // Erases the requests that the balancer has ended. Call after each call of the balancer: it may end
-  // requests other than the one that the call is about.
+  // Erases the requests that the balancer has ended. Call after each call of the balancer about a request or
+  // a timer: it may end other requests than the one that the call is about.
   void EraseEnded();
   // Returns the request's sink and records how the request ended; the request has no sink after this.
   std::unique_ptr<ResponseSink> TakeSink(ActiveRequest& active, CompletedRequest::Disposition disposition,
--- a/src/mesh/egress/http_server.cpp
+++ b/src/mesh/egress/http_server.cpp
@@ -55,13 +55,19 @@
 
   void Start() { WaitReadable(); }
 
+  // A request may have arrived on an idle connection.
+  bool HasUnreadInput() const {
+    ErrorCode ignored;
+    return socket_.available(ignored) > 0;
+  }
   bool idle() const { return state_ == State::kReading && read_buffer_.empty() && !request_started_; }
 
   void CheckTimeouts(Clock::time_point now) {
     if (state_ == State::kLingering && now - phase_start_ > kLingerTimeout) return Close();
     if (state_ != State::kReading) return;
     if (idle()) {
-      if (now - phase_start_ > std::chrono::milliseconds(owner_.limits_.idle_timeout_ms)) CloseIdle();
+      if (now - phase_start_ > std::chrono::milliseconds(owner_.limits_.idle_timeout_ms) && !HasUnreadInput())
+        Close();
       return;
     }
     if (!head_parsed_) {
@@ -136,12 +142,6 @@
  private:
   enum class State { kReading, kBusy, kWriting, kLingering, kClosed };
 
-  // Unless a request has arrived that has not been read yet.
-  void CloseIdle() {
-    ErrorCode ignored;
-    if (socket_.available(ignored) == 0) Close();
-  }
-
   void SetBusy(bool busy) {
     if (busy == counted_busy_) return;
     counted_busy_ = busy;
@@ -441,8 +441,8 @@
   socket.non_blocking(true, error);
   if (error) return;
   if (sessions_.size() >= limits_.max_connections) {  // make room by closing the oldest idle connection
-    const auto it =
-        std::find_if(sessions_.begin(), sessions_.end(), [](const SessionPtr& s) { return s->idle(); });
+    const auto it = std::find_if(sessions_.begin(), sessions_.end(),
+                                 [](const SessionPtr& s) { return s->idle() && !s->HasUnreadInput(); });
     if (it == sessions_.end()) return;  // closes the new socket, from which nothing has been read
     const SessionPtr evicted = *it;
     evicted->Close();
