--- a/rig/mesh/node_process.cpp
+++ b/rig/mesh/node_process.cpp
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -18,6 +19,18 @@
 
 constexpr std::string_view kCaughtSignals = "SigCgt:";  // a mask, in /proc/PID/status
 
+void SetLimit(int resource, std::uint64_t value) {
+  if (value == 0) return;
+  const rlimit limit{value, value};
+  ::setrlimit(static_cast<__rlimit_resource>(resource), &limit);
+}
+
+void SetLimits(const ProcessLimits& limits) {
+  SetLimit(RLIMIT_FSIZE, limits.file_size_bytes);
+  SetLimit(RLIMIT_NOFILE, limits.file_descriptors);
+  SetLimit(RLIMIT_AS, limits.address_space_bytes);
+}
+
 }  // namespace
 
 Ports FindPorts(const std::vector<std::string>& ips) {
@@ -75,8 +88,8 @@
       << "  lossCounted: " << (core ? "true" : "false") << "\n"
       << "  firstStart: " << (first_start_ ? "true" : "false") << "\n"
       << "  dataDirectory: " << (core ? "\"" + DataDirectory().string() + "\"" : "null") << "\n"
-      << "  limits: {cpuShare: 1, processorCores: 1, memoryMb: 260, fileDescriptors: 1024, diskMb: "
-      << (core ? 64 : 0) << "}\n";
+      << "  limits: {cpuShare: 1, processorCores: 1, memoryMb: " << options_.memory_mb
+      << ", fileDescriptors: 1024, diskMb: " << (core ? options_.core_disk_mb : 0) << "}\n";
   if (!core)
     out << "  applicationAddress: " << at(ports.application()) << "\n"
         << "  service: " << options_.service << "\n";
@@ -99,27 +112,30 @@
   return out.str();
 }
 
-// Replaces the file at once, so that the process never reads a part of it.
-void NodeProcess::WriteSettings() const {
-  const auto file = options_.folder / (options_.name + ".yaml");
+std::filesystem::path NodeProcess::SettingsFile() const {
+  return options_.folder / (options_.name + ".yaml");
+}
+
+void NodeProcess::WriteSettings(const std::string& settings) const {
   const auto next = options_.folder / (options_.name + ".yaml.next");
-  std::ofstream(next) << Settings();
-  std::filesystem::rename(next, file);
+  std::ofstream(next) << settings;
+  std::filesystem::rename(next, SettingsFile());
 }
 
 void NodeProcess::Reload(std::uint64_t seed) {
   std::mt19937_64 random(seed);
   std::shuffle(options_.seeds.begin(), options_.seeds.end(), random);
-  WriteSettings();
+  WriteSettings(Settings());
   Signal(SIGHUP);
 }
 
-bool NodeProcess::Start() {
-  const auto file = options_.folder / (options_.name + ".yaml");
-  WriteSettings();
+bool NodeProcess::Start() { return StartWithSettings(Settings()); }
+
+bool NodeProcess::StartWithSettings(const std::string& settings) {
+  WriteSettings(settings);
   if (options_.role == Role::kCore) std::filesystem::create_directories(DataDirectory());
   const std::string log = (options_.folder / (options_.name + ".log")).string();
-  const std::string variable = "FENNELHOLLOW_CONFIG=" + file.string();
+  const std::string variable = "FENNELHOLLOW_CONFIG=" + SettingsFile().string();
   first_start_ = false;
   status_ = -1;
   signal_ = 0;
@@ -137,6 +153,7 @@
   ::dup2(out, STDOUT_FILENO);
   ::dup2(out, STDERR_FILENO);
   ::close_range(3, ~0U, 0);
+  SetLimits(options_.limits);
   ::execve(options_.program.c_str(), const_cast<char* const*>(arguments.data()),
            const_cast<char* const*>(environment.data()));
   ::_exit(127);
--- a/rig/mesh/node_process.hpp
+++ b/rig/mesh/node_process.hpp
@@ -27,6 +27,13 @@
 // Finds ports that are free at all of these addresses; base 0: none found.
 Ports FindPorts(const std::vector<std::string>& ips);
 
+// Limits that the kernel sets to a process; 0: as this process has it.
+struct ProcessLimits {
+  std::uint64_t address_space_bytes = 0;
+  std::uint64_t file_size_bytes = 0;
+  std::uint64_t file_descriptors = 0;
+};
+
 class NodeProcess {
  public:
   enum class Role { kCore, kSidecar };
@@ -43,6 +50,11 @@
     // Listen address for other nodes; port 0: the announced address.
     Address internal_listen;
     std::vector<std::string> arguments;
+    // What the settings file says of the machine.
+    int memory_mb = 260;
+    int core_disk_mb = 64;
+    // What the kernel enforces.
+    ProcessLimits limits;
   };
   explicit NodeProcess(Options options) : options_(std::move(options)) {}
   ~NodeProcess();  // kills and reaps the process
@@ -51,6 +63,12 @@
 
   // Starts, or restarts with the existing data directory. False if the process can't be started.
   bool Start();
+  // The same, with this text as its settings file.
+  bool StartWithSettings(const std::string& settings);
+  // Its settings: a YAML text.
+  std::string Settings() const;
+  // Replaces the settings file at once, so that the process never reads a part of it.
+  void WriteSettings(const std::string& settings) const;
   // Sends SIGKILL and waits for the exit.
   void Kill();
   // Deletes the data. Call only while the process is stopped.
@@ -77,9 +95,8 @@
   std::string Log() const;
 
  private:
-  std::string Settings() const;
+  std::filesystem::path SettingsFile() const;
   std::filesystem::path DataDirectory() const;
-  void WriteSettings() const;
   Options options_;
   pid_t pid_ = -1;
   int status_ = -1;
--- /dev/null
+++ b/tests/soak/process_faults_test.cpp
@@ -0,0 +1,245 @@
+// Node processes that meet a limit of the kernel, an address in use or unfinished settings must not end.
+#include <unistd.h>
+
+#include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <exception>
+#include <filesystem>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "rig/mesh/node_process.hpp"
+#include "rig/mesh/shop.hpp"
+
+namespace fennelhollow::rig {
+namespace {
+
+constexpr milliseconds kPollInterval{20};
+constexpr milliseconds kStartTimeout{10'000};
+constexpr milliseconds kCallTimeout{2'000};
+constexpr milliseconds kExitTimeout{6'000};
+// Longer than a process takes to give up when it does not wait.
+constexpr milliseconds kHeldFor{1'500};
+constexpr std::uint64_t kMebibyte = std::uint64_t{1} << 20;
+constexpr int kCoreMemoryMb = 256, kCoreDiskMb = 256;
+constexpr int kCores = 3;
+constexpr const char* kReplacePath = "/-/Configuration.Replace";
+
+// The program of the installation under test, or the one that was built.
+std::string Program() {
+  const char* program = std::getenv("FENNELHOLLOW_TEST_PROGRAM");
+  return program != nullptr ? program : FENNELHOLLOW_NODE;
+}
+
+// Node processes on loopback addresses of their own, without servers and clients.
+struct Nodes {
+  Nodes() {
+    std::string path = (std::filesystem::temp_directory_path() / "fennelhollow-fault-XXXXXX").string();
+    REQUIRE(::mkdtemp(path.data()) != nullptr);
+    folder = path;
+    const std::string network = "127.14." + std::to_string(::getpid() % 250) + ".";
+    for (int i = 0; i <= kCores; ++i) ips.push_back(network + std::to_string(11 + i));
+    ports = FindPorts(ips);
+    REQUIRE(ports.base != 0);
+  }
+  ~Nodes() {
+    processes.clear();
+    std::filesystem::remove_all(folder);
+  }
+  Nodes(const Nodes&) = delete;
+  Nodes& operator=(const Nodes&) = delete;
+
+  // The first addresses are those of the cores, the last one that of a sidecar.
+  NodeProcess& Add(NodeProcess::Role role, const ProcessLimits& limits = {}) {
+    const bool core = role == NodeProcess::Role::kCore;
+    NodeProcess::Options options;
+    options.program = Program();
+    options.folder = folder;
+    options.name = core ? "core-" + std::to_string(processes.size() + 1) : "sidecar";
+    options.role = role;
+    options.ip = core ? ips[processes.size()] : ips.back();
+    options.service = core ? "" : kPlanService;
+    options.ports = ports;
+    options.seeds = {ips.begin(), ips.begin() + kCores};
+    options.memory_mb = kCoreMemoryMb;
+    options.core_disk_mb = kCoreDiskMb;
+    options.limits = limits;
+    processes.push_back(std::make_unique<NodeProcess>(options));
+    return *processes.back();
+  }
+
+  template <class T>
+  T Await(asio::awaitable<T> task) {
+    std::optional<T> result;
+    std::exception_ptr failure;
+    asio::co_spawn(io, std::move(task), [&](std::exception_ptr error, T value) {
+      failure = error;
+      result = std::move(value);
+    });
+    io.restart();
+    while (!result) io.run_one();
+    if (failure) std::rethrow_exception(failure);
+    return *std::move(result);
+  }
+
+  // The status of the response; 0: none.
+  unsigned Call(const Address& to, const Request& request) {
+    return Await([](asio::io_context& loop, Address address, Request call) -> asio::awaitable<unsigned> {
+      HttpConnection connection(loop, address);
+      const auto response = co_await connection.Call(std::move(call), kCallTimeout);
+      co_return response ? response->result_int() : 0;
+    }(io, to, request));
+  }
+  unsigned Get(const Address& from, const char* path) {
+    return Call(from, MakeRequest(http::verb::get, path, kHost));
+  }
+  std::string StatusText(const NodeProcess& node) {
+    return Await([](asio::io_context& loop, Address address) -> asio::awaitable<std::string> {
+      HttpConnection connection(loop, address);
+      const auto response =
+          co_await connection.Call(MakeRequest(http::verb::get, "/-/Status", kHost), kCallTimeout);
+      co_return response ? response->body() : std::string();
+    }(io, node.control()));
+  }
+
+  template <class Condition>
+  bool Until(milliseconds timeout, Condition condition) {
+    const auto until = Clock::now() + timeout;
+    while (!condition()) {
+      if (Clock::now() > until) return false;
+      Pause(kPollInterval);
+    }
+    return true;
+  }
+  void Pause(milliseconds time) {
+    asio::steady_timer timer(io, time);
+    timer.wait();
+  }
+  bool Serves(const NodeProcess& node) { return Get(node.control(), "/-/Status") == 200; }
+
+  asio::io_context io{1};
+  std::filesystem::path folder;
+  std::vector<std::string> ips;
+  Ports ports;
+  std::vector<std::unique_ptr<NodeProcess>> processes;
+};
+
+Tcp::acceptor Hold(asio::io_context& io, const Address& address) {
+  return Tcp::acceptor(io, address.Endpoint(), true);
+}
+
+TEST_CASE("a core waits for an address that another process holds") {
+  Nodes nodes;
+  NodeProcess& core = nodes.Add(NodeProcess::Role::kCore);
+  for (const Address& address : {core.control(), core.internal()}) {
+    auto held = std::make_unique<Tcp::acceptor>(Hold(nodes.io, address));
+    REQUIRE(core.Start());
+    nodes.Pause(kHeldFor);
+    INFO(address.Text() << ": " << core.Log());
+    REQUIRE_FALSE(core.Ended());
+    held.reset();
+    REQUIRE(nodes.Until(kStartTimeout, [&] { return nodes.Serves(core); }));
+    core.Kill();
+  }
+}
+
+TEST_CASE("a sidecar waits for an address that another process holds") {
+  Nodes nodes;
+  NodeProcess& sidecar = nodes.Add(NodeProcess::Role::kSidecar);
+  for (const Address& address :
+       {sidecar.outbound(), sidecar.readiness(), sidecar.control(), sidecar.internal()}) {
+    auto held = std::make_unique<Tcp::acceptor>(Hold(nodes.io, address));
+    REQUIRE(sidecar.Start());
+    nodes.Pause(kHeldFor);
+    INFO(address.Text() << ": " << sidecar.Log());
+    REQUIRE_FALSE(sidecar.Ended());
+    held.reset();
+    REQUIRE(
+        nodes.Until(kStartTimeout, [&] { return nodes.Get(sidecar.readiness(), "/-/readiness") == 503; }));
+    REQUIRE(nodes.Serves(sidecar));
+    sidecar.Kill();
+  }
+}
+
+TEST_CASE("SIGTERM ends a node that waits for an address") {
+  Nodes nodes;
+  for (const auto role : {NodeProcess::Role::kCore, NodeProcess::Role::kSidecar}) {
+    NodeProcess& node = nodes.Add(role);
+    const auto held = Hold(nodes.io, node.control());
+    REQUIRE(node.Start());
+    nodes.Pause(kHeldFor);
+    node.Signal(SIGTERM);
+    REQUIRE(nodes.Until(kExitTimeout, [&] { return node.Ended(); }));
+    CHECK(node.EndText() == "status 0");
+  }
+}
+
+TEST_CASE("a core outlives a limit on the size of its files") {
+  Nodes nodes;
+  ProcessLimits limits;
+  limits.file_size_bytes = 1;
+  NodeProcess& core = nodes.Add(NodeProcess::Role::kCore, limits);
+  REQUIRE(core.Start());
+  const bool reported = nodes.Until(kStartTimeout, [&] {
+    return core.Ended() || nodes.StatusText(core).find("\"diskBad\":true") != std::string::npos;
+  });
+  CHECK(core.EndText() == "status -1");
+  CHECK(reported);
+}
+
+TEST_CASE("cores outlive a large configuration within their memory limit") {
+  Nodes nodes;
+  ProcessLimits limits;
+  limits.address_space_bytes = kCoreMemoryMb * kMebibyte;
+  for (int i = 0; i < kCores; ++i) REQUIRE(nodes.Add(NodeProcess::Role::kCore, limits).Start());
+  nlohmann::json configuration = FirstConfiguration();
+  constexpr int kRoutes = 4000;
+  for (int i = 0; i < kRoutes; ++i)
+    configuration["resourceList"].push_back(
+        ConfigurationRoute("large-" + std::to_string(i), "safe", kPlanService));
+  const Request change = MakeRequest(http::verb::post, kReplacePath, kHost, configuration.dump());
+  const bool taken = nodes.Until(kStartTimeout, [&] {
+    for (const auto& core : nodes.processes)
+      if (nodes.Call(core->control(), change) == 200) return true;
+    return false;
+  });
+  for (const auto& core : nodes.processes) {
+    INFO(core->Log());
+    CHECK_FALSE(core->Ended());
+    CHECK(core->EndText() == "status -1");
+  }
+  CHECK(taken);
+}
+
+TEST_CASE("a node waits for settings that are still being written") {
+  Nodes nodes;
+  for (const auto role : {NodeProcess::Role::kCore, NodeProcess::Role::kSidecar}) {
+    NodeProcess& node = nodes.Add(role);
+    const std::string settings = node.Settings();
+    for (const std::size_t written : {std::size_t{0}, settings.size() / 3, settings.size() / 2}) {
+      REQUIRE(node.StartWithSettings(settings.substr(0, written)));
+      nodes.Pause(kHeldFor);
+      node.WriteSettings(settings);
+      INFO(written << " bytes: " << node.Log());
+      REQUIRE(nodes.Until(kStartTimeout, [&] { return node.Ended() || nodes.Serves(node); }));
+      REQUIRE_FALSE(node.Ended());
+      node.Kill();
+    }
+  }
+}
+
+TEST_CASE("settings that stay incomplete are reported as an error") {
+  Nodes nodes;
+  NodeProcess& node = nodes.Add(NodeProcess::Role::kSidecar);
+  REQUIRE(node.StartWithSettings("selfNode: {"));
+  REQUIRE(nodes.Until(kExitTimeout, [&] { return node.Ended(); }));
+  CHECK(node.EndText() == "status 2");
+}
+
+}  // namespace
+}  // namespace fennelhollow::rig
