Store: a damaged file is told without being followed, and never ends the process

What callers saw: a core whose store had been damaged, as by a loss of power, was killed at each start by SIGBUS or SIGSEGV, though its other file was intact. Cause: LMDB follows page offsets of the file before anything checks them; the record's checksum came after that. A store has one record a file, so it needs no B-tree. Change: a slot file is a header with sequence and checksum, and the body, read whole and written in place with pwrite and fdatasync. LMDB files of earlier versions are read by a bounded reader of our own, without the library, and replaced at the first write. A record that an interrupted write left in one file is completed at a start; an interrupted first write is no loss.

--- a/src/mesh/storage/store.hpp
+++ b/src/mesh/storage/store.hpp
@@ -1,4 +1,4 @@
-// Persists a replica's state (consensus::PersistentState) in LMDB.
+// Persists a replica's state (consensus::PersistentState) in two files, of which each holds one record.
 #ifndef FENNELHOLLOW_MESH_STORAGE_STORE_HPP_
 #define FENNELHOLLOW_MESH_STORAGE_STORE_HPP_
 
@@ -20,7 +20,8 @@
  public:
   // Opens the store in `folder`, or creates it. kDataLoss: no intact record is left, so the replica has lost
   // its promises and must not vote as the voter it was; the corrupt files have been renamed to *.bad, and
-  // opening again gives an empty store. kUnavailable and kResourceExhausted: disk errors.
+  // opening again gives an empty store. The LMDB files of earlier versions are read and replaced at the first
+  // write. kUnavailable and kResourceExhausted: disk errors.
   static absl::StatusOr<std::unique_ptr<Store>> Open(const std::string& folder, std::size_t max_bytes);
   ~Store();
   // The last written state; absent if there is none.
--- a/tests/mesh/storage_test.cpp
+++ b/tests/mesh/storage_test.cpp
@@ -2,6 +2,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <catch2/catch.hpp>
 #include <filesystem>
 #include <fstream>
@@ -23,7 +24,8 @@
     fs::remove_all(path);
   }
   ~TestDirectory() { fs::remove_all(path); }
-  std::string slot(int i) const { return (path / ("slot" + std::to_string(i) + ".mdb")).string(); }
+  std::string slot(int i) const { return (path / ("slot" + std::to_string(i) + ".record")).string(); }
+  static std::string lmdb_file(int i) { return "slot" + std::to_string(i) + ".mdb"; }
   std::size_t files() const {
     return static_cast<std::size_t>(std::distance(fs::directory_iterator(path), fs::directory_iterator()));
   }
@@ -180,4 +182,98 @@
   REQUIRE(bytes <= kMaxBytes);
 }
 
+// LMDB files as versions up to 0.3 wrote them: of a store with five writes, and of one without any.
+void CopyLmdbFiles(const TestDirectory& to, const char* which) {
+  fs::create_directories(to.path);
+  for (const int i : {0, 1})
+    fs::copy_file(fs::path(STORAGE_TEST_DATA) / which / to.lmdb_file(i), to.path / to.lmdb_file(i),
+                  fs::copy_options::overwrite_existing);
+}
+
+TEST_CASE("a store of an earlier version is read, and replaced at the first write") {
+  TestDirectory f;
+  CopyLmdbFiles(f, "lmdb_written");
+  RequireStored(f.path, 5);
+  RequireStored(f.path, 5);
+  WriteStates(f.path, 6);
+  for (const int i : {0, 1}) REQUIRE_FALSE(fs::exists(f.path / f.lmdb_file(i)));
+  RequireStored(f.path, 6);
+}
+
+TEST_CASE("a store of an earlier version that was never written is empty") {
+  TestDirectory f;
+  CopyLmdbFiles(f, "lmdb_empty");
+  auto store = Store::Open(f.path, kMaxBytes);
+  REQUIRE(store.ok());
+  REQUIRE(!(*store)->Read()->has_value());
+}
+
+TEST_CASE("the record of an interrupted write is in both files after a start") {
+  for (const int written : {0, 1}) {
+    TestDirectory f;
+    WriteStates(f.path, 4);
+    const std::string fourth = ReadAll(f.slot(1 - written));
+    WriteStates(f.path, 5);
+    std::ofstream(f.slot(1 - written), std::ios::binary | std::ios::trunc) << fourth;
+    RequireStored(f.path, 5);
+    fs::remove(f.slot(written));
+    RequireStored(f.path, 5);
+  }
+}
+
+TEST_CASE("a first write that was interrupted leaves an empty store, not a lost one") {
+  TestDirectory f;
+  WriteStates(f.path, 1);
+  const std::string first = ReadAll(f.slot(1));
+  std::ofstream(f.slot(1), std::ios::binary | std::ios::trunc) << first.substr(0, first.size() / 2);
+  std::ofstream(f.slot(0), std::ios::binary | std::ios::trunc).flush();
+  auto store = Store::Open(f.path, kMaxBytes);
+  REQUIRE(store.ok());
+  REQUIRE(!(*store)->Read()->has_value());
+}
+
+// Replaces one to three sectors by zeros, noise or another sector.
+void DamageSectors(const std::string& path, merlinrun::Random& random) {
+  constexpr std::size_t kSectorBytes = 512;
+  std::string file = ReadAll(path);
+  const std::size_t sectors = file.size() / kSectorBytes;
+  for (std::size_t i = 1 + random.Below(3); i > 0; --i) {
+    const std::size_t at = random.Below(sectors) * kSectorBytes;
+    const std::size_t kind = random.Below(3);
+    const std::string other = file.substr(random.Below(sectors) * kSectorBytes, kSectorBytes);
+    for (std::size_t b = 0; b < kSectorBytes; ++b)
+      file[at + b] = kind == 0 ? '\0' : kind == 1 ? static_cast<char>(random.Next()) : other[b];
+  }
+  std::ofstream(path, std::ios::binary | std::ios::trunc) << file;
+}
+
+TEST_CASE("damaged sectors never end the process or give a state that was not written") {
+  constexpr int kRounds = 200;
+  merlinrun::Random random(67);
+  TestDirectory f;
+  WriteStates(f.path, 5);
+  const std::array<std::string, 2> written = {ReadAll(f.slot(0)), ReadAll(f.slot(1))};
+  for (const bool earlier_version : {true, false}) {
+    int read_again = 0;
+    for (int round = 0; round < kRounds; ++round) {
+      fs::remove_all(f.path);
+      if (earlier_version) CopyLmdbFiles(f, "lmdb_written");
+      fs::create_directories(f.path);
+      for (const int i : {0, 1}) {
+        const std::string path = earlier_version ? (f.path / f.lmdb_file(i)).string() : f.slot(i);
+        if (!earlier_version) std::ofstream(path, std::ios::binary) << written[static_cast<std::size_t>(i)];
+        if (round % 2 == 0 || i == 0) DamageSectors(path, random);
+      }
+      auto store = Store::Open(f.path, kMaxBytes);
+      REQUIRE((store.ok() || absl::IsDataLoss(store.status())));
+      if (!store.ok()) continue;
+      const auto state = (*store)->Read();
+      REQUIRE((state.ok() && state->has_value()));
+      REQUIRE((*state)->promised_term == 5);
+      ++read_again;
+    }
+    REQUIRE(read_again >= kRounds / 2);
+  }
+}
+
 }  // namespace
