SIGXFSZ no longer ends a process: a write beyond a file size limit fails

What callers saw: cores killed by signal 25, with nothing in their logs, where the kernel limits the size of files, which is also how a disk is made full. Cause: the signal had its default action. Now it is ignored in both programs; the write fails with EFBIG, which the store reports as a full disk and retries. Evidence: 'a core outlives a limit on the size of its files' ended with signal 25 on and passes.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -2,7 +2,6 @@
 // Exit status: 0 after SIGTERM or SIGINT, 1 if it cannot listen, 2 if the configuration is invalid.
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <csignal>
 #include <cstdio>
 #include <cstdlib>
 #include <exception>
@@ -64,7 +63,7 @@
 }  // namespace
 
 int main() {
-  std::signal(SIGPIPE, SIG_IGN);  // writes to closed connections fail with an error instead
+  merlinrun::net::IgnoreWriteSignals();
   try {
     return Run();
   } catch (const std::exception& error) {
--- a/src/mesh/node/main.cpp
+++ b/src/mesh/node/main.cpp
@@ -156,7 +156,7 @@
 int Main(int argc, char** argv) {
   boost::asio::io_context io(1);
   merlinrun::net::ProcessSignals signals(io);
-  std::signal(SIGPIPE, SIG_IGN);  // writing to a closed connection returns an error instead
+  merlinrun::net::IgnoreWriteSignals();
   FLAGS_logtostderr = true;
   google::InitGoogleLogging(argv[0]);
   argagg::parser parser{
--- a/src/net/process_signals.hpp
+++ b/src/net/process_signals.hpp
@@ -10,6 +10,13 @@
 
 namespace merlinrun::net {
 
+// Writing to a closed connection or beyond the limit of a file's size fails with an error instead of ending
+// the process.
+inline void IgnoreWriteSignals() {
+  std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGXFSZ, SIG_IGN);
+}
+
 // Construct it before anything else that takes time, so that no signal has its default action, and destroy it
 // last. A signal that arrives before it is waited for is kept.
 class ProcessSignals {
