A failed allocation on a worker fails its job; address space is not reserved

What callers saw: the leading core, then its successor, ended with SIGABRT at a configuration of 1,000 routes, where the kernel limits address space to memoryMb; the operator's repeats did the same to the next one, until no leader was left. Cause: an exception that leaves a thread ends the process. The loop logs those of its handlers; the disk and validation threads had no such place. Change: the worker reports a job's exception to its completion: a write counts as failed, a change as not evaluated (503). A completion that throws loses no other one; ticks and deferred steps go on after an exception. One malloc arena.

--- a/rig/sim/core_process.cpp
+++ b/rig/sim/core_process.cpp
@@ -97,10 +97,10 @@
   });
 }
 
-bool CoreProcess::RunInBackground(std::function<void()> work, std::function<void()> done) {
+bool CoreProcess::RunInBackground(std::function<void()> work, std::function<void(const absl::Status&)> done) {
   work();
   RunAt(events_.now() + random_.Upto(kBackgroundTime), [this, done = std::move(done)] {
-    done();
+    done(absl::OkStatus());
     NotifyObserver();
   });
   return true;
--- a/rig/sim/core_process.hpp
+++ b/rig/sim/core_process.hpp
@@ -61,7 +61,7 @@
   void SendToSidecars(const std::vector<SidecarLink>& links, const push::CoreUpdate& update) override;
   void CloseSidecar(SidecarLink link) override;
   void Write(const consensus::PersistentState& state, std::uint64_t token) override;
-  bool RunInBackground(std::function<void()> work, std::function<void()> done) override;
+  bool RunInBackground(std::function<void()> work, std::function<void(const absl::Status&)> done) override;
   std::string ControlAddress(const consensus::ReplicaId& core) const override { return core; }
   void Post(std::function<void()> next) override;
 
--- a/src/mesh/control/control_replica.cpp
+++ b/src/mesh/control/control_replica.cpp
@@ -1,5 +1,6 @@
 #include "mesh/control/control_replica.hpp"
 
+#include <absl/cleanup/cleanup.h>
 #include <glog/logging.h>
 
 #include <algorithm>
@@ -110,6 +111,7 @@
 void ControlReplica::RunDeferred() {
   if (running_deferred_) return;
   running_deferred_ = true;
+  absl::Cleanup finished = [this] { running_deferred_ = false; };
   while (!deferred_.empty()) {
     const std::function<void()> next = std::move(deferred_.front());
     deferred_.pop_front();
@@ -117,7 +119,7 @@
     if (deferred_.empty()) UpdateLeadership();
   }
   UpdateLeadership();
-  running_deferred_ = false;
+  std::move(finished).Invoke();
   ScheduleDeferred();
 }
 
@@ -290,7 +292,11 @@
         result->kind = configuration::ChangeResult::Kind::kInvalid;  // would exceed the frame size
         result->error = "the configuration would be too large";
       },
-      [this, request_id, result] { service_.OnChangeResult(host_.Now(), request_id, std::move(*result)); });
+      [this, request_id, result](const absl::Status& ran) {
+        // Not evaluated, for want of memory for example: answered 503, so that the operator repeats the call.
+        if (!ran.ok()) *result = {configuration::ChangeResult::Kind::kUnknown, {}, {}};
+        service_.OnChangeResult(host_.Now(), request_id, std::move(*result));
+      });
 }
 
 void ControlReplica::Propose(std::uint64_t request_id, std::uint64_t base_index, std::string state) {
--- a/src/mesh/control/control_replica.hpp
+++ b/src/mesh/control/control_replica.hpp
@@ -36,9 +36,9 @@
   virtual void CloseSidecar(SidecarLink link) = 0;
   // Writes to disk and syncs, then calls OnWritten(token, ok). At most one write is in progress.
   virtual void Write(const consensus::PersistentState& durable, std::uint64_t token) = 0;
-  // Runs `work` on another thread, then `done` on the event loop. False if the queue is full; neither is
-  // called.
-  virtual bool RunInBackground(std::function<void()> work, std::function<void()> done) = 0;
+  // Runs `work` on another thread, then `done` on the event loop, with an error if `work` threw. False if the
+  // queue is full; neither is called.
+  virtual bool RunInBackground(std::function<void()> work, std::function<void(const absl::Status&)> done) = 0;
   // The address of another core for operators' calls; empty if unknown.
   virtual std::string ControlAddress(const ReplicaId& core) const = 0;
   // Runs `next` in a later iteration of the event loop, unless the ControlReplica is destroyed before.
--- a/src/mesh/node/core.cpp
+++ b/src/mesh/node/core.cpp
@@ -168,7 +168,7 @@
   void SendToSidecars(const std::vector<SidecarLink>& links, const push::CoreUpdate& update) override;
   void CloseSidecar(SidecarLink link) override;
   void Write(const consensus::PersistentState& state, std::uint64_t token) override;
-  bool RunInBackground(std::function<void()> work, std::function<void()> done) override {
+  bool RunInBackground(std::function<void()> work, std::function<void(const absl::Status&)> done) override {
     return validation_worker_->Run(std::move(work), std::move(done));
   }
   std::string ControlAddress(const ReplicaId& core) const override;
@@ -224,8 +224,8 @@
 
 absl::Status Core::Impl::Start() {
   try {
-    disk_worker_ = std::make_unique<Worker>(io_);
-    validation_worker_ = std::make_unique<Worker>(io_);
+    disk_worker_ = std::make_unique<Worker>(io_, "disk");
+    validation_worker_ = std::make_unique<Worker>(io_, "validation");
     const settings::Address at = settings_.InternalListenAddress();
     link_listener_ = std::make_unique<transport::Listener>(
         io_, at.ip, at.port, Link::Limits{}, [this](const std::shared_ptr<Link>& link) { OnAccepted(link); });
@@ -271,7 +271,10 @@
   const bool queued = disk_worker_->Run(
       [disk = disk_, opened, directory = settings_.data_directory + kStoreDirectory,
        max_bytes = StoreBytes(settings_)] { *opened = OpenStore(*disk, directory, max_bytes); },
-      [this, opened] { OnStoreOpened(std::move(*opened)); });
+      [this, opened](const absl::Status& ran) {
+        if (!ran.ok()) opened->status = ran;
+        OnStoreOpened(std::move(*opened));
+      });
   if (!queued) store_retry_timer_->Start(kStoreRetryInterval, [this] { OpenStoreAsync(); });
 }
 
@@ -303,7 +306,9 @@
   const auto status = std::make_shared<absl::Status>();
   const bool queued =
       disk_worker_->Run([disk = disk_, status, state] { *status = disk->store->Write(state); },
-                        [this, token, status] { OnWritten(token, *status); });
+                        [this, token, status](const absl::Status& ran) {
+                          OnWritten(token, ran.ok() ? *status : ran);
+                        });
   if (queued) return;
   Post([this, token] { OnWritten(token, absl::ResourceExhaustedError("the disk queue is full")); });
 }
@@ -319,12 +324,13 @@
 }
 
 void Core::Impl::OnTick() {
+  // Before the work, so that an exception does not end the ticks.
+  const bool busy = replica_.NeedsFrequentTicks() || stopping_;
+  tick_timer_->Start(busy ? kBusyTickInterval : kIdleTickInterval, [this] { OnTick(); });
   replica_.OnTick();
   event_waiters_.OnTick(loop_.Now());
   CloseLinksWithoutHello();
   CheckCommitted();
-  const bool busy = replica_.NeedsFrequentTicks() || stopping_;
-  tick_timer_->Start(busy ? kBusyTickInterval : kIdleTickInterval, [this] { OnTick(); });
   if (stopping_) FinishStopIfDone();
 }
 
--- a/src/mesh/node/main.cpp
+++ b/src/mesh/node/main.cpp
@@ -2,6 +2,7 @@
 // a core. Exit status: 0 after SIGTERM or SIGINT, 1 if it cannot listen, 2 if the settings or arguments are
 // invalid.
 #include <glog/logging.h>
+#include <malloc.h>
 #include <sys/stat.h>
 
 #include <argagg/argagg.hpp>
@@ -153,10 +154,14 @@
   return 0;
 }
 
+// Each arena of a thread would reserve 64 MB of address space, which the kernel may limit to `memoryMb`.
+void UseOneMallocArena() { ::mallopt(M_ARENA_MAX, 1); }
+
 int Main(int argc, char** argv) {
   boost::asio::io_context io(1);
   merlinrun::net::ProcessSignals signals(io);
   merlinrun::net::IgnoreWriteSignals();
+  UseOneMallocArena();
   FLAGS_logtostderr = true;
   google::InitGoogleLogging(argv[0]);
   argagg::parser parser{
--- a/src/mesh/node/sidecar.cpp
+++ b/src/mesh/node/sidecar.cpp
@@ -363,6 +363,8 @@
   // ---- Control plane ----
 
   void Tick() {
+    // Before the work, so that an exception does not end the ticks.
+    tick_timer_->Start(kTickInterval, [this] { Tick(); });
     const Micros now = loop_.Now();
     if (last_tick_at_ > 0)
       longest_loop_delay_ = std::max(longest_loop_delay_, now - last_tick_at_ - kTickInterval);
@@ -388,8 +390,7 @@
       inbound_proxy_client_ticked_at_ = now;
       inbound_proxy_client_.OnTick(now);
     }
-    if (shutdown_ && !ContinueStop(now)) return;
-    tick_timer_->Start(kTickInterval, [this] { Tick(); });
+    if (shutdown_) ContinueStop(now);
   }
 
   // During a shutdown only attempts that end before the process exits: the exit would cut off others.
@@ -407,22 +408,22 @@
            inbound_proxy_.unsent_bytes() == 0;
   }
 
-  // Advances the shutdown; false once it is complete.
-  bool ContinueStop(Micros now) {
+  // Advances the shutdown, and ends it once it is complete.
+  void ContinueStop(Micros now) {
+    if (!on_stopped_) return;
     if (now >= shutdown_->leave_at && !std::exchange(leave_sent_, true)) client_.Leave(now);
     if (now >= shutdown_->finish_at && !std::exchange(finishing_, true)) {
       outbound_proxy_.RefuseNewRequests();
       outbound_proxy_.TerminateInFlight();
     }
-    if (now < shutdown_->earliest_exit_at || (!IsIdle() && now < shutdown_->latest_exit_at)) return true;
+    if (now < shutdown_->earliest_exit_at || (!IsIdle() && now < shutdown_->latest_exit_at)) return;
     // Requests that have arrived since are refused, not cut off by the exit.
     outbound_proxy_.RefuseNewRequests();
     if (outbound_listener_) outbound_listener_->HandleArrived();
-    if (!IsIdle() && now < shutdown_->latest_exit_at) return true;
+    if (!IsIdle() && now < shutdown_->latest_exit_at) return;
     LOG(INFO) << "stopped: " << StatusText();
     // Called here and not posted: a handler in between could accept a request that nobody would answer.
-    if (const auto done = std::exchange(on_stopped_, nullptr)) done();
-    return false;
+    std::exchange(on_stopped_, nullptr)();
   }
 
   void UpdateCoreLinks(Micros now) {
--- a/src/mesh/node/worker.cpp
+++ b/src/mesh/node/worker.cpp
@@ -1,6 +1,9 @@
 #include "mesh/node/worker.hpp"
 
+#include <absl/cleanup/cleanup.h>
 #include <fcntl.h>
+#include <glog/logging.h>
+#include <pthread.h>
 #include <unistd.h>
 
 #include <array>
@@ -11,7 +14,10 @@
 #include <cerrno>
 #include <condition_variable>
 #include <deque>
+#include <exception>
 #include <mutex>
+#include <new>
+#include <string>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -23,7 +29,9 @@
 
 class Worker::Impl : public std::enable_shared_from_this<Worker::Impl> {
  public:
-  Impl(asio::io_context& io, std::size_t max_pending) : max_pending_(max_pending), wake_pipe_(io) {
+  Impl(asio::io_context& io, const char* name, std::size_t max_pending)
+      : name_(name), max_pending_(max_pending), wake_pipe_(io) {
+    finished_.reserve(max_pending);  // no allocation on the worker thread can fail
     std::array<int, 2> pipe_fds{};
     if (::pipe2(pipe_fds.data(), O_NONBLOCK | O_CLOEXEC) != 0) {
       throw boost::system::system_error(ErrorCode(errno, boost::system::system_category()), "pipe2");
@@ -38,6 +46,7 @@
   void Start() {
     AwaitWakeup();
     thread_ = std::thread([this] { RunJobs(); });
+    ::pthread_setname_np(thread_.native_handle(), name_.c_str());
   }
 
   void Stop() {
@@ -52,12 +61,12 @@
     wake_pipe_.close(ignored);
   }
 
-  bool Run(std::function<void()> work, std::function<void()> done) {
+  bool Run(std::function<void()> work, Done done) {
     {
       const std::lock_guard lock(mutex_);
       if (stopping_ || pending_ >= max_pending_) return false;
-      ++pending_;
       queued_.push_back({std::move(work), std::move(done)});
+      ++pending_;
     }
     job_available_.notify_one();
     return true;
@@ -71,9 +80,27 @@
  private:
   struct Job {
     std::function<void()> work;
-    std::function<void()> done;
+    Done done;
+  };
+  struct Finished {
+    Done done;
+    absl::Status result;
   };
 
+  // An exception that left the thread would end the process.
+  absl::Status RunGuarded(const std::function<void()>& work) const noexcept {
+    try {
+      work();
+      return absl::OkStatus();
+    } catch (const std::bad_alloc&) {
+      return absl::Status(absl::StatusCode::kResourceExhausted, "");
+    } catch (const std::exception& error) {
+      return absl::InternalError(error.what());
+    } catch (...) {
+      return absl::Status(absl::StatusCode::kInternal, "");
+    }
+  }
+
   void RunJobs() {
     std::unique_lock lock(mutex_);
     for (;;) {
@@ -82,19 +109,18 @@
       Job job = std::move(queued_.front());
       queued_.pop_front();
       lock.unlock();
-      job.work();
+      absl::Status result = RunGuarded(job.work);
       job.work = nullptr;  // destroys its captures here, not on the loop
       lock.lock();
-      if (stopping_) {  // the loop's thread is joining this one and destroys `done`
-        finished_.push_back(std::move(job.done));
-        return;
-      }
-      finished_.push_back(std::move(job.done));
-      if (finished_.size() == 1) {
-        // EAGAIN is harmless: a full pipe wakes the loop as well.
-        while (::write(wake_write_fd_, "w", 1) < 0 && errno == EINTR) {
-        }
-      }
+      finished_.push_back({std::move(job.done), std::move(result)});
+      if (stopping_) return;  // the loop's thread is joining this one and destroys `done`
+      if (finished_.size() == 1) WakeLoop();
+    }
+  }
+
+  // EAGAIN is harmless: a full pipe wakes the loop as well.
+  void WakeLoop() const {
+    while (::write(wake_write_fd_, "w", 1) < 0 && errno == EINTR) {
     }
   }
 
@@ -102,24 +128,32 @@
     wake_pipe_.async_read_some(asio::buffer(wake_buffer_),
                                [self = shared_from_this()](ErrorCode error, std::size_t) {
                                  if (error && error != asio::error::try_again) return;
+                                 self->AwaitWakeup();
                                  self->RunFinished();
-                                 if (self->wake_pipe_.is_open()) self->AwaitWakeup();
                                });
   }
 
   void RunFinished() {
-    std::vector<std::function<void()>> finished;
     {
       const std::lock_guard lock(mutex_);
-      finished.swap(finished_);
-      pending_ -= finished.size();
+      for (Finished& finished : finished_) completing_.push_back(std::move(finished));
+      pending_ -= finished_.size();
+      finished_.clear();
     }
-    for (const std::function<void()>& done : finished) {
-      if (!wake_pipe_.is_open()) return;  // one of them stopped the worker
-      done();
+    // After one that throws, the others are completed in a later turn.
+    const absl::Cleanup complete_rest = [this] {
+      if (completing_.empty() || !wake_pipe_.is_open()) return;
+      WakeLoop();
+    };
+    while (!completing_.empty() && wake_pipe_.is_open()) {  // one of them may stop the worker
+      const Finished next = std::move(completing_.front());
+      completing_.pop_front();
+      if (!next.result.ok()) LOG(ERROR) << "a job of worker " << name_ << " failed: " << next.result;
+      next.done(next.result);
     }
   }
 
+  const std::string name_;
   const std::size_t max_pending_;
   asio::posix::stream_descriptor wake_pipe_;
   std::array<char, 64> wake_buffer_{};
@@ -127,18 +161,19 @@
   mutable std::mutex mutex_;  // guards the members below
   std::condition_variable job_available_;
   std::deque<Job> queued_;
-  std::vector<std::function<void()>> finished_;
+  std::vector<Finished> finished_;
   std::size_t pending_ = 0;
   bool stopping_ = false;
   std::thread thread_;
+  std::deque<Finished> completing_;  // used on the loop only
 };
 
-Worker::Worker(asio::io_context& io, std::size_t max_pending)
-    : impl_(std::make_shared<Impl>(io, max_pending)) {
+Worker::Worker(asio::io_context& io, const char* name, std::size_t max_pending)
+    : impl_(std::make_shared<Impl>(io, name, max_pending)) {
   impl_->Start();
 }
 Worker::~Worker() { impl_->Stop(); }
-bool Worker::Run(std::function<void()> work, std::function<void()> done) {
+bool Worker::Run(std::function<void()> work, Done done) {
   return impl_->Run(std::move(work), std::move(done));
 }
 std::size_t Worker::pending() const { return impl_->pending(); }
--- a/tests/mesh/node_test.cpp
+++ b/tests/mesh/node_test.cpp
@@ -7,8 +7,10 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <new>
 #include <random>
 #include <set>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -30,20 +32,60 @@
   asio::io_context io;
   std::vector<int> executed, done;
   {
-    Worker worker(io, 3);
+    Worker worker(io, "test", 3);
     for (int i = 0; i < 3; ++i) {
-      REQUIRE(worker.Run([&executed, i] { executed.push_back(i); }, [&done, i] { done.push_back(i); }));
+      REQUIRE(worker.Run([&executed, i] { executed.push_back(i); },
+                         [&done, i](const absl::Status& ran) {
+                           CHECK(ran.ok());
+                           done.push_back(i);
+                         }));
     }
-    CHECK_FALSE(worker.Run([] {}, [] {}));  // the queue is full, as none completes before the loop runs
+    // The queue is full, as none completes before the loop runs.
+    CHECK_FALSE(worker.Run([] {}, [](const absl::Status&) {}));
     while (done.size() < 3) io.run_one();
     CHECK(worker.pending() == 0);
-    REQUIRE(worker.Run([] {}, [&done] { done.push_back(99); }));
+    REQUIRE(worker.Run([] {}, [&done](const absl::Status&) { done.push_back(99); }));
   }
   io.run();
   CHECK(executed == std::vector<int>{0, 1, 2});
   CHECK(done == executed);
 }
 
+TEST_CASE("a job that throws on a worker fails alone and does not end the process") {
+  asio::io_context io;
+  Worker worker(io, "test");
+  std::vector<absl::Status> ended;
+  const auto done = [&ended](const absl::Status& ran) { ended.push_back(ran); };
+  REQUIRE(worker.Run([] { throw std::bad_alloc(); }, done));
+  REQUIRE(worker.Run([] { throw std::runtime_error("broken"); }, done));
+  REQUIRE(worker.Run([] { throw 1; }, done));
+  REQUIRE(worker.Run([] {}, done));
+  while (ended.size() < 4) io.run_one();
+  CHECK(absl::IsResourceExhausted(ended[0]));
+  CHECK(ended[1] == absl::InternalError("broken"));
+  CHECK(absl::IsInternal(ended[2]));
+  CHECK(ended[3].ok());
+}
+
+TEST_CASE("a completion that throws on the loop does not stop the worker or lose other completions") {
+  asio::io_context io;
+  Worker worker(io, "test");
+  int completed = 0;
+  REQUIRE(worker.Run([] {}, [](const absl::Status&) { throw std::runtime_error("broken"); }));
+  for (int i = 0; i < 3; ++i) REQUIRE(worker.Run([] {}, [&completed](const absl::Status&) { ++completed; }));
+  const auto run_one = [&io] {
+    try {
+      io.run_one_for(std::chrono::seconds(2));
+    } catch (const std::runtime_error&) {
+    }
+  };
+  for (int i = 0; i < 100 && completed < 3; ++i) run_one();
+  CHECK(completed == 3);
+  REQUIRE(worker.Run([] {}, [&completed](const absl::Status&) { ++completed; }));
+  for (int i = 0; i < 100 && completed < 4; ++i) run_one();
+  CHECK(completed == 4);
+}
+
 struct TestServer {
   asio::io_context io;
   std::vector<Command> commands;
