A start waits for addresses and unfinished settings instead of ending the process

What callers saw: a node that was restarted while its predecessor was ending, or whose port another process held, ended with status 1 at once; one that read its settings while they were being written ended with 2. Cause: what a start needs was tried once. Metrics and gossip, which a process runs without, are opened later. A core's link address is freed after its last write, as a successor that has it opens the store.

--- a/src/mesh/egress/http_server.cpp
+++ b/src/mesh/egress/http_server.cpp
@@ -11,6 +11,7 @@
 
 #include "mesh/transport/hop_by_hop.hpp"
 #include "mesh/transport/read_buffer.hpp"
+#include "net/listen.hpp"
 #include "net/validate.hpp"
 
 namespace fennelhollow::egress {
@@ -393,14 +394,9 @@
     : io_(io),
       limits_(limits),
       handler_(std::move(handler)),
-      acceptor_(io),
+      acceptor_(merlinrun::net::Listen(io, Tcp::endpoint(asio::ip::make_address(address.ip), address.port))),
       accept_retry_timer_(io),
       sweep_timer_(io) {
-  const Tcp::endpoint endpoint(asio::ip::make_address(address.ip), address.port);
-  acceptor_.open(endpoint.protocol());
-  acceptor_.set_option(Tcp::acceptor::reuse_address(true));
-  acceptor_.bind(endpoint);
-  acceptor_.listen();
   acceptor_.non_blocking(true);
   Accept();
   ScheduleSweep();
--- a/src/mesh/node/control_listener.cpp
+++ b/src/mesh/node/control_listener.cpp
@@ -14,6 +14,8 @@
 #include <optional>
 #include <utility>
 
+#include "net/listen.hpp"
+
 namespace fennelhollow::node {
 
 namespace asio = merlinrun::net::asio;
@@ -267,7 +269,7 @@
     : io_(io),
       limits_(limits),
       handler_(std::move(handler)),
-      acceptor_(io, address),
+      acceptor_(merlinrun::net::Listen(io, address)),
       accept_retry_timer_(io) {}
 
 void ControlListener::Impl::Accept() {
--- a/src/mesh/node/core.cpp
+++ b/src/mesh/node/core.cpp
@@ -135,10 +135,10 @@
     tick_timer_.reset();
     store_retry_timer_.reset();
     control_listener_.reset();
-    link_listener_.reset();
     for (auto& [link_id, incoming] : inbound_links_) incoming.link->Close();
     validation_worker_.reset();
     disk_worker_.reset();
+    link_listener_.reset();  // last: a successor that has the address opens the store
   }
   Impl(const Impl&) = delete;
   Impl& operator=(const Impl&) = delete;
@@ -201,7 +201,7 @@
   metrics::CoreMetrics metrics_{registry_};
   metrics::Invariants invariants_;
   std::uint64_t highest_committed_ = 0;  // highest index of a committed entry seen so far
-  std::unique_ptr<MetricsEndpoint> metrics_endpoint_;
+  std::unique_ptr<MetricsEndpointOpener> metrics_endpoint_;
   std::shared_ptr<int> liveness_token_ = std::make_shared<int>();
   std::unique_ptr<merlinrun::core::Timer> tick_timer_, store_retry_timer_;
   std::shared_ptr<Disk> disk_ = std::make_shared<Disk>();
@@ -224,15 +224,14 @@
 
 absl::Status Core::Impl::Start() {
   try {
-    disk_worker_ = std::make_unique<Worker>(io_, "disk");
-    validation_worker_ = std::make_unique<Worker>(io_, "validation");
+    // First, as the predecessor holds this address until its last write has ended.
     const settings::Address at = settings_.InternalListenAddress();
     link_listener_ = std::make_unique<transport::Listener>(
         io_, at.ip, at.port, Link::Limits{}, [this](const std::shared_ptr<Link>& link) { OnAccepted(link); });
     const auto address = settings_.listen.find("controlPlane");
     if (address != settings_.listen.end()) {
       const auto endpoint = merlinrun::net::ParseAddress(address->second.Text(), true);
-      if (!endpoint) return absl::UnavailableError("controlPlane is not an address");
+      if (!endpoint) return absl::InvalidArgumentError("controlPlane is not an address");
       ControlListener::Limits limits;  // half of the file descriptors are reserved for links
       limits.max_connections =
           std::min(limits.max_connections, static_cast<std::size_t>(settings_.file_descriptors / 3));
@@ -242,11 +241,13 @@
             OnCommand(std::move(command), std::move(reply));
           });
     }
+    disk_worker_ = std::make_unique<Worker>(io_, "disk");
+    validation_worker_ = std::make_unique<Worker>(io_, "validation");
   } catch (const std::exception& error) {  // from the system or Asio
-    return absl::UnavailableError(absl::StrCat("cannot start the core: ", error.what()));
+    return StartFailure(error);
   }
-  metrics_endpoint_ =
-      OpenMetricsEndpoint(io_, settings_.ip, metrics_address_, registry_, [this] { UpdateMetrics(); });
+  metrics_endpoint_ = std::make_unique<MetricsEndpointOpener>(io_, settings_.ip, metrics_address_, registry_,
+                                                              [this] { UpdateMetrics(); });
   OpenStoreAsync();
   tick_timer_->Start(kBusyTickInterval, [this] { OnTick(); });
   return absl::OkStatus();
@@ -304,11 +305,9 @@
 void Core::Impl::Write(const consensus::PersistentState& state, std::uint64_t token) {
   ++counters_.writes;
   const auto status = std::make_shared<absl::Status>();
-  const bool queued =
-      disk_worker_->Run([disk = disk_, status, state] { *status = disk->store->Write(state); },
-                        [this, token, status](const absl::Status& ran) {
-                          OnWritten(token, ran.ok() ? *status : ran);
-                        });
+  const bool queued = disk_worker_->Run(
+      [disk = disk_, status, state] { *status = disk->store->Write(state); },
+      [this, token, status](const absl::Status& ran) { OnWritten(token, ran.ok() ? *status : ran); });
   if (queued) return;
   Post([this, token] { OnWritten(token, absl::ResourceExhaustedError("the disk queue is full")); });
 }
--- a/src/mesh/node/metrics_endpoint.cpp
+++ b/src/mesh/node/metrics_endpoint.cpp
@@ -6,6 +6,7 @@
 #include <prometheus/text_serializer.h>
 
 #include <boost/system/system_error.hpp>
+#include <chrono>
 #include <utility>
 
 namespace fennelhollow::node {
@@ -14,6 +15,7 @@
 constexpr std::uint32_t kMaxPort = 65'535;
 constexpr const char* kTextContentType = "text/plain; version=0.0.4; charset=utf-8";
 constexpr std::size_t kMaxSessions = 16;
+constexpr auto kOpenRetryInterval = std::chrono::seconds(1);
 
 egress::HttpServer::Limits ServerLimits() {
   egress::HttpServer::Limits limits;
@@ -57,16 +59,27 @@
   egress::HttpServer::Respond(session, 200, {{"Content-Type", kTextContentType}}, text);
 }
 
-std::unique_ptr<MetricsEndpoint> OpenMetricsEndpoint(egress::asio::io_context& io, const std::string& ip,
-                                                     const MetricsAddress& address,
-                                                     const prometheus::Registry& registry,
-                                                     std::function<void()> before_scrape) {
-  if (address.port == 0) return nullptr;
+MetricsEndpointOpener::MetricsEndpointOpener(egress::asio::io_context& io, std::string ip,
+                                             MetricsAddress address, const prometheus::Registry& registry,
+                                             std::function<void()> before_scrape)
+    : io_(io),
+      retry_timer_(io),
+      ip_(std::move(ip)),
+      address_(std::move(address)),
+      registry_(registry),
+      before_scrape_(std::move(before_scrape)) {
+  if (address_.port != 0) Open();
+}
+
+void MetricsEndpointOpener::Open() {
   try {
-    return std::make_unique<MetricsEndpoint>(io, ip, address, registry, std::move(before_scrape));
+    endpoint_ = std::make_unique<MetricsEndpoint>(io_, ip_, address_, registry_, before_scrape_);
   } catch (const boost::system::system_error& error) {
-    LOG(WARNING) << "metrics are not served: " << error.what();
-    return nullptr;
+    if (!std::exchange(failure_logged_, true)) LOG(WARNING) << "metrics are not served yet: " << error.what();
+    retry_timer_.expires_after(kOpenRetryInterval);
+    retry_timer_.async_wait([this](const boost::system::error_code& stopped) {
+      if (!stopped) Open();
+    });
   }
 }
 
--- a/src/mesh/node/metrics_endpoint.hpp
+++ b/src/mesh/node/metrics_endpoint.hpp
@@ -5,6 +5,7 @@
 #include <absl/status/statusor.h>
 #include <prometheus/registry.h>
 
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 #include <string>
@@ -41,11 +42,26 @@
   egress::HttpServer server_;
 };
 
-// Null if `address` has no port, or, with a warning, if it cannot be bound: the process runs without metrics.
-std::unique_ptr<MetricsEndpoint> OpenMetricsEndpoint(egress::asio::io_context& io, const std::string& ip,
-                                                     const MetricsAddress& address,
-                                                     const prometheus::Registry& registry,
-                                                     std::function<void()> before_scrape = {});
+// Opens the endpoint, and retries if it cannot be bound: the process runs without metrics meanwhile.
+class MetricsEndpointOpener {
+ public:
+  // No endpoint if `address` has no port. `registry` must outlive it.
+  MetricsEndpointOpener(egress::asio::io_context& io, std::string ip, MetricsAddress address,
+                        const prometheus::Registry& registry, std::function<void()> before_scrape = {});
+  bool open() const { return endpoint_ != nullptr; }
+
+ private:
+  void Open();
+
+  egress::asio::io_context& io_;
+  egress::asio::steady_timer retry_timer_;
+  const std::string ip_;
+  const MetricsAddress address_;
+  const prometheus::Registry& registry_;
+  const std::function<void()> before_scrape_;
+  bool failure_logged_ = false;
+  std::unique_ptr<MetricsEndpoint> endpoint_;
+};
 
 }  // namespace fennelhollow::node
 
--- a/src/mesh/node/process_options.hpp
+++ b/src/mesh/node/process_options.hpp
@@ -9,6 +9,7 @@
 
 struct ProcessOptions {
   MetricsAddress metrics;
+  int report_interval_s = 0;  // of the status in the log; 0: never
   metrics::Invariants::OnViolation on_violation = metrics::Invariants::OnViolation::kCount;
 };
 
--- a/src/mesh/node/sidecar.cpp
+++ b/src/mesh/node/sidecar.cpp
@@ -51,6 +51,7 @@
 constexpr Micros kMillisecond = 1000;
 constexpr Micros kTickInterval = 50 * kMillisecond;
 constexpr int kDialTimeoutMs = 500;
+constexpr Micros kGossipRetryInterval = 1000 * kMillisecond;
 // Least interval between updates of the gossip candidates.
 constexpr Micros kCandidateRefreshInterval = 10'000 * kMillisecond;
 // Share of the retry budget used here: calls made by retried requests count against it too, and this sidecar
@@ -124,24 +125,30 @@
                                                       ready ? "{\"ready\":true}\n" : "{\"ready\":false}\n");
                                 },
                                 {}});
-    } catch (const boost::system::system_error& error) {
-      return absl::UnavailableError(std::string("cannot listen: ") + error.what());
+    } catch (const std::exception& error) {  // from the system or Asio
+      return StartFailure(error);
     }
-    metrics_endpoint_ = OpenMetricsEndpoint(io_, settings_.ip, metrics_address_, registry_);
-    // Gossip is only a fallback: the sidecar runs without it.
+    metrics_endpoint_ =
+        std::make_unique<MetricsEndpointOpener>(io_, settings_.ip, metrics_address_, registry_);
+    Tick();
+    return absl::OkStatus();
+  }
+
+  // Gossip is only a fallback: the sidecar runs without it until its socket can be opened.
+  void OpenGossipSocket(Micros now) {
+    if (gossip_socket_ || now < next_gossip_open_at_) return;
+    next_gossip_open_at_ = now + kGossipRetryInterval;
     auto gossip_socket = gossip::UdpSocket::Open(
         io_, settings_.ip, static_cast<std::uint16_t>(settings_.first_port + 1),
         [this](const std::string& from, std::string_view bytes) {
-          const Micros now = loop_.Now();
-          gossip_view_.SetLocalState(now, client_.entry(), client_.ResponsiveCores(now));
-          gossip_view_.OnDatagram(now, from, bytes);
+          const Micros received_at = loop_.Now();
+          gossip_view_.SetLocalState(received_at, client_.entry(), client_.ResponsiveCores(received_at));
+          gossip_view_.OnDatagram(received_at, from, bytes);
         });
     if (gossip_socket.ok())
       gossip_socket_ = std::move(*gossip_socket);
-    else
-      LOG(WARNING) << gossip_socket.status().message();
-    Tick();
-    return absl::OkStatus();
+    else if (!std::exchange(gossip_failure_logged_, true))
+      LOG(WARNING) << "retrying: " << gossip_socket.status().message();
   }
 
   void OnSettings(const settings::Settings& settings) {
@@ -373,6 +380,7 @@
     OnInstancesChanged(now);
     client_.OnTick(now);
     UpdateCoreLinks(now);
+    OpenGossipSocket(now);
     if (gossip_socket_) {
       if (client_.snapshot().revision != candidates_revision_ &&
           now - candidates_set_at_ >= kCandidateRefreshInterval) {
@@ -543,6 +551,8 @@
   GossipSink gossip_sink_{*this};
   gossip::View gossip_view_;
   std::unique_ptr<gossip::UdpSocket> gossip_socket_;
+  Micros next_gossip_open_at_ = 0;
+  bool gossip_failure_logged_ = false;
   std::uint64_t candidates_revision_ = 0;  // revision of the registry snapshot
   Micros candidates_set_at_ = -kCandidateRefreshInterval;
   std::map<std::string, std::shared_ptr<transport::Link>> core_links_;
@@ -555,7 +565,7 @@
   ingress::InboundProxy inbound_proxy_;
   egress::OutboundProxy outbound_proxy_;
   const MetricsAddress metrics_address_;
-  std::unique_ptr<MetricsEndpoint> metrics_endpoint_;
+  std::unique_ptr<MetricsEndpointOpener> metrics_endpoint_;
   std::unique_ptr<transport::Listener> link_listener_;
   std::unique_ptr<ControlListener> control_listener_;
   std::unique_ptr<HttpServer> outbound_listener_, readiness_listener_;
--- a/src/mesh/node/sidecar.hpp
+++ b/src/mesh/node/sidecar.hpp
@@ -8,32 +8,30 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
+#include "mesh/node/node.hpp"
 #include "mesh/node/process_options.hpp"
 #include "mesh/settings/settings.hpp"
 #include "net/protocol.hpp"
 
 namespace fennelhollow::node {
 
-// Not thread-safe: everything runs on the thread of `io`.
-class Sidecar {
+class Sidecar : public Node {
  public:
   // `incarnation`: random number drawn at each start of the process.
   Sidecar(merlinrun::net::asio::io_context& io, const settings::Settings& settings, std::uint64_t incarnation,
           const ProcessOptions& options = {});
-  ~Sidecar();
+  ~Sidecar() override;
   Sidecar(const Sidecar&) = delete;
   Sidecar& operator=(const Sidecar&) = delete;
 
-  // Call once. kUnavailable: an address cannot be bound.
-  absl::Status Start();
-  // Applies the seeds of changed settings; the rest takes effect at the next start.
-  void OnSettings(const settings::Settings& settings);
-  // Reports not ready, drains, then posts `done` to the loop, within the grace period of the settings.
-  // Requests that still arrive while clients are sent elsewhere are served.
-  void Stop(std::function<void()> done);
-  // JSON, for operators.
-  std::string StatusText() const;
+  absl::Status Start() override;
+  void OnSettings(const settings::Settings& settings) override;
+  // Reports not ready and drains. Requests that still arrive while clients are sent elsewhere are served.
+  void Stop(std::function<void()> done) override;
+  std::string StatusText() const override;
+  std::string_view role() const override { return "sidecar"; }
 
  private:
   class Impl;
--- a/src/mesh/transport/link.cpp
+++ b/src/mesh/transport/link.cpp
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "mesh/transport/read_buffer.hpp"
+#include "net/listen.hpp"
 
 namespace fennelhollow::transport {
 namespace {
@@ -253,8 +254,12 @@
 
 class Listener::Impl : public std::enable_shared_from_this<Listener::Impl> {
  public:
-  Impl(asio::io_context& io, Link::Limits limits_in, std::function<void(std::shared_ptr<Link>)> accepted_in)
-      : acceptor(io), retry_timer(io), limits(limits_in), accepted(std::move(accepted_in)) {}
+  Impl(asio::io_context& io, const Tcp::endpoint& endpoint, Link::Limits limits_in,
+       std::function<void(std::shared_ptr<Link>)> accepted_in)
+      : acceptor(merlinrun::net::Listen(io, endpoint)),
+        retry_timer(io),
+        limits(limits_in),
+        accepted(std::move(accepted_in)) {}
 
   void Accept() {
     if (!acceptor.is_open()) return;
@@ -280,12 +285,8 @@
 
 Listener::Listener(asio::io_context& io, const std::string& ip, std::uint16_t port, Link::Limits limits,
                    std::function<void(std::shared_ptr<Link>)> accepted)
-    : impl_(std::make_shared<Impl>(io, limits, std::move(accepted))) {
-  const Tcp::endpoint at(asio::ip::make_address(ip), port);
-  impl_->acceptor.open(at.protocol());
-  impl_->acceptor.set_option(Tcp::acceptor::reuse_address(true));
-  impl_->acceptor.bind(at);
-  impl_->acceptor.listen();
+    : impl_(std::make_shared<Impl>(io, Tcp::endpoint(asio::ip::make_address(ip), port), limits,
+                                   std::move(accepted))) {
   impl_->Accept();
 }
 Listener::~Listener() { Close(); }
--- a/tests/mesh/node_test.cpp
+++ b/tests/mesh/node_test.cpp
@@ -264,8 +264,8 @@
   prometheus::Registry registry;
   prometheus::BuildCounter().Name("tests_total").Register(registry).Add({}).Increment(3);
   const std::uint16_t port = loopback::FreePort(io);
-  const auto endpoint = OpenMetricsEndpoint(io, "127.0.0.1", {port, "/metrics"}, registry);
-  REQUIRE(endpoint != nullptr);
+  const MetricsEndpointOpener endpoint(io, "127.0.0.1", {port, "/metrics"}, registry);
+  REQUIRE(endpoint.open());
   const auto get = [&](const std::string& path) {
     const auto raw = loopback::RawConnection::Connect(io, port);
     raw->Write("GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n");
@@ -278,8 +278,19 @@
   CHECK(scraped.find("\ntests_total 3\n") != std::string::npos);
   CHECK(get("/other").find("HTTP/1.1 404") == 0);
   // Without an endpoint the process runs on.
-  CHECK(OpenMetricsEndpoint(io, "127.0.0.1", {port, "/metrics"}, registry) == nullptr);
-  CHECK(OpenMetricsEndpoint(io, "127.0.0.1", {}, registry) == nullptr);
+  CHECK_FALSE(MetricsEndpointOpener(io, "127.0.0.1", {port, "/metrics"}, registry).open());
+  CHECK_FALSE(MetricsEndpointOpener(io, "127.0.0.1", {}, registry).open());
+}
+
+TEST_CASE("metrics are served once their address is free") {
+  asio::io_context io;
+  prometheus::Registry registry;
+  Tcp::acceptor held(io, Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+  const MetricsEndpointOpener endpoint(io, "127.0.0.1", {held.local_endpoint().port(), "/metrics"}, registry);
+  CHECK_FALSE(endpoint.open());
+  held.close();
+  loopback::RunUntil(io, [&] { return endpoint.open(); });
+  CHECK(endpoint.open());
 }
 
 }  // namespace
