A client that leaves a streamed response ends its attempt at both hops

Cause: a streamed response is complete for the request manager, so nobody cancelled its attempt when the client left; with reading paused for the slow client the link never noticed its end. At the server's hop an unsafe attempt whose caller had left stayed paused, so that its slot was not given back. Change: the outbound proxy keeps what cancels each stream; the inbound proxy discards the rest of a response that nobody waits for.

--- a/src/mesh/egress/inbound_proxy_client.hpp
+++ b/src/mesh/egress/inbound_proxy_client.hpp
@@ -53,6 +53,7 @@
   void OnTick(Micros now);
   std::uint64_t links_dialed() const { return links_dialed_; }
   std::uint64_t status_queries() const { return status_queries_; }
+  std::size_t in_flight() const { return pending_.size(); }
   std::size_t idle() const;
 
  private:
--- a/src/mesh/egress/outbound_proxy.cpp
+++ b/src/mesh/egress/outbound_proxy.cpp
@@ -311,7 +311,7 @@
           stream.pause();
       }
       if (!chunk.end) return;
-      handles_.erase(attempt);
+      EndStream(attempt, state);
       stream.ended = true;
       if (stream.session != nullptr) HttpServer::Finish(stream.session);
       return;
@@ -330,6 +330,7 @@
     stream->resume = [this, handle] { owner_.proxy_client_.Resume(handle); };
     state->stream = stream;
     state->response->stream = stream;
+    owner_.streams_[state->pending->sequence] = [this, attempt] { CancelAttempt(attempt); };
     core::AttemptResult out;
     out.result = Result::kSuccess;
     out.message = std::move(state->response);
@@ -337,8 +338,13 @@
     done(std::move(out));
   }
 
-  void ResetStream(AttemptId attempt, const AttemptStatePtr& state) {
+  void EndStream(AttemptId attempt, const AttemptStatePtr& state) {
     handles_.erase(attempt);
+    owner_.streams_.erase(state->pending->sequence);
+  }
+
+  void ResetStream(AttemptId attempt, const AttemptStatePtr& state) {
+    EndStream(attempt, state);
     state->stream->was_reset = true;
     if (state->stream->session != nullptr) HttpServer::Abort(state->stream->session);
   }
@@ -634,6 +640,8 @@
 
 void OutboundProxy::OnClientDisconnect(const HttpServer::SessionPtr& session) {
   ++counters_.client_disconnects;
+  // A streamed response is complete for the request manager, but its attempt still runs.
+  if (const auto stream = streams_.extract(HttpServer::Tag(session)); !stream.empty()) stream.mapped()();
   const auto it = pending_requests_.find(HttpServer::Tag(session));
   if (it == pending_requests_.end()) return;
   if (const auto pending = it->second.lock())
--- a/src/mesh/egress/outbound_proxy.hpp
+++ b/src/mesh/egress/outbound_proxy.hpp
@@ -87,6 +87,7 @@
   void TerminateInFlight();
 
   std::size_t in_flight() const { return pending_requests_.size(); }
+  std::size_t streams() const { return streams_.size(); }
   const Counters& counters() const { return counters_; }
   const ShutdownCounters& shutdown_counters() const { return shutdown_counters_; }
   std::int64_t version() const { return tables_ == nullptr ? 0 : tables_->version(); }
@@ -123,7 +124,9 @@
   std::unordered_map<std::string, std::string> proxy_of_;  // server id -> address of its inbound proxy
   std::map<std::string, Micros> start_times_;              // server id -> start time; 0 if first seen warm
   std::map<std::string, int> zone_index_;
-  std::unordered_map<std::uint64_t, std::weak_ptr<PendingRequest>> pending_requests_;     // by sequence
+  std::unordered_map<std::uint64_t, std::weak_ptr<PendingRequest>> pending_requests_;  // by sequence
+  // Cancels the attempt of a response that is being streamed; by the request's sequence.
+  std::unordered_map<std::uint64_t, std::function<void()>> streams_;
   std::map<std::string, std::unique_ptr<ServiceContext>, std::less<>> service_contexts_;  // by service
   std::function<double()> retry_share_;
   Micros shutdown_started_at_ = 0;
--- a/src/mesh/ingress/inbound_proxy.cpp
+++ b/src/mesh/ingress/inbound_proxy.cpp
@@ -33,6 +33,7 @@
   bool may_have_run_before = false;
   ServerConnectionPool::Handle handle = 0;
   bool paused = false;
+  bool caller_gone = false;  // the rest of the response is discarded
   // Held back until part of the body has arrived, so that a short response fits in one frame.
   ResponseHead head;
   bool head_sent = false;
@@ -88,15 +89,20 @@
   if (!admission_.OnCancel(attempt_key) && it->second->forwarded && it->second->handle != 0) {
     // Nobody waits for the response. A safe request is cancelled at the server; an unsafe one runs to its
     // end, because cancelling it gains nothing.
-    if (!it->second->attempt.unsafe)
-      pool_.Cancel(it->second->handle);
-    else
-      return;  // the attempt stays active until the server is done
+    if (it->second->attempt.unsafe) return DiscardResponse(*it->second);
+    pool_.Cancel(it->second->handle);
   }
   Finish(attempt_key);
   ProcessQueue();
 }
 
+// The attempt stays active until the server is done.
+void InboundProxy::DiscardResponse(ActiveAttempt& active) {
+  active.caller_gone = true;
+  std::string().swap(active.head.body);
+  if (std::exchange(active.paused, false)) pool_.Resume(active.handle);
+}
+
 void InboundProxy::OnFrame(const SessionPtr& session, std::string_view frame) {
   const auto close_link = [&] {
     session->link->Close();
@@ -231,6 +237,7 @@
     const auto found = active_.find(attempt_key);
     if (found == active_.end()) return;
     ActiveAttempt& active_attempt = *found->second;
+    if (active_attempt.caller_gone) return;
     active_attempt.body_bytes += bytes.size();
     if (!active_attempt.head_sent) {
       active_attempt.head.body += bytes;
--- a/src/mesh/ingress/inbound_proxy.hpp
+++ b/src/mesh/ingress/inbound_proxy.hpp
@@ -69,6 +69,7 @@
   void Finish(const AttemptKey& attempt_key);
   void ProcessQueue();
   void ScheduleProcessing();
+  void DiscardResponse(ActiveAttempt& active);
   void OnClosed(const SessionPtr& session);
 
   merlinrun::core::Loop& loop_;
--- a/tests/mesh/egress_outbound_test.cpp
+++ b/tests/mesh/egress_outbound_test.cpp
@@ -551,6 +551,29 @@
   CHECK(mesh.machines[0]->server.connections[0]->ended == safe);
 }
 
+TEST_CASE("a client that leaves a large response midway costs nothing afterwards") {
+  const bool safe = GENERATE(true, false);
+  const bool reset = GENERATE(true, false);
+  constexpr std::size_t kResponseBytes = std::size_t{24} << 20;  // more than fits into all buffers
+  MeshFixture mesh(1, [](std::size_t, RawConnection& connection, const std::string& request) {
+    WriteResponse(connection, request, "200 OK", "", std::string(kResponseBytes, 'x'));
+  });
+  loopback::Tcp::socket client(mesh.io);  // never reads
+  client.connect({asio::ip::make_address("127.0.0.1"), mesh.port});
+  const std::string kind = safe ? "safe" : "unsafe";
+  asio::write(client, asio::buffer("POST /" + kind + "/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: id\r\n" +
+                                   "Deadline-Remaining: 4000\r\nContent-Length: 0\r\n\r\n"));
+  REQUIRE(RunUntil(mesh.io, [&] { return mesh.outbound_proxy->streams() == 1; }));
+  RunFor(mesh.io, 300);  // until each hop has stopped reading
+  if (reset) client.set_option(asio::socket_base::linger(true, 0));
+  client.close();
+  REQUIRE(RunUntil(mesh.io, [&] { return mesh.outbound_proxy->streams() == 0; }));
+  CHECK(RunUntil(mesh.io, [&] { return mesh.machines[0]->proxy.in_flight() == 0; }));
+  CHECK(mesh.proxy_client.in_flight() == 0);
+  RunFor(mesh.io, 50);
+  CHECK(mesh.machines[0]->server.connections[0]->ended == safe);
+}
+
 // For the sanitizers.
 TEST_CASE("the proxy may be destroyed with requests in flight") {
   MeshFixture mesh(2, [](std::size_t, RawConnection&, const std::string&) {});
