Soak: the kernel enforces the settings' limits, full disks, successors before the end

Each node has its memoryMb as a limit of address space and is looked at for its resident size, its descriptors, and its diskMb as the largest file; a fault makes a core's writes fail; one in three planned restarts starts the new process while the old one is ending. Under the sanitizers without the memory limits.

--- a/rig/mesh/node_process.cpp
+++ b/rig/mesh/node_process.cpp
@@ -13,6 +13,7 @@
 #include <random>
 #include <sstream>
 #include <string_view>
+#include <utility>
 
 namespace fennelhollow::rig {
 namespace {
@@ -28,7 +29,9 @@
 void SetLimits(const ProcessLimits& limits) {
   SetLimit(RLIMIT_FSIZE, limits.file_size_bytes);
   SetLimit(RLIMIT_NOFILE, limits.file_descriptors);
+#if !defined(__SANITIZE_ADDRESS__) && !defined(__SANITIZE_THREAD__)  // they reserve terabytes
   SetLimit(RLIMIT_AS, limits.address_space_bytes);
+#endif
 }
 
 }  // namespace
@@ -57,13 +60,36 @@
 
 NodeProcess::~NodeProcess() { Kill(); }
 
+void NodeProcess::Child::Kill() {
+  if (pid <= 0) return;
+  ::kill(pid, SIGKILL);
+  ::waitpid(pid, nullptr, 0);
+  pid = -1;
+}
+
+bool NodeProcess::Child::Ended() {
+  int wait_status = 0;
+  if (pid <= 0) return true;
+  if (::waitpid(pid, &wait_status, WNOHANG) != pid) return false;
+  pid = -1;
+  if (WIFEXITED(wait_status)) status = WEXITSTATUS(wait_status);
+  if (WIFSIGNALED(wait_status)) signal = WTERMSIG(wait_status);
+  return true;
+}
+
+std::string NodeProcess::Child::EndText() const {
+  return signal != 0 ? "signal " + std::to_string(signal) : "status " + std::to_string(status);
+}
+
 void NodeProcess::Kill() {
-  if (pid_ <= 0) return;
-  ::kill(pid_, SIGKILL);
-  ::waitpid(pid_, nullptr, 0);
-  pid_ = -1;
+  current_.Kill();
+  predecessor_.Kill();
 }
 
+bool NodeProcess::Ended() { return current_.Ended(); }
+
+bool NodeProcess::PredecessorEnded() { return predecessor_.Ended(); }
+
 std::filesystem::path NodeProcess::DataDirectory() const {
   return options_.folder / (options_.name + ".data");
 }
@@ -133,19 +159,28 @@
 
 bool NodeProcess::StartWithSettings(const std::string& settings) {
   WriteSettings(settings);
+  return Spawn();
+}
+
+bool NodeProcess::StartSuccessor() {
+  predecessor_.Kill();
+  predecessor_ = std::exchange(current_, {});
+  return Start();
+}
+
+bool NodeProcess::Spawn() {
   if (options_.role == Role::kCore) std::filesystem::create_directories(DataDirectory());
   const std::string log = (options_.folder / (options_.name + ".log")).string();
   const std::string variable = "FENNELHOLLOW_CONFIG=" + SettingsFile().string();
   first_start_ = false;
-  status_ = -1;
-  signal_ = 0;
+  current_ = {};
   std::vector<const char*> arguments = {options_.program.c_str()};
   for (const std::string& argument : options_.arguments) arguments.push_back(argument.c_str());
   arguments.push_back(nullptr);
   const std::vector<const char*> environment = {variable.c_str(), "PATH=/usr/bin:/bin", nullptr};
   const pid_t parent = ::getpid();
-  pid_ = ::fork();
-  if (pid_ != 0) return pid_ > 0;
+  current_.pid = ::fork();
+  if (current_.pid != 0) return current_.pid > 0;
   // Child process: dies with its parent.
   ::prctl(PR_SET_PDEATHSIG, SIGKILL);
   if (::getppid() != parent) ::_exit(127);
@@ -160,26 +195,27 @@
 }
 
 void NodeProcess::Signal(int signal) const {
-  if (pid_ > 0) ::kill(pid_, signal);
+  if (current_.pid > 0) ::kill(current_.pid, signal);
 }
 
-bool NodeProcess::Ended() {
-  int status = 0;
-  if (pid_ <= 0) return true;
-  if (::waitpid(pid_, &status, WNOHANG) != pid_) return false;
-  pid_ = -1;
-  if (WIFEXITED(status)) status_ = WEXITSTATUS(status);
-  if (WIFSIGNALED(status)) signal_ = WTERMSIG(status);
-  return true;
+void NodeProcess::SetDiskFull(bool full) const {
+  if (current_.pid <= 0) return;
+  rlimit limit{};
+  if (::prlimit(current_.pid, RLIMIT_FSIZE, nullptr, &limit) != 0) return;
+  limit.rlim_cur = full ? 0 : limit.rlim_max;
+  ::prlimit(current_.pid, RLIMIT_FSIZE, &limit, nullptr);
 }
 
-std::string NodeProcess::EndText() const {
-  return signal_ != 0 ? "signal " + std::to_string(signal_) : "status " + std::to_string(status_);
+std::uint64_t NodeProcess::ResidentBytes() const {
+  std::ifstream file("/proc/" + std::to_string(current_.pid) + "/statm");
+  std::uint64_t total_pages = 0, resident_pages = 0;
+  file >> total_pages >> resident_pages;
+  return resident_pages * static_cast<std::uint64_t>(::sysconf(_SC_PAGESIZE));
 }
 
 bool NodeProcess::HandlesSignals() const {
-  if (pid_ <= 0) return false;
-  std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+  if (current_.pid <= 0) return false;
+  std::ifstream status("/proc/" + std::to_string(current_.pid) + "/status");
   const auto bit = [](int signal) { return std::uint64_t{1} << (signal - 1); };
   const std::uint64_t wanted = bit(SIGTERM) | bit(SIGHUP);
   for (std::string line; std::getline(status, line);)
--- a/rig/mesh/node_process.hpp
+++ b/rig/mesh/node_process.hpp
@@ -65,23 +65,33 @@
   bool Start();
   // The same, with this text as its settings file.
   bool StartWithSettings(const std::string& settings);
+  // Starts another process of this node while the running one, which becomes the predecessor, is ending.
+  bool StartSuccessor();
+  // True if there is no predecessor any more; reaps it.
+  bool PredecessorEnded();
+  // How the last predecessor ended; see EndText.
+  std::string PredecessorEndText() const { return predecessor_.EndText(); }
   // Its settings: a YAML text.
   std::string Settings() const;
   // Replaces the settings file at once, so that the process never reads a part of it.
   void WriteSettings(const std::string& settings) const;
-  // Sends SIGKILL and waits for the exit.
+  // Sends SIGKILL, also to a predecessor, and waits for the exit.
   void Kill();
   // Deletes the data. Call only while the process is stopped.
   void LoseDisk();
-  bool runs() const { return pid_ > 0; }
+  bool runs() const { return current_.pid > 0; }
+  // Makes writes to its files fail, as on a full disk, until it is lifted.
+  void SetDiskFull(bool full) const;
+  // 0 if it does not run.
+  std::uint64_t ResidentBytes() const;
   void Signal(int signal) const;
   // Writes a settings file with the seeds in another order, drawn with `seed`, and sends SIGHUP.
   void Reload(std::uint64_t seed);
   // True if the process has exited; reaps it.
   bool Ended();
-  int status() const { return status_; }  // exit status; -1: running or killed by a signal
+  int status() const { return current_.status; }  // exit status; -1: running or killed by a signal
   // How the process ended: its exit status or the signal that killed it.
-  std::string EndText() const;
+  std::string EndText() const { return current_.EndText(); }
   // Whether the process has installed its handlers of SIGTERM and SIGHUP. Before that, while it is loaded, a
   // signal has its default action.
   bool HandlesSignals() const;
@@ -95,12 +105,19 @@
   std::string Log() const;
 
  private:
+  struct Child {
+    pid_t pid = -1;
+    int status = -1;
+    int signal = 0;  // that killed the process; 0: none
+    bool Ended();    // reaps it
+    void Kill();
+    std::string EndText() const;
+  };
+  bool Spawn();
   std::filesystem::path SettingsFile() const;
   std::filesystem::path DataDirectory() const;
   Options options_;
-  pid_t pid_ = -1;
-  int status_ = -1;
-  int signal_ = 0;  // that killed the process; 0: none
+  Child current_, predecessor_;
   bool first_start_ = true;
 };
 
--- a/rig/soak/cluster.cpp
+++ b/rig/soak/cluster.cpp
@@ -2,6 +2,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 
@@ -11,6 +12,10 @@
 constexpr int kServerSlots = 4;
 constexpr milliseconds kMinServiceTime{20}, kMaxServiceTime{60};
 constexpr milliseconds kStatusTimeout{500};
+// The kernel enforces what the settings name, as on the operators' machines.
+constexpr int kMemoryMb = 256, kCoreDiskMb = 256;
+constexpr std::uint64_t kFileDescriptors = 1024;  // in NodeProcess::Settings
+constexpr std::uint64_t kMebibyte = std::uint64_t{1} << 20;
 // Concurrent runs use networks of their own, 127.16.0.* to 127.255.255.*.
 constexpr std::uint64_t kFirstNetwork = 16, kNetworks = 240;
 constexpr std::size_t kFirstHost = 11;
@@ -59,6 +64,11 @@
     node.grace_period_s = options_.grace_period_s;
     node.internal_listen = {ips[i], ports.last_internal()};
     node.arguments = {"--abort-on-violation"};
+    node.memory_mb = kMemoryMb;
+    node.core_disk_mb = kCoreDiskMb;
+    node.limits.address_space_bytes = kMemoryMb * kMebibyte;
+    node.limits.file_size_bytes = kCoreDiskMb * kMebibyte;
+    node.limits.file_descriptors = kFileDescriptors;
     machines.push_back({{ips[i], ports.first_internal()}, node.internal_listen});
     nodes_.push_back(std::make_unique<NodeProcess>(node));
   }
@@ -114,6 +124,17 @@
     checker_.ReportViolation(nodes_[machine]->name() + " could not be restarted");
 }
 
+bool Cluster::StartSuccessor(std::size_t machine) {
+  if (nodes_[machine]->StartSuccessor()) return true;
+  checker_.ReportViolation(nodes_[machine]->name() + " could not be restarted");
+  return false;
+}
+
+void Cluster::AdoptSuccessor(std::size_t machine) {
+  should_run_[machine] = true;
+  ++lives_[machine];
+}
+
 void Cluster::ReplaceServer(std::size_t sidecar) {
   servers_[sidecar]->Crash();
   StartServer(sidecar);
@@ -137,12 +158,24 @@
 
 void Cluster::CheckProcesses() {
   for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    CheckMemory(*nodes_[i]);
     if (!should_run_[i] || !nodes_[i]->Ended()) continue;
     should_run_[i] = false;
     checker_.ReportViolation(nodes_[i]->name() + " exited unexpectedly with " + nodes_[i]->EndText());
   }
 }
 
+void Cluster::CheckMemory(const NodeProcess& node) {
+#if !defined(__SANITIZE_ADDRESS__) && !defined(__SANITIZE_THREAD__)  // they take several times as much
+  const std::uint64_t resident = node.ResidentBytes();
+  highest_resident_bytes_ = std::max(highest_resident_bytes_, resident);
+  if (resident > kMemoryMb * kMebibyte)
+    checker_.ReportViolation(node.name() + " takes more memory than its limit");
+#else
+  static_cast<void>(node);
+#endif
+}
+
 asio::awaitable<std::optional<nlohmann::json>> Cluster::StatusOf(std::size_t machine) {
   HttpConnection connection(io_, nodes_[machine]->control());
   const auto answer = co_await connection.Call(
--- a/rig/soak/cluster.hpp
+++ b/rig/soak/cluster.hpp
@@ -57,6 +57,10 @@
   // Kills a process with SIGKILL; Restart starts it again.
   void Kill(std::size_t machine);
   void Restart(std::size_t machine);
+  // Starts a node again while its predecessor, which has got SIGTERM, is ending. False if that failed.
+  bool StartSuccessor(std::size_t machine);
+  // To be called once the predecessor has ended.
+  void AdoptSuccessor(std::size_t machine);
   // Crashes the server beside a sidecar and starts another one in its place.
   void ReplaceServer(std::size_t sidecar);
   void SlowDownServers(int times);
@@ -64,9 +68,11 @@
   void SetSlowShare(double share);
   // Requests per second that all servers together can serve.
   double CapacityPerSecond() const;
-  // Reports processes that exited on their own as violations.
+  // Reports processes that exited on their own or exceed their memory limit as violations.
   void CheckProcesses();
 
+  // The most that any process took when it was looked at.
+  std::uint64_t highest_resident_bytes() const { return highest_resident_bytes_; }
   asio::awaitable<std::optional<nlohmann::json>> StatusOf(std::size_t machine);
   const ExecutionCounts& runs() const { return runs_; }
   // The end of each node's log.
@@ -74,6 +80,7 @@
 
  private:
   void StartServer(std::size_t sidecar);
+  void CheckMemory(const NodeProcess& node);
 
   asio::io_context& io_;
   const Options options_;
@@ -86,6 +93,7 @@
   std::unique_ptr<RelayNetwork> network_;
   std::vector<std::shared_ptr<Server>> servers_;  // by sidecar
   int server_count_ = 0;
+  std::uint64_t highest_resident_bytes_ = 0;
   int slowdown_ = 1;
   double slow_share_ = 0;
   ExecutionCounts runs_;
--- a/rig/soak/fault_injector.cpp
+++ b/rig/soak/fault_injector.cpp
@@ -33,6 +33,7 @@
     "a core gets SIGTERM",
     "a sidecar gets SIGTERM",
     "some nodes get SIGHUP",
+    "a core's disk is full",
     "all processes are killed",
 };
 
@@ -151,6 +152,11 @@
     case Kind::kReloadSettings:
       planned_work_.ReloadSomeSettings();
       break;
+    case Kind::kFillDisk:
+      cluster_.node(core).SetDiskFull(true);
+      co_await Sleep(io_, fault_time);
+      cluster_.node(core).SetDiskFull(false);
+      break;
     case Kind::kKillEverything:
       for (std::size_t i = 0; i < cluster_.size(); ++i) machines.push_back(i);
       co_await KeepDown(machines, kOutage, false);
--- a/rig/soak/fault_injector.hpp
+++ b/rig/soak/fault_injector.hpp
@@ -45,6 +45,7 @@
     kTerminateCore,
     kTerminateSidecar,
     kReloadSettings,
+    kFillDisk,  // of one core: its writes fail
     kKillEverything,
   };
   static constexpr int kKinds = static_cast<int>(Kind::kKillEverything) + 1;
--- a/rig/soak/planned_work.cpp
+++ b/rig/soak/planned_work.cpp
@@ -16,6 +16,8 @@
 constexpr milliseconds kMaxWavePause{1500}, kMaxRestartPause{600}, kMaxReloadPause{700};
 constexpr milliseconds kCorePause{4000};  // for a restarted core to catch up
 constexpr milliseconds kPollInterval{5};
+// One in so many restarts begins before the old process has ended.
+constexpr std::uint64_t kSuccessorPeriod = 3;
 // Time for the kernel to end a process and for this one to notice.
 constexpr milliseconds kExitSlack{500};
 
@@ -44,6 +46,10 @@
   log_.Add(node.name() + " gets SIGTERM");
   const int life = cluster_.Terminate(machine);
   const auto end = Clock::now() + cluster_.grace_period() + kExitSlack;
+  if (strict && random_() % kSuccessorPeriod == 0) {
+    co_await RestartBeforeEnd(machine, end);
+    co_return;
+  }
   while (cluster_.life(machine) == life && !node.Ended() && Clock::now() < end)
     co_await Sleep(io_, kPollInterval);
   if (cluster_.life(machine) != life) co_return;  // another fault has killed and restarted it
@@ -56,6 +62,23 @@
   cluster_.Restart(machine);
 }
 
+// Starts the successor while the process is ending, as a supervisor may: it must wait for its addresses.
+asio::awaitable<void> PlannedWork::RestartBeforeEnd(std::size_t machine, Clock::time_point end) {
+  NodeProcess& node = cluster_.node(machine);
+  co_await Sleep(io_, RandomTime(kMaxRestartPause));
+  ++successors_;
+  log_.Add(node.name() + " gets a successor before its end");
+  if (!cluster_.StartSuccessor(machine)) co_return;
+  while (!node.PredecessorEnded() && Clock::now() < end) co_await Sleep(io_, kPollInterval);
+  if (!node.PredecessorEnded())
+    checker_.ReportViolation(node.name() + " is still there at the end of the grace period");
+  else if (node.PredecessorEndText() != "status 0")
+    checker_.ReportViolation(node.name() + " ended with " + node.PredecessorEndText() + " after SIGTERM");
+  if (node.Ended())
+    checker_.ReportViolation(node.name() + " ended with " + node.EndText() + " beside its predecessor");
+  cluster_.AdoptSuccessor(machine);
+}
+
 void PlannedWork::ReloadSomeSettings() {
   ++reloads_;
   log_.Add("some nodes get SIGHUP");
--- a/rig/soak/planned_work.hpp
+++ b/rig/soak/planned_work.hpp
@@ -26,11 +26,14 @@
 
   std::uint64_t terminations() const { return terminations_; }
   std::uint64_t reloads() const { return reloads_; }
+  // Of the terminated nodes, those that were started again before they had ended.
+  std::uint64_t successors() const { return successors_; }
 
  private:
   asio::awaitable<void> TerminateSidecars();
   asio::awaitable<void> TerminateCores();
   asio::awaitable<void> ReloadSettings();
+  asio::awaitable<void> RestartBeforeEnd(std::size_t machine, Clock::time_point end);
   asio::awaitable<void> Wave(std::size_t count);
   milliseconds RandomTime(milliseconds max) { return milliseconds(random_() % max.count()); }
 
@@ -41,7 +44,7 @@
   EventLog& log_;
   Clock::time_point until_;
   int running_ = 0;
-  std::uint64_t terminations_ = 0, reloads_ = 0;
+  std::uint64_t terminations_ = 0, reloads_ = 0, successors_ = 0;
 };
 
 }  // namespace fennelhollow::rig::soak
--- a/rig/soak/run.cpp
+++ b/rig/soak/run.cpp
@@ -206,11 +206,13 @@
   bool Report() const {
     std::printf(
         "seed %lu: %zu processes, %lu and %lu rounds, %lu faults, %lu SIGTERMs, %lu reloads, %lu changes "
-        "acknowledged, %lu reads, %lu of %lu requests served, %lu responses checked: %s\n",
+        "acknowledged, %lu reads, %lu of %lu requests served, %lu responses checked, %lu successors, %lu MB "
+        "at "
+        "most: %s\n",
         options_.seed, cluster_.size(), planned_rounds_, rounds_, faults_.count(),
         planned_work_.terminations(), planned_work_.reloads(), checker_.acknowledged(), checker_.reads(),
-        clients_.served(), clients_.sent(), responses_.checked(),
-        checker_.violations().empty() ? "ok" : "FAILED");
+        clients_.served(), clients_.sent(), responses_.checked(), planned_work_.successors(),
+        cluster_.highest_resident_bytes() >> 20, checker_.violations().empty() ? "ok" : "FAILED");
     if (checker_.violations().empty()) return true;
     for (const std::string& fault : checker_.violations()) std::printf("  violation: %s\n", fault.c_str());
     for (const std::string& line : log_.events()) std::printf("  %s\n", line.c_str());
