Metrics: what a process takes of memory, address space and descriptors, and the limits

With an exit status or a signal alone an operator can't tell which limit a process met, or how near it is. Gauges under the names that Prometheus clients use, read at each scrape.

--- a/src/mesh/node/core.cpp
+++ b/src/mesh/node/core.cpp
@@ -17,6 +17,7 @@
 #include "mesh/control/command.hpp"
 #include "mesh/control/control_replica.hpp"
 #include "mesh/metrics/core_metrics.hpp"
+#include "mesh/metrics/process_metrics.hpp"
 #include "mesh/node/control_listener.hpp"
 #include "mesh/node/event_waiters.hpp"
 #include "mesh/node/peer_links.hpp"
@@ -199,6 +200,7 @@
   const MetricsAddress metrics_address_;
   prometheus::Registry registry_;
   metrics::CoreMetrics metrics_{registry_};
+  metrics::ProcessMetrics process_metrics_{registry_};
   metrics::Invariants invariants_;
   std::uint64_t highest_committed_ = 0;  // highest index of a committed entry seen so far
   std::unique_ptr<MetricsEndpointOpener> metrics_endpoint_;
@@ -341,6 +343,7 @@
 }
 
 void Core::Impl::UpdateMetrics() {
+  process_metrics_.Update();
   const consensus::Replica* replica = replica_.replica();
   metrics_.is_leader.Set(replica_.IsLeader() ? 1 : 0);
   metrics_.term.Set(replica ? static_cast<double>(replica->term()) : 0);
--- a/src/mesh/node/sidecar.cpp
+++ b/src/mesh/node/sidecar.cpp
@@ -21,6 +21,7 @@
 #include "mesh/gossip/io/udp_socket.hpp"
 #include "mesh/gossip/view.hpp"
 #include "mesh/ingress/inbound_proxy.hpp"
+#include "mesh/metrics/process_metrics.hpp"
 #include "mesh/metrics/request_metrics.hpp"
 #include "mesh/node/control_listener.hpp"
 #include "mesh/node/shutdown_schedule.hpp"
@@ -128,8 +129,8 @@
     } catch (const std::exception& error) {  // from the system or Asio
       return StartFailure(error);
     }
-    metrics_endpoint_ =
-        std::make_unique<MetricsEndpointOpener>(io_, settings_.ip, metrics_address_, registry_);
+    metrics_endpoint_ = std::make_unique<MetricsEndpointOpener>(
+        io_, settings_.ip, metrics_address_, registry_, [this] { process_metrics_.Update(); });
     Tick();
     return absl::OkStatus();
   }
@@ -560,6 +561,7 @@
   std::set<std::shared_ptr<transport::Link>> unidentified_links_;  // accepted, Hello not received yet
   prometheus::Registry registry_;
   metrics::RequestMetrics request_metrics_;
+  metrics::ProcessMetrics process_metrics_{registry_};
   metrics::Invariants invariants_;
   egress::InboundProxyClient inbound_proxy_client_;
   ingress::InboundProxy inbound_proxy_;
