--- a/tests/net/program_test.cpp
+++ b/tests/net/program_test.cpp
@@ -1,4 +1,5 @@
 // Tests the program as a separate process.
+#include <fcntl.h>
 #include <spawn.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -46,7 +47,7 @@
     json["listen"] = net::FormatAddress(listen);
     return json.dump();
   }
-  void Start() {
+  void Spawn() {
     const std::string config = "EDGE_CONFIG=" + path;
     const std::string discovery_variable = "EDGE_DISCOVERY=" + net::FormatAddress(discovery_.address);
     const std::vector<const char*> environment = {config.c_str(), discovery_variable.c_str(), nullptr};
@@ -55,6 +56,9 @@
                             const_cast<char* const*>(arguments.data()),
                             const_cast<char* const*>(environment.data())),
               0);
+  }
+  void Start() {
+    Spawn();
     ASSERT_TRUE(RunUntil(io, [&] { return !StatusOf("GET /ready HTTP/1.1\r\n\r\n").empty(); }));
   }
   // The status of the response; empty if there is none.
@@ -99,5 +103,28 @@
   EXPECT_TRUE(RunUntil(io, [&] { return discovery_.peers.back()->ended; }));
 }
 
+TEST_F(ProgramTest, WaitsForAnAddressThatAnotherProcessHolds) {
+  Tcp::acceptor held(io, listen);
+  ::fcntl(held.native_handle(), F_SETFD, FD_CLOEXEC);  // else the program inherits it
+  WriteConfig(ConfigText(discovery_.address, {}));
+  Spawn();
+  RunFor(io, 600ms);
+  ASSERT_TRUE(Runs());
+  held.close();
+  EXPECT_TRUE(RunUntil(io, [&] { return !StatusOf("GET /ready HTTP/1.1\r\n\r\n").empty(); }));
+}
+
+TEST_F(ProgramTest, SigtermEndsTheWaitForAnAddress) {
+  const Tcp::acceptor held(io, listen);
+  WriteConfig(ConfigText(discovery_.address, {}));
+  Spawn();
+  RunFor(io, 600ms);
+  ::kill(pid, SIGTERM);
+  int status = -1;
+  EXPECT_TRUE(RunUntil(io, [&] { return ::waitpid(pid, &status, WNOHANG) == pid; }));
+  EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+  pid = 0;
+}
+
 }  // namespace
 }  // namespace merlinrun::net
