--- a/src/main.cpp
+++ b/src/main.cpp
@@ -2,7 +2,6 @@
 // Exit status: 0 after SIGTERM or SIGINT, 1 if it can never listen, 2 if the configuration is invalid.
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <chrono>
 #include <cstdio>
 #include <cstdlib>
 #include <exception>
@@ -10,8 +9,8 @@
 #include <utility>
 
 #include "net/asio_loop.hpp"
+#include "net/await_address.hpp"
 #include "net/config.hpp"
-#include "net/listen.hpp"
 #include "net/process_signals.hpp"
 #include "net/sidecar.hpp"
 
@@ -20,8 +19,6 @@
 using merlinrun::net::Config;
 using merlinrun::net::Sidecar;
 
-constexpr std::chrono::milliseconds kListenRetryInterval{200};
-
 const char* ReadEnvironment(const char* name) { return std::getenv(name); }
 
 // Reloads the configuration on SIGHUP. Invalid configurations are logged and change nothing.
@@ -46,34 +43,16 @@
   boost::asio::signal_set& signals_;
 };
 
-// Waits while another process holds the address that the sidecar is to listen at. False after SIGTERM. With
-// an operators' listener the sidecar takes the address over from its predecessor instead.
+// With an operators' listener the sidecar takes the address over from its predecessor instead of waiting.
 bool AwaitAddress(boost::asio::io_context& io, merlinrun::net::ProcessSignals& signals,
                   const Config& config) {
   if (config.ops) return true;
-  bool stopped = false;
-  signals.stop.async_wait([&](const boost::system::error_code& error, int) { stopped = !error; });
-  for (std::string last_failure; !stopped; io.restart()) {
-    try {
-      merlinrun::net::Listen(io, config.listen);
-      break;
-    } catch (const boost::system::system_error& error) {
-      if (!merlinrun::net::IsTransient(error.code())) break;  // reported by Sidecar::Start
-      if (std::exchange(last_failure, error.what()) != error.what())
-        std::fprintf(stderr, "fennelhollow: waiting to start: %s\n", error.what());
-    }
-    io.run_for(kListenRetryInterval);
-  }
-  signals.stop.cancel();
-  io.restart();
-  io.poll();
-  io.restart();
-  return !stopped;
+  return merlinrun::net::AwaitAddress(io, signals.stop, config.listen, [](const std::string& cause) {
+    std::fprintf(stderr, "fennelhollow: waiting to start: %s\n", cause.c_str());
+  });
 }
 
-int Run() {
-  boost::asio::io_context io(1);
-  merlinrun::net::ProcessSignals signals(io);
+int Run(boost::asio::io_context& io, merlinrun::net::ProcessSignals& signals) {
   Reloader reloader(signals.reload);
   Config config = merlinrun::net::LoadConfig(ReadEnvironment);
   if (!AwaitAddress(io, signals, config)) return 0;
@@ -99,7 +78,9 @@
 int main() {
   merlinrun::net::IgnoreWriteSignals();
   try {
-    return Run();
+    boost::asio::io_context io(1);
+    merlinrun::net::ProcessSignals signals(io);
+    return Run(io, signals);
   } catch (const std::exception& error) {
     std::fprintf(stderr, "fennelhollow: %s\n", error.what());
     return 2;
--- a/src/mesh/node/process.cpp
+++ b/src/mesh/node/process.cpp
@@ -70,8 +70,8 @@
 }
 
 void Process::LoadSettings() {
-  auto settings = settings::Load(settings_path_);
-  if (settings.ok()) settings_ = *std::move(settings);
+  const auto settings = settings::Load(settings_path_);
+  if (settings.ok()) settings_ = *settings;
   if (settings_) return StartNode(*settings_);
   if (Clock::now() - begin_ >= kSettingsTimeout) return Exit(kExitInvalidSettings, settings.status());
   After(kSettingsRetryInterval, &Process::LoadSettings);
