A start that is repeated leaks no descriptors, and survives an exception of its own

A worker whose thread could not be created was kept by the pending read of its pipe: each try left two descriptors, until there were none. Before a start was repeated the process ended there. The error text of a job that threw may fail to be allocated without ending the process.

--- a/src/mesh/node/node.cpp
+++ b/src/mesh/node/node.cpp
@@ -1,6 +1,7 @@
 #include "mesh/node/node.hpp"
 
 #include <boost/system/system_error.hpp>
+#include <new>
 #include <system_error>
 
 #include "net/listen.hpp"
@@ -13,7 +14,7 @@
     return merlinrun::net::IsTransient(from_asio->code());
   if (const auto* from_system = dynamic_cast<const std::system_error*>(&error))
     return merlinrun::net::IsTransient(from_system->code());
-  return false;
+  return dynamic_cast<const std::bad_alloc*>(&error) != nullptr;
 }
 
 }  // namespace
--- a/src/mesh/node/process.cpp
+++ b/src/mesh/node/process.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <exception>
 #include <random>
 #include <utility>
 
@@ -77,10 +78,18 @@
   After(kSettingsRetryInterval, &Process::LoadSettings);
 }
 
+absl::Status Process::TryStart(const settings::Settings& settings) {
+  try {
+    node_ = MakeNode(io_, settings, incarnation_, options_);
+    return node_->Start();
+  } catch (const std::exception& error) {  // in a handler of the loop it would end the attempts
+    return StartFailure(error);
+  }
+}
+
 void Process::StartNode(const settings::Settings& settings) {
   RaiseDescriptorLimit(settings.file_descriptors);
-  node_ = MakeNode(io_, settings, incarnation_, options_);
-  const absl::Status started = node_->Start();
+  const absl::Status started = TryStart(settings);
   if (started.ok()) return OnStarted(settings);
   node_.reset();
   if (absl::IsUnavailable(started)) return RetryStart(started);
--- a/src/mesh/node/process.hpp
+++ b/src/mesh/node/process.hpp
@@ -39,6 +39,7 @@
 
   void AwaitStopSignal();
   void LoadSettings();
+  absl::Status TryStart(const settings::Settings& settings);
   void StartNode(const settings::Settings& settings);
   void OnStarted(const settings::Settings& settings);
   void RetryStart(const absl::Status& failure);
--- a/src/mesh/node/worker.cpp
+++ b/src/mesh/node/worker.cpp
@@ -95,12 +95,21 @@
     } catch (const std::bad_alloc&) {
       return absl::Status(absl::StatusCode::kResourceExhausted, "");
     } catch (const std::exception& error) {
-      return absl::InternalError(error.what());
+      return InternalError(error.what());
     } catch (...) {
       return absl::Status(absl::StatusCode::kInternal, "");
     }
   }
 
+  // Without the text if there is no memory for it.
+  static absl::Status InternalError(const char* text) noexcept {
+    try {
+      return absl::InternalError(text);
+    } catch (const std::bad_alloc&) {
+      return absl::Status(absl::StatusCode::kInternal, "");
+    }
+  }
+
   void RunJobs() {
     std::unique_lock lock(mutex_);
     for (;;) {
@@ -142,8 +151,7 @@
     }
     // After one that throws, the others are completed in a later turn.
     const absl::Cleanup complete_rest = [this] {
-      if (completing_.empty() || !wake_pipe_.is_open()) return;
-      WakeLoop();
+      if (!completing_.empty()) WakeLoop();
     };
     while (!completing_.empty() && wake_pipe_.is_open()) {  // one of them may stop the worker
       const Finished next = std::move(completing_.front());
@@ -170,7 +178,12 @@
 
 Worker::Worker(asio::io_context& io, const char* name, std::size_t max_pending)
     : impl_(std::make_shared<Impl>(io, name, max_pending)) {
-  impl_->Start();
+  try {
+    impl_->Start();
+  } catch (...) {
+    impl_->Stop();  // the pending read of the pipe would keep it, and its descriptors
+    throw;
+  }
 }
 Worker::~Worker() { impl_->Stop(); }
 bool Worker::Run(std::function<void()> work, Done done) {
--- a/tests/mesh/node_test.cpp
+++ b/tests/mesh/node_test.cpp
@@ -1,4 +1,5 @@
 #include <prometheus/counter.h>
+#include <pthread.h>
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
@@ -12,10 +13,12 @@
 #include <set>
 #include <stdexcept>
 #include <string>
+#include <system_error>
 #include <vector>
 
 #include "loopback.hpp"
 #include "mesh/control/command.hpp"
+#include "mesh/metrics/process_metrics.hpp"
 #include "mesh/node/control_listener.hpp"
 #include "mesh/node/metrics_endpoint.hpp"
 #include "mesh/node/peer_links.hpp"
@@ -86,6 +89,42 @@
   CHECK(completed == 4);
 }
 
+// Makes the creation of threads fail, as a limit of the system does.
+class NoMoreThreads {
+ public:
+  NoMoreThreads() {
+    REQUIRE(::pthread_attr_init(&previous_) == 0);
+    REQUIRE(::pthread_getattr_default_np(&previous_) == 0);
+    pthread_attr_t unavailable;
+    REQUIRE(::pthread_getattr_default_np(&unavailable) == 0);
+    REQUIRE(::pthread_attr_setstacksize(&unavailable, std::size_t{1} << 46) == 0);
+    REQUIRE(::pthread_setattr_default_np(&unavailable) == 0);
+    ::pthread_attr_destroy(&unavailable);
+  }
+  ~NoMoreThreads() {
+    ::pthread_setattr_default_np(&previous_);
+    ::pthread_attr_destroy(&previous_);
+  }
+  NoMoreThreads(const NoMoreThreads&) = delete;
+  NoMoreThreads& operator=(const NoMoreThreads&) = delete;
+
+ private:
+  pthread_attr_t previous_;
+};
+
+TEST_CASE("a worker whose thread cannot be created leaves no descriptor behind") {
+  asio::io_context io;
+  const Worker before(io, "test");
+  io.poll();
+  const std::uint64_t descriptors = metrics::ReadProcessUsage().descriptors;
+  {
+    const NoMoreThreads limit;
+    for (int i = 0; i < 10; ++i) CHECK_THROWS_AS(Worker(io, "test"), std::system_error);
+  }
+  io.poll();
+  CHECK(metrics::ReadProcessUsage().descriptors == descriptors);
+}
+
 struct TestServer {
   asio::io_context io;
   std::vector<Command> commands;
