--- a/src/record/recorder.cpp
+++ b/src/record/recorder.cpp
@@ -160,6 +160,15 @@
   shared_->changed.notify_all();
 }
 
+// False if the block could not be written. An exception that left the writer's thread would end the process.
+bool Recorder::Append(Shared& shared, BlockWriter& records, std::uint64_t unreported) noexcept {
+  try {
+    return shared.output->Append(records.Take(unreported));
+  } catch (const std::exception&) {
+    return false;
+  }
+}
+
 void Recorder::Write(const std::shared_ptr<Shared>& shared) {
   std::unique_lock<std::mutex> lock(shared->mutex);
   for (;;) {
@@ -170,7 +179,7 @@
     const std::uint64_t lost = shared->lost;
     const std::uint64_t unreported = lost - shared->lost_reported;
     lock.unlock();
-    const bool written = shared->output->Append(block.records.Take(unreported));
+    const bool written = Append(*shared, block.records, unreported);
     lock.lock();
     if (written) {
       shared->recorded += block.count;
@@ -181,7 +190,8 @@
   }
   if (const std::uint64_t unreported = shared->lost - shared->lost_reported; unreported > 0) {
     lock.unlock();
-    shared->output->Append(BlockWriter().Take(unreported));
+    BlockWriter no_records;
+    Append(*shared, no_records, unreported);
     lock.lock();
   }
   shared->stopped = true;
--- a/src/record/recorder.hpp
+++ b/src/record/recorder.hpp
@@ -55,6 +55,7 @@
 
  private:
   struct Shared;
+  static bool Append(Shared& shared, BlockWriter& records, std::uint64_t unreported) noexcept;
   static void Write(const std::shared_ptr<Shared>& shared);
   void FlushBlock();
 
--- a/tests/record/recorder_test.cpp
+++ b/tests/record/recorder_test.cpp
@@ -5,12 +5,15 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
+#include <chrono>
 #include <condition_variable>
 #include <cstdio>
 #include <fstream>
 #include <iterator>
 #include <mutex>
+#include <new>
 #include <random>
+#include <thread>
 
 namespace merlinrun::record {
 namespace {
@@ -220,5 +223,27 @@
   state->changed.notify_all();
 }
 
+// A file whose writes run out of memory after the header.
+class ThrowingFile : public RecordingFile {
+ public:
+  bool Append(std::string_view) override {
+    if (header_written_) throw std::bad_alloc();
+    return header_written_ = true;
+  }
+
+ private:
+  bool header_written_ = false;
+};
+
+TEST_F(RecorderTest, AnExceptionWhileWritingLosesRecordsAndNotTheProcess) {
+  Recorder recorder(std::make_unique<ThrowingFile>(), ExampleHeader(), kSalt, 0);
+  constexpr std::uint64_t kRecords = 20'000;
+  for (std::uint64_t i = 0; i < kRecords; ++i) recorder.Add(0, Record(), std::to_string(i), "");
+  const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+  while (recorder.lost() == 0 && std::chrono::steady_clock::now() < deadline) std::this_thread::yield();
+  EXPECT_GT(recorder.lost(), 0U);
+  EXPECT_EQ(recorder.recorded(), 0U);
+}
+
 }  // namespace
 }  // namespace merlinrun::record
