Links and listeners survive an exception of their owner's callback

A link whose frame handler threw was never read again and stayed open; the three listeners and the gossip socket stopped accepting for good. A link is now closed, so that both ends start anew; listeners accept on. In the case of no exception nothing changes. Evidence: the two tests of the link and its listener fail on the code before and pass; the other listeners by reading.

--- a/src/mesh/egress/http_server.cpp
+++ b/src/mesh/egress/http_server.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http.hpp>
 #include <cctype>
 #include <chrono>
+#include <exception>
 #include <optional>
 
 #include "mesh/transport/hop_by_hop.hpp"
@@ -425,7 +426,12 @@
         });
         return;
       }
-      AddSession(std::move(socket));
+      try {
+        AddSession(std::move(socket));
+      } catch (const std::exception&) {
+        Accept();
+        throw;
+      }
     }
     Accept();
   });
@@ -452,12 +458,12 @@
   sweep_timer_.expires_after(kSweepInterval);
   sweep_timer_.async_wait([this](ErrorCode stopped) {
     if (stopped) return;
+    ScheduleSweep();  // before the sweep, which may throw
     const auto now = Clock::now();
     for (auto it = sessions_.begin(); it != sessions_.end();) {
       const SessionPtr session = *it++;
       session->CheckTimeouts(now);
     }
-    ScheduleSweep();
   });
 }
 
--- a/src/mesh/gossip/io/udp_socket.cpp
+++ b/src/mesh/gossip/io/udp_socket.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <cstdlib>
+#include <exception>
 #include <utility>
 
 #include "mesh/gossip/view.hpp"
@@ -31,7 +32,12 @@
   void WaitReadable() {
     socket.async_wait(udp::socket::wait_read, [self = shared_from_this()](ErrorCode error) {
       if (!self->socket.is_open()) return;
-      if (error || !self->ReadAvailable()) return self->RetryLater();
+      try {
+        if (error || !self->ReadAvailable()) return self->RetryLater();
+      } catch (const std::exception&) {  // of the callback
+        self->WaitReadable();
+        throw;
+      }
       self->WaitReadable();
     });
   }
--- a/src/mesh/node/control_listener.cpp
+++ b/src/mesh/node/control_listener.cpp
@@ -276,8 +276,8 @@
   acceptor_.async_accept([self = shared_from_this()](ErrorCode error, Tcp::socket socket) {
     if (!self->acceptor_.is_open()) return;
     if (!error) {
-      self->Add(std::move(socket));
-      return self->Accept();
+      self->Accept();  // before the connection is added, which may throw
+      return self->Add(std::move(socket));
     }
     self->accept_retry_timer_.expires_after(kAcceptRetryDelay);
     self->accept_retry_timer_.async_wait([self](ErrorCode stopped) {
--- a/src/mesh/transport/link.cpp
+++ b/src/mesh/transport/link.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/system/system_error.hpp>
 #include <chrono>
+#include <exception>
 #include <utility>
 
 #include "mesh/transport/read_buffer.hpp"
@@ -140,12 +141,22 @@
     if (error) return Fail();
     // Copied out of the shared buffer, which callbacks may reuse for other links.
     state.input.append(ReadBuffer().data(), n);
-    if (!DispatchFrames()) return;
+    if (!DispatchFramesOrFail()) return;
     if (n < kReadBufferBytes) break;
   }
   Read();
 }
 
+// A link whose callback throws is closed: it would never be read again.
+bool Link::DispatchFramesOrFail() {
+  try {
+    return DispatchFrames();
+  } catch (const std::exception&) {
+    Fail();
+    throw;
+  }
+}
+
 // False if the link has closed.
 bool Link::DispatchFrames() {
   Impl& state = *impl_;
@@ -238,7 +249,7 @@
   if (!std::exchange(impl_->paused, false) || impl_->closed) return;
   asio::post(impl_->socket.get_executor(), [self = shared_from_this()] {
     if (self->impl_->closed || self->impl_->paused) return;
-    if (self->DispatchFrames()) self->Read();
+    if (self->DispatchFramesOrFail()) self->Read();
   });
 }
 void Link::Close() {
@@ -266,8 +277,9 @@
     acceptor.async_accept([self = shared_from_this()](ErrorCode error, Tcp::socket socket) {
       if (!self->acceptor.is_open()) return;
       if (!error) {
+        self->Accept();  // before the callback, which may throw
         if (const auto call = self->accepted) call(Link::FromSocket(std::move(socket), self->limits));
-        return self->Accept();
+        return;
       }
       // Avoids a busy loop while file descriptors are exhausted.
       self->retry_timer.expires_after(kAcceptRetryDelay);
--- a/src/mesh/transport/link.hpp
+++ b/src/mesh/transport/link.hpp
@@ -65,6 +65,7 @@
   void Read();
   void OnReadable();
   bool DispatchFrames();
+  bool DispatchFramesOrFail();
   void ScheduleFlush();
   void Flush();
   std::unique_ptr<Impl> impl_;
--- a/tests/mesh/transport_link_test.cpp
+++ b/tests/mesh/transport_link_test.cpp
@@ -3,6 +3,7 @@
 #include <map>
 #include <new>
 #include <random>
+#include <stdexcept>
 
 #include "loopback.hpp"
 #include "mesh/transport/codec.hpp"
@@ -136,6 +137,28 @@
   CHECK(closed == 1);
 }
 
+TEST_CASE("a link whose frame handler throws is closed, as it would never be read again") {
+  Pair pair;
+  pair.link->Start(
+      {[](std::string_view) { throw std::runtime_error("broken"); }, [&] { ++pair.closed; }, {}});
+  pair.raw->Write(Framed("frame"));
+  CHECK_THROWS_AS(RunUntil(pair.io, [&] { return pair.closed > 0; }), std::runtime_error);
+  CHECK(RunUntil(pair.io, [&] { return pair.closed == 1 && pair.raw->ended; }));
+}
+
+TEST_CASE("a listener whose callback throws accepts the next link") {
+  asio::io_context io;
+  const std::uint16_t port = loopback::FreePort(io);
+  int accepted = 0;
+  const Listener listener(io, "127.0.0.1", port, {}, [&](const std::shared_ptr<Link>&) {
+    if (++accepted == 1) throw std::runtime_error("broken");
+  });
+  const auto first = RawConnection::Connect(io, port);
+  CHECK_THROWS_AS(RunUntil(io, [&] { return accepted > 1; }), std::runtime_error);
+  const auto second = RawConnection::Connect(io, port);
+  CHECK(RunUntil(io, [&] { return accepted == 2; }));
+}
+
 TEST_CASE("a paused link delivers nothing until it resumes, also if paused inside a callback") {
   Pair pair;
   pair.link->Start({[&](std::string_view frame) {
