--- a/src/mesh/metrics/core_metrics.cpp
+++ b/src/mesh/metrics/core_metrics.cpp
@@ -1,16 +1,8 @@
 #include "mesh/metrics/core_metrics.hpp"
 
-#include <string>
+#include "mesh/metrics/gauge.hpp"
 
 namespace fennelhollow::metrics {
-namespace {
-
-prometheus::Gauge& AddGauge(prometheus::Registry& registry, const std::string& name,
-                            const std::string& help) {
-  return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
-}
-
-}  // namespace
 
 CoreMetrics::CoreMetrics(prometheus::Registry& registry)
     : is_leader(AddGauge(registry, "fennelhollow_core_leads", "1 while this replica is the leader")),
--- a/src/mesh/metrics/process_metrics.cpp
+++ b/src/mesh/metrics/process_metrics.cpp
@@ -5,8 +5,8 @@
 
 #include <filesystem>
 #include <fstream>
-#include <iterator>
-#include <string>
+
+#include "mesh/metrics/gauge.hpp"
 
 namespace fennelhollow::metrics {
 namespace {
@@ -25,11 +25,6 @@
   return limit.rlim_cur;
 }
 
-prometheus::Gauge& AddGauge(prometheus::Registry& registry, const std::string& name,
-                            const std::string& help) {
-  return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
-}
-
 }  // namespace
 
 ProcessUsage ReadProcessUsage() {
--- a/src/mesh/metrics/process_metrics.hpp
+++ b/src/mesh/metrics/process_metrics.hpp
@@ -20,13 +20,17 @@
 class ProcessMetrics {
  public:
   // `registry` must outlive it.
-  explicit ProcessMetrics(prometheus::Registry &registry);
+  explicit ProcessMetrics(prometheus::Registry& registry);
   // Reads the usage; to be called before each scrape.
   void Update();
 
  private:
-  prometheus::Gauge &resident_bytes_, &address_space_bytes_, &descriptors_;
-  prometheus::Gauge &address_space_limit_, &descriptor_limit_, &file_size_limit_;
+  prometheus::Gauge& resident_bytes_;
+  prometheus::Gauge& address_space_bytes_;
+  prometheus::Gauge& descriptors_;
+  prometheus::Gauge& address_space_limit_;
+  prometheus::Gauge& descriptor_limit_;
+  prometheus::Gauge& file_size_limit_;
 };
 
 }  // namespace fennelhollow::metrics
--- a/tests/soak/process_faults_test.cpp
+++ b/tests/soak/process_faults_test.cpp
@@ -1,18 +1,15 @@
 // Node processes that meet a limit of the kernel, an address in use or unfinished settings must not end.
 #include <unistd.h>
 
-#include <array>
-#include <boost/asio/co_spawn.hpp>
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <cstdlib>
-#include <exception>
 #include <filesystem>
 #include <memory>
-#include <optional>
 #include <string>
 #include <vector>
 
+#include "rig/mesh/await.hpp"
 #include "rig/mesh/node_process.hpp"
 #include "rig/mesh/shop.hpp"
 
@@ -78,23 +75,9 @@
     return *processes.back();
   }
 
-  template <class T>
-  T Await(asio::awaitable<T> task) {
-    std::optional<T> result;
-    std::exception_ptr failure;
-    asio::co_spawn(io, std::move(task), [&](std::exception_ptr error, T value) {
-      failure = error;
-      result = std::move(value);
-    });
-    io.restart();
-    while (!result) io.run_one();
-    if (failure) std::rethrow_exception(failure);
-    return *std::move(result);
-  }
-
   // The status of the response; 0: none.
   unsigned Call(const Address& to, const Request& request) {
-    return Await([](asio::io_context& loop, Address address, Request call) -> asio::awaitable<unsigned> {
+    return Await(io, [](asio::io_context& loop, Address address, Request call) -> asio::awaitable<unsigned> {
       HttpConnection connection(loop, address);
       const auto response = co_await connection.Call(std::move(call), kCallTimeout);
       co_return response ? response->result_int() : 0;
@@ -104,7 +87,7 @@
     return Call(from, MakeRequest(http::verb::get, path, kHost));
   }
   std::string StatusText(const NodeProcess& node) {
-    return Await([](asio::io_context& loop, Address address) -> asio::awaitable<std::string> {
+    return Await(io, [](asio::io_context& loop, Address address) -> asio::awaitable<std::string> {
       HttpConnection connection(loop, address);
       const auto response =
           co_await connection.Call(MakeRequest(http::verb::get, "/-/Status", kHost), kCallTimeout);
--- a/tests/soak/shutdown_test.cpp
+++ b/tests/soak/shutdown_test.cpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 
+#include "rig/mesh/await.hpp"
 #include "rig/soak/cluster.hpp"
 
 namespace fennelhollow::rig::soak {
@@ -49,15 +50,7 @@
 
   template <class T>
   T Await(asio::awaitable<T> task) {
-    std::optional<T> result;
-    std::exception_ptr failure;
-    asio::co_spawn(io, std::move(task), [&](std::exception_ptr error, T value) {
-      failure = error;
-      result = std::move(value);
-    });
-    while (!result) io.run_one();
-    if (failure) std::rethrow_exception(failure);
-    return *std::move(result);
+    return rig::Await(io, std::move(task));
   }
   void WaitUntil(Clock::time_point time) {
     while (Clock::now() < time) io.run_one_for(std::chrono::milliseconds(1));
