--- a/src/mesh/registry/heartbeat_tracker.cpp
+++ b/src/mesh/registry/heartbeat_tracker.cpp
@@ -1,6 +1,9 @@
+#include <glog/logging.h>
+
 #include <algorithm>
 #include <limits>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 #include "mesh/registry/registry.hpp"
 
@@ -123,9 +126,11 @@
     }
     at = instances_.emplace(server.id, Instance{}).first;
     ++changes_;
+    LOG(INFO) << "instance " << server.id << ": first heartbeat, sequence " << server.sequence;
   }
   Instance& instance = at->second;
-  instance.draining |= draining;
+  if (draining && !std::exchange(instance.draining, true))
+    LOG(INFO) << "instance " << server.id << ": draining, sequence " << server.sequence;
   server.state = instance.draining ? State::kDraining : State::kReady;
   if (Differs(instance.server, server)) ++changes_;
   instance.server = std::move(server);
@@ -142,7 +147,7 @@
     at = instances_.emplace(std::string(id), Instance{}).first;
     at->second.server.id = id;
   }
-  at->second.ended = true;
+  if (!std::exchange(at->second.ended, true)) LOG(INFO) << "instance " << id << ": departed";
   MarkGone(now, at->second);
 }
 
