Cores remember draining and departed servers: a late heartbeat brings none back

Cause: a sidecar keeps departures in memory only and takes the late heartbeat after its restart for the first one of a new instance; the cores let each report replace the former one and kept nothing of what had ended. Evidence: the case holds with the kill or the late heartbeat alone; requests begin with the late heartbeat, from other sidecars; the events of all three cores go from gone, and from draining, to ready. A departure has a sequence number above any heartbeat.

--- a/src/mesh/node/sidecar.cpp
+++ b/src/mesh/node/sidecar.cpp
@@ -27,6 +27,7 @@
 #include "mesh/node/shutdown_schedule.hpp"
 #include "mesh/push/client.hpp"
 #include "mesh/quota/quota.hpp"
+#include "mesh/registry/heartbeat_tracker.hpp"
 #include "mesh/registry/registry.hpp"
 #include "mesh/transport/codec.hpp"
 #include "mesh/transport/link.hpp"
@@ -180,7 +181,7 @@
                           {"entry", client_.entry()},
                           {"core", client_.subscribed_core()},
                           {"holder", client_.leader()},
-                          {"servers", client_.snapshot().servers.size()},
+                          {"servers", ListedServers()},
                           {"sidecars", client_.snapshot().sidecars.size()},
                           {"underWay", outbound_proxy_.in_flight()},
                           {"requests",
@@ -290,6 +291,12 @@
     return out;
   }
 
+  std::size_t ListedServers() const {
+    const auto& servers = client_.snapshot().servers;
+    return static_cast<std::size_t>(std::count_if(
+        servers.begin(), servers.end(), [](const auto& s) { return s.state != registry::State::kGone; }));
+  }
+
   bool IsReady() const { return !shutdown_ && outbound_proxy_.version() > 0; }
 
   // ---- Calls of the local server, and of operators, who are redirected to a core ----
@@ -304,7 +311,7 @@
       return reply({});
     }
     if (const auto* departure = std::get_if<InstanceDeparture>(&command)) {
-      heartbeats_.OnDeparture(now, departure->id);
+      heartbeats_.OnDeparture(now, departure->id, self_);
       OnInstancesChanged(now);
       return reply({});
     }
@@ -528,7 +535,10 @@
   }
 
   void OnSnapshot(const registry::Snapshot& snapshot, std::size_t, std::size_t count) override {
-    limiter_.SetSidecarCount(loop_.Now(), count);
+    const Micros now = loop_.Now();
+    for (const registry::Server& server : snapshot.servers)
+      if (server.sidecar_address == self_) heartbeats_.OnRemembered(now, server);
+    limiter_.SetSidecarCount(now, count);
     // Ranked by name, the sidecars of a service would be adjacent and select overlapping subsets.
     outbound_proxy_.OnEndpoints(snapshot, egress::InterleavedRank(snapshot.sidecars, settings_.node_name),
                                 count);
--- a/src/mesh/push/publisher.cpp
+++ b/src/mesh/push/publisher.cpp
@@ -74,7 +74,7 @@
   last_report.entry = std::max(last_report.entry, report.applied_entry);
 
   if (report.leaving) {
-    registry_.OnLeaving(now, report.sidecar.name, report.sidecar.incarnation);
+    registry_.OnLeaving(now, report.sidecar.name, report.sidecar.incarnation, report.servers);
   } else if (report.has_servers) {
     registry_.OnReport(now, report.sidecar, report.servers);
   } else {
--- a/src/mesh/registry/heartbeat_tracker.cpp
+++ b/src/mesh/registry/heartbeat_tracker.cpp
@@ -1,3 +1,5 @@
+#include "mesh/registry/heartbeat_tracker.hpp"
+
 #include <glog/logging.h>
 
 #include <algorithm>
@@ -5,12 +7,12 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "mesh/registry/registry.hpp"
-
 namespace fennelhollow::registry {
 namespace {
 
 constexpr Micros kGoneReportPeriod = 10'000'000;
+// So that a core that starts again learns of it.
+constexpr Micros kDepartedReportPeriod = 60'000'000;
 constexpr std::size_t kMaxHeartbeatBytes = 16384;
 constexpr std::size_t kMaxNameBytes = 256;
 constexpr std::int64_t kMaxColdMs = 3'600'000;
@@ -138,17 +140,45 @@
   return absl::OkStatus();
 }
 
-void HeartbeatTracker::OnDeparture(Micros now, std::string_view id) {
+HeartbeatTracker::Instance& HeartbeatTracker::FindOrAdd(std::string_view id) {
+  if (const auto at = instances_.find(id); at != instances_.end()) return at->second;
+  EvictIfFull();
+  Instance& added = instances_[std::string(id)];
+  added.server.id = id;
+  return added;
+}
+
+void HeartbeatTracker::MarkDeparted(Micros now, Instance& instance) {
+  if (HasDeparted(instance.server)) return;
+  LOG(INFO) << "instance " << instance.server.id << ": departed";
+  instance.ended = true;
+  instance.server.sequence = kFinalSequence;
+  instance.server.state = State::kGone;
+  instance.gone_at = now;
+  ++changes_;
+}
+
+void HeartbeatTracker::OnDeparture(Micros now, std::string_view id, const std::string& sidecar_address) {
   if (id.empty() || id.size() > kMaxNameBytes) return;
-  auto at = instances_.find(id);
   // An unknown instance is remembered, too: a former incarnation of this sidecar may have known it.
-  if (at == instances_.end()) {
-    EvictIfFull();
-    at = instances_.emplace(std::string(id), Instance{}).first;
-    at->second.server.id = id;
+  Instance& instance = FindOrAdd(id);
+  instance.server.sidecar_address = sidecar_address;
+  MarkDeparted(now, instance);
+}
+
+void HeartbeatTracker::OnRemembered(Micros now, const Server& remembered) {
+  if (HasDeparted(remembered)) {
+    // Nothing is evicted for it: should a late heartbeat come, the cores still know better.
+    if (instances_.size() >= kMaxInstances && !instances_.contains(remembered.id)) return;
+    Instance& instance = FindOrAdd(remembered.id);
+    instance.server.sidecar_address = remembered.sidecar_address;
+    return MarkDeparted(now, instance);
   }
-  if (!std::exchange(at->second.ended, true)) LOG(INFO) << "instance " << id << ": departed";
-  MarkGone(now, at->second);
+  if (remembered.state != State::kDraining) return;
+  const auto at = instances_.find(remembered.id);
+  if (at == instances_.end() || std::exchange(at->second.draining, true)) return;
+  if (at->second.server.state == State::kReady) at->second.server.state = State::kDraining;
+  ++changes_;
 }
 
 void HeartbeatTracker::OnUnreachable(Micros now, std::string_view id) {
@@ -168,8 +198,8 @@
 std::vector<Server> HeartbeatTracker::Instances(Micros now) const {
   std::vector<Server> instances;
   for (const auto& [id, instance] : instances_) {
-    if (instance.server.state == State::kGone && now - instance.gone_at > kGoneReportPeriod) continue;
-    if (instance.server.address.empty()) continue;  // departed before its first heartbeat: nothing to report
+    const Micros report_period = HasDeparted(instance.server) ? kDepartedReportPeriod : kGoneReportPeriod;
+    if (instance.server.state == State::kGone && now - instance.gone_at > report_period) continue;
     instances.push_back(instance.server);
     auto& cold = instances.back().cold_remaining_ms;
     cold = std::max<std::int64_t>(0, cold - (now - instance.heartbeat_at) / 1000);
--- a/src/mesh/registry/registry.cpp
+++ b/src/mesh/registry/registry.cpp
@@ -91,46 +91,71 @@
 
 }  // namespace
 
-// Recomputes the snapshot entry of a server from all sidecars that report it (usually one); the newest
-// heartbeat wins.
-void Registry::UpdateServer(Micros now, const std::string& id, ChangedKeys& changed) {
-  const Server* best = nullptr;
-  Micros reported_at = 0;
-  if (const auto reported_by = reporters_by_server_.find(id); reported_by != reporters_by_server_.end()) {
-    for (const auto& name : reported_by->second) {
-      const Reporter& reporter = reporters_.at(name);
-      if (!IsActive(reporter)) continue;
-      for (const Server& server : reporter.servers) {
-        if (server.id != id || (best != nullptr && server.sequence <= best->sequence)) continue;
-        best = &server;
-        reported_at = reporter.reported_at;
-      }
+// From all sidecars that report the server (usually one); the newest heartbeat wins.
+Registry::Reported Registry::FindReported(const std::string& id) const {
+  Reported newest;
+  const auto reported_by = reporters_by_server_.find(id);
+  if (reported_by == reporters_by_server_.end()) return newest;
+  for (const auto& name : reported_by->second) {
+    const Reporter& reporter = reporters_.at(name);
+    if (!IsActive(reporter)) continue;
+    for (const Server& server : reporter.servers) {
+      if (server.id != id) continue;
+      if (newest.server != nullptr && server.sequence <= newest.server->sequence) continue;
+      newest = {&server, reporter.reported_at};
     }
   }
-  const Server* current = Find(snapshot_.servers, id);
-  if (best == nullptr || best->state == State::kGone) {
-    if (current == nullptr) return;
-    Erase(snapshot_.servers, id);
-    cold_measured_at_.erase(id);
+  return newest;
+}
+
+void Registry::RecordTombstones(Micros now, const std::vector<Server>& servers, ChangedKeys& changed) {
+  for (const Server& server : servers)
+    if (tombstones_.Record(now, server)) UpdateServer(now, server.id, changed);
+}
+
+void Registry::PublishDeparted(const Server& departed, ChangedKeys& changed) {
+  const Server* current = Find(snapshot_.servers, departed.id);
+  if (current != nullptr && HasDeparted(*current)) return;
+  Upsert(snapshot_.servers, departed);
+  cold_measured_at_.erase(departed.id);
+  changed.servers.push_back(departed.id);
+}
+
+void Registry::Withdraw(const std::string& id, ChangedKeys& changed) {
+  if (Find(snapshot_.servers, id) == nullptr) return;
+  Erase(snapshot_.servers, id);
+  cold_measured_at_.erase(id);
+  changed.servers.push_back(id);
+}
+
+void Registry::Publish(Micros now, Server server, Micros reported_at, ChangedKeys& changed) {
+  const Server* current = Find(snapshot_.servers, server.id);
+  server.cold_remaining_ms = RemainingColdMs(server.cold_remaining_ms, now - reported_at);
+  if (current != nullptr && SameExceptColdTime(*current, server)) {
+    const auto since = cold_measured_at_.find(server.id);
+    const std::int64_t expected = since == cold_measured_at_.end()
+                                      ? 0
+                                      : RemainingColdMs(current->cold_remaining_ms, now - since->second);
+    if (std::abs(server.cold_remaining_ms - expected) <= kColdToleranceMs) return;
+  }
+  Upsert(snapshot_.servers, server);
+  if (server.cold_remaining_ms > 0) {
+    cold_measured_at_[server.id] = now;
   } else {
-    const std::int64_t cold = RemainingColdMs(best->cold_remaining_ms, now - reported_at);
-    if (current != nullptr && SameExceptColdTime(*current, *best)) {
-      const auto since = cold_measured_at_.find(id);
-      const std::int64_t expected = since == cold_measured_at_.end()
-                                        ? 0
-                                        : RemainingColdMs(current->cold_remaining_ms, now - since->second);
-      if (std::abs(cold - expected) <= kColdToleranceMs) return;
-    }
-    Server server = *best;
-    server.cold_remaining_ms = cold;
-    Upsert(snapshot_.servers, server);
-    if (cold > 0) {
-      cold_measured_at_[id] = now;
-    } else {
-      cold_measured_at_.erase(id);
-    }
+    cold_measured_at_.erase(server.id);
   }
-  changed.servers.push_back(id);
+  changed.servers.push_back(server.id);
+}
+
+// Recomputes the snapshot entry of a server.
+void Registry::UpdateServer(Micros now, const std::string& id, ChangedKeys& changed) {
+  const Server* tombstone = tombstones_.Find(id);
+  if (tombstone != nullptr && HasDeparted(*tombstone)) return PublishDeparted(*tombstone, changed);
+  const Reported reported = FindReported(id);
+  if (reported.server == nullptr || reported.server->state == State::kGone) return Withdraw(id, changed);
+  Server server = *reported.server;
+  if (tombstone != nullptr) server.state = State::kDraining;
+  Publish(now, std::move(server), reported.at, changed);
 }
 
 void Registry::UpdateServers(Micros now, const Reporter& reporter, ChangedKeys& changed) {
@@ -157,7 +182,21 @@
   if (delta_log_.size() > kMaxLoggedDeltas) delta_log_.pop_front();
 }
 
+void Registry::Restore(Micros now, const std::vector<Server>& servers) {
+  ChangedKeys changed;
+  RecordTombstones(now, servers, changed);
+  Commit(std::move(changed));
+}
+
 void Registry::OnReport(Micros now, const Sidecar& from, const std::vector<Server>& servers) {
+  ChangedKeys changed;
+  RecordTombstones(now, servers, changed);
+  ReplaceReport(now, from, servers, changed);
+  Commit(std::move(changed));
+}
+
+void Registry::ReplaceReport(Micros now, const Sidecar& from, const std::vector<Server>& servers,
+                             ChangedKeys& changed) {
   auto at = reporters_.find(from.name);
   if (at == reporters_.end()) {
     if (reporters_.size() >= kMaxSidecars) return;
@@ -187,10 +226,8 @@
     ids.insert(server.id);
     reporters_by_server_[server.id].insert(from.name);
   }
-  ChangedKeys changed;
   for (const auto& id : ids) UpdateServer(now, id, changed);
   UpdateSidecar(from.name, changed);
-  Commit(std::move(changed));
 }
 
 bool Registry::OnKeepalive(Micros now, const std::string& name, std::uint64_t incarnation) {
@@ -207,16 +244,23 @@
   return true;
 }
 
-void Registry::OnLeaving(Micros now, const std::string& name, std::uint64_t incarnation) {
+void Registry::OnLeaving(Micros now, const std::string& name, std::uint64_t incarnation,
+                         const std::vector<Server>& servers) {
+  ChangedKeys changed;
+  RecordTombstones(now, servers, changed);
+  MarkLeft(now, name, incarnation, changed);
+  Commit(std::move(changed));
+}
+
+void Registry::MarkLeft(Micros now, const std::string& name, std::uint64_t incarnation,
+                        ChangedKeys& changed) {
   const auto at = reporters_.find(name);
   if (at == reporters_.end() || at->second.left || at->second.sidecar.incarnation != incarnation) return;
   at->second.left = true;
   at->second.last_heard = now;
   at->second.past_incarnations.push_back(incarnation);
   if (at->second.past_incarnations.size() > kMaxPastIncarnations) at->second.past_incarnations.pop_front();
-  ChangedKeys changed;
   UpdateServers(now, at->second, changed);
-  Commit(std::move(changed));
 }
 
 void Registry::OnTick(Micros now) {
@@ -236,6 +280,7 @@
   const Micros silence_limit =
       now < self_preservation_until_ ? std::max(silent_after_, forget_after_ / 3 * 2) : silent_after_;
   ChangedKeys changed;
+  for (const std::string& id : tombstones_.Expire(now)) UpdateServer(now, id, changed);
   for (auto at = reporters_.begin(); at != reporters_.end();) {
     Reporter& reporter = at->second;
     if (now - reporter.last_heard >= forget_after_) {
--- a/src/mesh/registry/registry.hpp
+++ b/src/mesh/registry/registry.hpp
@@ -3,99 +3,26 @@
 #ifndef FENNELHOLLOW_MESH_REGISTRY_REGISTRY_HPP_
 #define FENNELHOLLOW_MESH_REGISTRY_REGISTRY_HPP_
 
-#include <absl/status/status.h>
-
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
-#include <string_view>
 #include <vector>
 
-#include "merlinrun/balancer.hpp"
+#include "mesh/registry/server.hpp"
+#include "mesh/registry/tombstones.hpp"
 
 namespace fennelhollow::registry {
 
-using merlinrun::Micros;
-
-enum class State : std::uint8_t { kReady, kDraining, kGone };
-
-// One instance of a server, as reported by the sidecar on its machine.
-struct Server {
-  std::string id;
-  std::string service;
-  std::string address;  // ip:port, reachable only on its own machine
-  std::string zone;
-  std::string version;
-  std::int32_t slots = 0;
-  State state = State::kReady;
-  std::int64_t cold_remaining_ms = 0;  // at the time of the report
-  std::uint64_t sequence = 0;          // of its heartbeats
-  std::string sidecar_address;         // internal address (ip:port) of the sidecar in front of it
-  bool operator==(const Server&) const = default;
-  template <class Archive>
-  void serialize(Archive& a) {
-    a(id, service, address, zone, version, slots, state, cold_remaining_ms, sequence, sidecar_address);
-  }
-};
-
-// A sidecar, as it describes itself.
-struct Sidecar {
-  std::string name;               // nodeName of its settings
-  std::uint64_t incarnation = 0;  // drawn at random at each start
-  std::string internal_address;   // ip:port
-  std::string zone;
-  std::string service;  // of its server
-  bool operator==(const Sidecar&) const = default;
-  template <class Archive>
-  void serialize(Archive& a) {
-    a(name, incarnation, internal_address, zone, service);
-  }
-};
-
-// In a sidecar: tracks the instances of the server on its machine by their heartbeats.
-class HeartbeatTracker {
- public:
-  // Handles a heartbeat in the format of PROTOCOL.md; kInvalidArgument with a one-line reason if malformed.
-  // An outdated sequence number is ignored and returns OK. `sidecar_address`: internal address of this
-  // sidecar. At most kMaxInstances are kept; instances that are gone are evicted first.
-  absl::Status OnHeartbeat(Micros now, std::string_view id, std::string_view json,
-                           const std::string& sidecar_address, const std::string& zone);
-  // Ends the instance for good: later heartbeats of this id are ignored, even if none has arrived yet.
-  void OnDeparture(Micros now, std::string_view id);
-  // Its address refuses connections: marked gone until the next heartbeat, as after three missed intervals.
-  void OnUnreachable(Micros now, std::string_view id);
-  void OnTick(Micros now, Micros heartbeat_interval);
-  // Includes instances gone within the last ten seconds, as others may not know yet. Cold times are as of
-  // `now`.
-  std::vector<Server> Instances(Micros now) const;
-  const Server* Find(std::string_view id) const;
-  // Increases with each change that has to be propagated at once (new instance, state change).
-  std::uint64_t changes() const { return changes_; }
-
- private:
-  struct Instance {
-    Server server;
-    Micros heartbeat_at = 0;
-    Micros gone_at = 0;
-    bool draining = false;  // reported draining once: never ready again
-    bool ended = false;     // departed, or its address was reused: no heartbeat revives it
-  };
-  void MarkGone(Micros now, Instance& instance);
-  void EvictIfFull();
-  std::map<std::string, Instance, std::less<>> instances_;
-  Micros last_tick_ = -1;
-  std::uint64_t changes_ = 0;
-};
-inline constexpr std::size_t kMaxInstances = 8;
-
 // The registry of a core, pushed to its subscribers by revision.
 struct Snapshot {
   std::uint64_t epoch = 0;  // drawn at random at each start of the core; revisions compare only within it
   std::uint64_t revision = 0;
-  std::vector<Server> servers;    // sorted by id
+  // Sorted by id. Those that have departed stay for kTombstoneLifetime as kGone, so that a sidecar that was
+  // started again learns of it.
+  std::vector<Server> servers;
   std::vector<Sidecar> sidecars;  // sorted by name; the position is the rank of a sidecar
   template <class Archive>
   void serialize(Archive& a) {
@@ -125,12 +52,18 @@
     snapshot_.revision = 1;
   }
   // A full report of a sidecar and its servers; replaces its previous one. A new incarnation replaces the
-  // former one of the same name, whose later reports are ignored.
+  // former one of the same name, whose later reports are ignored but for what holds for good: a server that
+  // was reported draining or departed, by whomever, is not ready again, whatever later reports say.
   void OnReport(Micros now, const Sidecar& from, const std::vector<Server>& servers);
   // A report without servers: they are unchanged. False if the sidecar is unknown, has left or was replaced.
   bool OnKeepalive(Micros now, const std::string& name, std::uint64_t incarnation);
   // The sidecar shuts down: its servers are removed at once; it stays listed until it is forgotten.
-  void OnLeaving(Micros now, const std::string& name, std::uint64_t incarnation);
+  // `servers`: as in a report; only that they are draining or have departed counts.
+  void OnLeaving(Micros now, const std::string& name, std::uint64_t incarnation,
+                 const std::vector<Server>& servers);
+  // What was remembered of draining and departed servers before this process started.
+  void Restore(Micros now, const std::vector<Server>& servers);
+  const Tombstones& tombstones() const { return tombstones_; }
   // To be called about every 100 ms. Removes the servers of sidecars silent for `silent_after`, and forgets
   // sidecars silent for `forget_after`. Self-preservation: if most sidecars, and at least
   // kSelfPreservationMinimum, are silent at once, this core itself was probably cut off; then servers are
@@ -162,6 +95,19 @@
     std::vector<std::string> sidecars;
   };
   bool IsActive(const Reporter& reporter) const { return !reporter.silent && !reporter.left; }
+  // A server as its reporters describe it, and when they did; `server` is null if none of them lists it.
+  struct Reported {
+    const Server* server = nullptr;
+    Micros at = 0;
+  };
+  Reported FindReported(const std::string& id) const;
+  void ReplaceReport(Micros now, const Sidecar& from, const std::vector<Server>& servers,
+                     ChangedKeys& changed);
+  void MarkLeft(Micros now, const std::string& name, std::uint64_t incarnation, ChangedKeys& changed);
+  void RecordTombstones(Micros now, const std::vector<Server>& servers, ChangedKeys& changed);
+  void PublishDeparted(const Server& departed, ChangedKeys& changed);
+  void Withdraw(const std::string& id, ChangedKeys& changed);
+  void Publish(Micros now, Server server, Micros reported_at, ChangedKeys& changed);
   void UpdateServer(Micros now, const std::string& id, ChangedKeys& changed);
   void UpdateServers(Micros now, const Reporter& reporter, ChangedKeys& changed);
   void UpdateSidecar(const std::string& name, ChangedKeys& changed);
@@ -170,6 +116,7 @@
   Micros silent_after_, forget_after_;
   Micros last_tick_ = -1;
   Micros self_preservation_until_ = 0;
+  Tombstones tombstones_;
   std::map<std::string, Reporter> reporters_;
   std::map<std::string, std::set<std::string>> reporters_by_server_;  // server id -> sidecar names
   // By server id: when the cold time in the snapshot was current.
--- /dev/null
+++ b/tests/soak/departures_test.cpp
@@ -0,0 +1,105 @@
+// What a server has been told about its draining and its departure must outlive restarts of its sidecar and
+// of the cores: a heartbeat that comes late must not bring it back.
+#include <catch2/catch.hpp>
+#include <functional>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "nodes.hpp"
+
+namespace fennelhollow::rig {
+namespace {
+
+constexpr const char* kLeaving = "i-leaving";
+constexpr const char* kWitness = "i-witness";
+
+// Three cores and a sidecar; the heartbeats of the servers beside it are sent by the tests.
+struct Mesh : Nodes {
+  Mesh() {
+    for (int i = 0; i < kCores; ++i) REQUIRE(Add(NodeProcess::Role::kCore).Start());
+    REQUIRE(Add(NodeProcess::Role::kSidecar).Start());
+  }
+  NodeProcess& core(std::size_t i) { return *processes[i]; }
+  NodeProcess& sidecar() { return *processes.back(); }
+
+  // The status of the response to a heartbeat; `port` tells the addresses of servers apart.
+  unsigned SendHeartbeat(const std::string& id, int sequence, const char* state, int port) {
+    const nlohmann::json heartbeat = {
+        {"address", sidecar().control().ip + ":" + std::to_string(port)},
+        {"information", {{"service", kPlanService}, {"version", "v1"}, {"zone", "here"}, {"slots", 4}}},
+        {"statusReport", {{"state", state}, {"callSequence", sequence}, {"coldRemainingMs", 0}}}};
+    return Call(sidecar().control(),
+                MakeRequest(http::verb::post, "/-/Instances.Heartbeat/" + id, kHost, heartbeat.dump()));
+  }
+  unsigned SendDeparture(const std::string& id) {
+    return Call(sidecar().control(),
+                MakeRequest(http::verb::post, "/-/Instances.Departure/" + id, kHost, "{}"));
+  }
+  bool Acknowledged(const std::function<unsigned()>& call) {
+    return Until(kStartTimeout, [&] { return call() == 200; });
+  }
+
+  // The state of a server by the events of a core; empty if it has had none.
+  std::string StateAt(const NodeProcess& at, const std::string& id) {
+    std::string state;
+    for (const auto& event : EventsOf(at))
+      if (event.value("kind", "") == "server" && event.value("id", "") == id)
+        state = event.value("state", "");
+    return state;
+  }
+  bool IsEverywhere(const std::string& id, const char* state) {
+    return Until(kStartTimeout, [&] {
+      for (std::size_t i = 0; i < kCores; ++i)
+        if (StateAt(core(i), id) != state) return false;
+      return true;
+    });
+  }
+  nlohmann::json EventsOf(const NodeProcess& at) {
+    const std::string body = BodyOf(at.control(), "/-/Events.Read");
+    const auto events = nlohmann::json::parse(body, nullptr, false);
+    return events.is_object() ? events.value("events", nlohmann::json::array()) : nlohmann::json::array();
+  }
+
+  void ListServer() {
+    REQUIRE(Acknowledged([&] { return SendHeartbeat(kLeaving, 7, "ready", kLeavingPort); }));
+    REQUIRE(IsEverywhere(kLeaving, "ready"));
+  }
+  void RestartSidecar() {
+    sidecar().Kill();
+    REQUIRE(sidecar().Start());
+    REQUIRE(Until(kStartTimeout, [&] { return Serves(sidecar()); }));
+  }
+  // Afterwards the cores have what the sidecar had made of the late heartbeat: reports are in order.
+  void SendLateHeartbeat() {
+    REQUIRE(SendHeartbeat(kLeaving, 6, "ready", kLeavingPort) == 200);
+    REQUIRE(Acknowledged([&] { return SendHeartbeat(kWitness, 1, "ready", kWitnessPort); }));
+    REQUIRE(IsEverywhere(kWitness, "ready"));
+  }
+
+  static constexpr int kLeavingPort = 9001, kWitnessPort = 9002;
+};
+
+// Guards against review/6: requests reached a server long after its departure had been acknowledged.
+TEST_CASE("a late heartbeat does not bring back a server that departed before its sidecar was killed") {
+  Mesh mesh;
+  mesh.ListServer();
+  REQUIRE(mesh.Acknowledged([&] { return mesh.SendDeparture(kLeaving); }));
+  REQUIRE(mesh.IsEverywhere(kLeaving, "gone"));
+  mesh.RestartSidecar();
+  mesh.SendLateHeartbeat();
+  for (std::size_t i = 0; i < kCores; ++i) CHECK(mesh.StateAt(mesh.core(i), kLeaving) == "gone");
+}
+
+// Guards against the same for a server that had reported draining, and still serves.
+TEST_CASE("a late heartbeat does not make a draining server ready after its sidecar was killed") {
+  Mesh mesh;
+  mesh.ListServer();
+  REQUIRE(mesh.Acknowledged([&] { return mesh.SendHeartbeat(kLeaving, 8, "draining", Mesh::kLeavingPort); }));
+  REQUIRE(mesh.IsEverywhere(kLeaving, "draining"));
+  mesh.RestartSidecar();
+  mesh.SendLateHeartbeat();
+  for (std::size_t i = 0; i < kCores; ++i) CHECK(mesh.StateAt(mesh.core(i), kLeaving) != "ready");
+}
+
+}  // namespace
+}  // namespace fennelhollow::rig
