Draining and departures are acknowledged once a core has recorded them

Cause: a sidecar acknowledged at once. Cut off from the cores, or killed in that moment, it was the only one to know.

--- a/src/mesh/node/sidecar.cpp
+++ b/src/mesh/node/sidecar.cpp
@@ -24,6 +24,7 @@
 #include "mesh/metrics/process_metrics.hpp"
 #include "mesh/metrics/request_metrics.hpp"
 #include "mesh/node/control_listener.hpp"
+#include "mesh/node/pending_acknowledgements.hpp"
 #include "mesh/node/shutdown_schedule.hpp"
 #include "mesh/push/client.hpp"
 #include "mesh/quota/quota.hpp"
@@ -308,12 +309,12 @@
           heartbeats_.OnHeartbeat(now, heartbeat->id, heartbeat->json, self_, settings_.zone);
       if (!recorded.ok()) return reply(ErrorResponse(400, std::string(recorded.message())));
       OnInstancesChanged(now);
-      return reply({});
+      return AcknowledgeHeartbeat(now, heartbeat->id, reply);
     }
     if (const auto* departure = std::get_if<InstanceDeparture>(&command)) {
       heartbeats_.OnDeparture(now, departure->id, self_);
       OnInstancesChanged(now);
-      return reply({});
+      return acknowledgements_.Add(now, departure->id, registry::State::kGone, client_.snapshot(), reply);
     }
     if (std::holds_alternative<Status>(command)) return reply({200, StatusText(), {}});
     if (const auto* unknown = std::get_if<Unknown>(&command))
@@ -328,6 +329,12 @@
     reply(control::RedirectResponse(Ip(core) + ":" + std::to_string(port->second.port), path));
   }
 
+  void AcknowledgeHeartbeat(Micros now, const std::string& id, const ControlListener::Reply& reply) {
+    const registry::Server* server = heartbeats_.Find(id);
+    if (server == nullptr || server->state != registry::State::kDraining) return reply({});
+    acknowledgements_.Add(now, id, registry::State::kDraining, client_.snapshot(), reply);
+  }
+
   void OnInstancesChanged(Micros now) {
     if (heartbeats_.changes() != seen_heartbeat_changes_) {
       seen_heartbeat_changes_ = heartbeats_.changes();
@@ -386,6 +393,7 @@
     last_tick_at_ = now;
     heartbeats_.OnTick(now, settings_.heartbeat_interval_ms * kMillisecond);
     OnInstancesChanged(now);
+    acknowledgements_.OnTick(now);
     client_.OnTick(now);
     UpdateCoreLinks(now);
     OpenGossipSocket(now);
@@ -538,6 +546,7 @@
     const Micros now = loop_.Now();
     for (const registry::Server& server : snapshot.servers)
       if (server.sidecar_address == self_) heartbeats_.OnRemembered(now, server);
+    acknowledgements_.OnSnapshot(snapshot);
     limiter_.SetSidecarCount(now, count);
     // Ranked by name, the sidecars of a service would be adjacent and select overlapping subsets.
     outbound_proxy_.OnEndpoints(snapshot, egress::InterleavedRank(snapshot.sidecars, settings_.node_name),
@@ -556,6 +565,7 @@
   const std::uint64_t incarnation_;
   const std::string self_;
   registry::HeartbeatTracker heartbeats_;
+  PendingAcknowledgements acknowledgements_;
   std::uint64_t seen_heartbeat_changes_ = 0;
   quota::Limiter limiter_;
   push::Client client_;
--- a/tests/mesh/node_test.cpp
+++ b/tests/mesh/node_test.cpp
@@ -22,6 +22,7 @@
 #include "mesh/node/control_listener.hpp"
 #include "mesh/node/metrics_endpoint.hpp"
 #include "mesh/node/peer_links.hpp"
+#include "mesh/node/pending_acknowledgements.hpp"
 #include "mesh/node/worker.hpp"
 
 namespace fennelhollow::node {
@@ -31,6 +32,57 @@
 using merlinrun::net::ErrorCode;
 using merlinrun::net::Tcp;
 
+registry::Server ServerOf(const std::string& id, registry::State state, std::uint64_t sequence = 1) {
+  return {id, "s", "h:1", "z", "v1", 4, state, 0, sequence, "hop"};
+}
+
+// Guards against an acknowledgement that is lost with the sidecar, as nobody else knew of it.
+TEST_CASE("draining and departures are acknowledged once a core has recorded them") {
+  PendingAcknowledgements acknowledgements;
+  registry::Snapshot snapshot;
+  std::vector<unsigned> replies;
+  const auto add = [&](registry::State state) {
+    acknowledgements.Add(0, "a", state, snapshot,
+                         [&](const control::Response& response) { replies.push_back(response.status); });
+  };
+  const auto publish = [&](std::vector<registry::Server> servers) {
+    snapshot.servers = std::move(servers);
+    acknowledgements.OnSnapshot(snapshot);
+  };
+  snapshot.servers = {ServerOf("a", registry::State::kReady)};
+  SECTION("draining") {
+    add(registry::State::kDraining);
+    publish({ServerOf("a", registry::State::kReady)});
+    CHECK(replies.empty());
+    publish({ServerOf("a", registry::State::kDraining)});
+    add(registry::State::kDraining);
+    CHECK(replies == std::vector<unsigned>{200, 200});
+  }
+  SECTION("departed") {
+    add(registry::State::kGone);
+    publish({ServerOf("a", registry::State::kDraining)});
+    CHECK(replies.empty());
+    publish({ServerOf("a", registry::State::kGone, registry::kFinalSequence)});
+    CHECK(replies == std::vector<unsigned>{200});
+  }
+  SECTION("departed, with a core that removes it from the snapshot") {
+    add(registry::State::kGone);
+    publish({});
+    CHECK(replies == std::vector<unsigned>{200});
+    add(registry::State::kGone);  // it is not listed: nothing shows that the core knows
+    CHECK(replies.size() == 1);
+  }
+  SECTION("no core answers in time") {
+    add(registry::State::kGone);
+    acknowledgements.OnTick(kRecordTimeout - 1);
+    CHECK(replies.empty());
+    acknowledgements.OnTick(kRecordTimeout);
+    CHECK(replies == std::vector<unsigned>{503});
+    publish({});
+    CHECK(replies.size() == 1);
+  }
+}
+
 TEST_CASE("a worker runs jobs in order, completes them on the loop and bounds its queue") {
   asio::io_context io;
   std::vector<int> executed, done;
--- a/tests/soak/departures_test.cpp
+++ b/tests/soak/departures_test.cpp
@@ -101,5 +101,16 @@
   for (std::size_t i = 0; i < kCores; ++i) CHECK(mesh.StateAt(mesh.core(i), kLeaving) != "ready");
 }
 
+// Guards against an acknowledgement that one kill makes void: nobody but the sidecar knew of it.
+TEST_CASE("a sidecar without a core does not acknowledge a departure") {
+  Nodes nodes;
+  NodeProcess& sidecar = nodes.Add(NodeProcess::Role::kSidecar);
+  REQUIRE(sidecar.Start());
+  REQUIRE(nodes.Until(kStartTimeout, [&] { return nodes.Serves(sidecar); }));
+  const Request departure =
+      MakeRequest(http::verb::post, std::string("/-/Instances.Departure/") + kLeaving, kHost, "{}");
+  CHECK(nodes.Call(sidecar.control(), departure) == 503);
+}
+
 }  // namespace
 }  // namespace fennelhollow::rig
