A late heartbeat of an address's former instance does not end the present one for good

Callers would see: a live server that gets no requests any more until its sidecar starts again. Cause: the first heartbeat of an unknown id ended the instance that had the address; after a restart of the sidecar that may be a late one of the former instance, as nothing is known of either. Change: an instance that was replaced returns with a newer heartbeat once the other one is gone.

--- a/src/mesh/registry/heartbeat_tracker.cpp
+++ b/src/mesh/registry/heartbeat_tracker.cpp
@@ -118,14 +118,12 @@
   server.sidecar_address = sidecar_address;
   auto at = instances_.find(id);
   if (at != instances_.end()) {
-    if (at->second.ended || server.sequence <= at->second.server.sequence) return absl::OkStatus();
+    Instance& known = at->second;
+    if (server.sequence <= known.server.sequence || IsReplaced(known)) return absl::OkStatus();
+    if (!std::exchange(known.replaced_by, {}).empty()) TakeAddress(now, server);
   } else {
     EvictIfFull();
-    for (auto& [other, instance] : instances_) {  // an address belongs to one instance
-      if (instance.server.address != server.address) continue;
-      instance.ended = true;
-      MarkGone(now, instance);
-    }
+    TakeAddress(now, server);
     at = instances_.emplace(server.id, Instance{}).first;
     ++changes_;
     LOG(INFO) << "instance " << server.id << ": first heartbeat, sequence " << server.sequence;
@@ -140,6 +138,21 @@
   return absl::OkStatus();
 }
 
+bool HeartbeatTracker::IsReplaced(const Instance& instance) const {
+  if (instance.replaced_by.empty()) return false;
+  const Server* other = Find(instance.replaced_by);
+  return other != nullptr && other->state != State::kGone;
+}
+
+// An address belongs to one instance.
+void HeartbeatTracker::TakeAddress(Micros now, const Server& server) {
+  for (auto& [id, instance] : instances_) {
+    if (id == server.id || instance.server.address != server.address) continue;
+    instance.replaced_by = server.id;
+    MarkGone(now, instance);
+  }
+}
+
 HeartbeatTracker::Instance& HeartbeatTracker::FindOrAdd(std::string_view id) {
   if (const auto at = instances_.find(id); at != instances_.end()) return at->second;
   EvictIfFull();
@@ -151,7 +164,6 @@
 void HeartbeatTracker::MarkDeparted(Micros now, Instance& instance) {
   if (HasDeparted(instance.server)) return;
   LOG(INFO) << "instance " << instance.server.id << ": departed";
-  instance.ended = true;
   instance.server.sequence = kFinalSequence;
   instance.server.state = State::kGone;
   instance.gone_at = now;
--- a/src/mesh/registry/heartbeat_tracker.hpp
+++ b/src/mesh/registry/heartbeat_tracker.hpp
@@ -20,7 +20,9 @@
  public:
   // Handles a heartbeat in the format of PROTOCOL.md; kInvalidArgument with a one-line reason if malformed.
   // An outdated sequence number is ignored and returns OK. `sidecar_address`: internal address of this
-  // sidecar. At most kMaxInstances are kept; instances that are gone are evicted first.
+  // sidecar. At most kMaxInstances are kept; instances that are gone are evicted first. The first heartbeat
+  // from an address replaces the instance that had it, whose heartbeats count again once the other one is
+  // gone: that one may have been the former instance, with a late heartbeat.
   absl::Status OnHeartbeat(Micros now, std::string_view id, std::string_view json,
                            const std::string& sidecar_address, const std::string& zone);
   // Ends the instance for good: later heartbeats of this id are ignored, even if none has arrived yet.
@@ -42,9 +44,11 @@
     Server server;
     Micros heartbeat_at = 0;
     Micros gone_at = 0;
-    bool draining = false;  // reported draining once: never ready again
-    bool ended = false;     // departed, or its address was reused: no heartbeat revives it
+    bool draining = false;    // reported draining once: never ready again
+    std::string replaced_by;  // the instance that took its address; empty: none
   };
+  bool IsReplaced(const Instance& instance) const;
+  void TakeAddress(Micros now, const Server& server);
   Instance& FindOrAdd(std::string_view id);
   void MarkDeparted(Micros now, Instance& instance);
   void MarkGone(Micros now, Instance& instance);
--- a/tests/mesh/registry_test.cpp
+++ b/tests/mesh/registry_test.cpp
@@ -120,6 +120,36 @@
   CHECK(HasDeparted(tracker.Instances(2000).at(0)));
 }
 
+// Guards against a live server that was never listed again: after a restart of the sidecar a late heartbeat
+// of the former instance at its address had ended it.
+TEST_CASE("a late heartbeat of the former instance at an address does not end the present one for good") {
+  HeartbeatTracker tracker;
+  constexpr Micros kInterval = 1500 * kMs;
+  REQUIRE(tracker.OnHeartbeat(0, "present", Heartbeat("h:1", 1), "hop", "z").ok());
+  REQUIRE(tracker.OnHeartbeat(100 * kMs, "former", Heartbeat("h:1", 80), "hop", "z").ok());
+  int sequence = 1;
+  for (Micros now = 100 * kMs; now <= 5 * kInterval; now += 100 * kMs) {
+    if (now % kInterval == 0)
+      REQUIRE(tracker.OnHeartbeat(now, "present", Heartbeat("h:1", ++sequence), "hop", "z").ok());
+    tracker.OnTick(now, kInterval);
+  }
+  CHECK(StateOf(tracker, "present") == State::kReady);
+  CHECK(StateOf(tracker, "former") == State::kGone);
+  // It is replaced now: another late heartbeat changes nothing.
+  REQUIRE(tracker.OnHeartbeat(5 * kInterval, "former", Heartbeat("h:1", 81), "hop", "z").ok());
+  CHECK(StateOf(tracker, "present") == State::kReady);
+}
+
+TEST_CASE("the present instance returns as soon as a core remembers that the former one has departed") {
+  HeartbeatTracker tracker;
+  REQUIRE(tracker.OnHeartbeat(0, "present", Heartbeat("h:1", 1), "hop", "z").ok());
+  REQUIRE(tracker.OnHeartbeat(1, "former", Heartbeat("h:1", 80), "hop", "z").ok());
+  tracker.OnRemembered(2, {"former", "s", "h:1", "z", "v1", 18, State::kGone, 0, kFinalSequence, "hop"});
+  REQUIRE(tracker.OnHeartbeat(kS, "present", Heartbeat("h:1", 2), "hop", "z").ok());
+  CHECK(StateOf(tracker, "present") == State::kReady);
+  CHECK(StateOf(tracker, "former") == State::kGone);
+}
+
 TEST_CASE("what a core remembers of an instance holds against its late heartbeats") {
   HeartbeatTracker tracker;
   Server remembered{"a", "s", "h:1", "z", "v1", 18, State::kGone, 0, kFinalSequence, "hop"};
