Cores keep tombstones on their disks: a kill of all nodes brings no server back

Cause: with all cores killed beside the sidecar nobody remembered a departure, and a late heartbeat listed the server again.

--- a/src/mesh/control/control_replica.hpp
+++ b/src/mesh/control/control_replica.hpp
@@ -72,6 +72,10 @@
   void OnWritten(std::uint64_t token, bool ok);
   void OnSidecarReport(SidecarLink link, const push::SidecarReport& report);
   void OnSidecarDown(SidecarLink link);
+  // What this core remembered of draining and departed servers before its start.
+  void RestoreTombstones(const std::vector<registry::Server>& servers) {
+    publisher_.RestoreTombstones(host_.Now(), servers);
+  }
   void OnTick();
   // Handles an operator's call. Calls `reply` exactly once, within a second.
   void Submit(CallKind kind, std::string body, std::function<void(Response)> reply);
--- a/src/mesh/node/core.cpp
+++ b/src/mesh/node/core.cpp
@@ -21,6 +21,7 @@
 #include "mesh/node/control_listener.hpp"
 #include "mesh/node/event_waiters.hpp"
 #include "mesh/node/peer_links.hpp"
+#include "mesh/node/tombstone_writer.hpp"
 #include "mesh/node/worker.hpp"
 #include "mesh/push/messages.hpp"
 #include "mesh/storage/store.hpp"
@@ -63,10 +64,12 @@
   absl::Status status;
   bool data_loss = false;  // a store exists but is corrupt
   std::optional<consensus::PersistentState> state;
+  std::vector<registry::Server> tombstones;
 };
 
-OpenResult OpenStore(Disk& disk, const std::string& directory, std::size_t max_bytes) {
+OpenResult OpenStore(Disk& disk, const std::string& data_directory, std::size_t max_bytes) {
   OpenResult result;
+  const std::string directory = data_directory + kStoreDirectory;
   auto store = storage::Store::Open(directory, max_bytes);
   if (absl::IsDataLoss(store.status())) {  // the corrupt store was set aside; the next one is empty
     result.data_loss = true;
@@ -85,6 +88,7 @@
     result.status = read.status();
     return result;
   }
+  result.tombstones = ReadTombstones(data_directory);
   disk.store = *std::move(store);
   return result;
 }
@@ -178,6 +182,7 @@
   void OpenStoreAsync();
   void OnStoreOpened(OpenResult opened);
   void OnWritten(std::uint64_t token, const absl::Status& status);
+  void WriteTombstones();
   void OnTick();
   void CheckCommitted();
   void UpdateMetrics();
@@ -208,6 +213,7 @@
   std::unique_ptr<merlinrun::core::Timer> tick_timer_, store_retry_timer_;
   std::shared_ptr<Disk> disk_ = std::make_shared<Disk>();
   std::unique_ptr<Worker> disk_worker_, validation_worker_;
+  std::unique_ptr<TombstoneWriter> tombstone_writer_;  // once the store is open
   std::unique_ptr<transport::Listener> link_listener_;
   std::unique_ptr<ControlListener> control_listener_;
   PeerLinks peers_;
@@ -272,8 +278,9 @@
 void Core::Impl::OpenStoreAsync() {
   const auto opened = std::make_shared<OpenResult>();
   const bool queued = disk_worker_->Run(
-      [disk = disk_, opened, directory = settings_.data_directory + kStoreDirectory,
-       max_bytes = StoreBytes(settings_)] { *opened = OpenStore(*disk, directory, max_bytes); },
+      [disk = disk_, opened, directory = settings_.data_directory, max_bytes = StoreBytes(settings_)] {
+        *opened = OpenStore(*disk, directory, max_bytes);
+      },
       [this, opened](const absl::Status& ran) {
         if (!ran.ok()) opened->status = ran;
         OnStoreOpened(std::move(*opened));
@@ -300,6 +307,8 @@
   LOG(INFO) << "core " << self_ << " starts, incarnation " << incarnation_ << ", "
             << (replica.persisted ? absl::StrCat("entry ", replica.persisted->accepted.index, " persisted")
                                   : std::string(replica.bootstrap ? "bootstrapping" : "nothing persisted"));
+  replica_.RestoreTombstones(opened.tombstones);
+  tombstone_writer_ = std::make_unique<TombstoneWriter>(*disk_worker_, settings_.data_directory);
   replica_.Start(std::move(replica));
   if (stopping_) FinishStopIfDone();
 }
@@ -324,11 +333,16 @@
   replica_.OnWritten(token, status.ok());
 }
 
+void Core::Impl::WriteTombstones() {
+  if (tombstone_writer_) tombstone_writer_->Update(loop_.Now(), replica_.publisher().tombstones());
+}
+
 void Core::Impl::OnTick() {
   // Before the work, so that an exception does not end the ticks.
   const bool busy = replica_.NeedsFrequentTicks() || stopping_;
   tick_timer_->Start(busy ? kBusyTickInterval : kIdleTickInterval, [this] { OnTick(); });
   replica_.OnTick();
+  WriteTombstones();
   event_waiters_.OnTick(loop_.Now());
   CloseLinksWithoutHello();
   CheckCommitted();
@@ -415,6 +429,7 @@
     return CloseLink(from);
   }
   replica_.OnSidecarReport(from, *report);
+  WriteTombstones();
 }
 
 void Core::Impl::OnHello(std::uint64_t from, std::string_view frame) {
--- a/src/mesh/push/publisher.hpp
+++ b/src/mesh/push/publisher.hpp
@@ -75,6 +75,11 @@
   std::size_t Subscribers() const;
   std::uint64_t entry() const { return entry_; }
   const registry::Snapshot& snapshot() const { return registry_.snapshot(); }
+  // Draining and departed servers: what has to outlive this process, and is restored after its start.
+  const registry::Tombstones& tombstones() const { return registry_.tombstones(); }
+  void RestoreTombstones(Micros now, const std::vector<registry::Server>& servers) {
+    registry_.Restore(now, servers);
+  }
   bool RegistryWarmedUp(Micros now) const { return registry_.WarmedUp(now, started_, settings_.warm_up); }
 
  private:
--- a/src/mesh/registry/tombstones.cpp
+++ b/src/mesh/registry/tombstones.cpp
@@ -13,6 +13,7 @@
   tombstone.server.cold_remaining_ms = 0;
   tombstone.recorded_at = now;
   by_age_.emplace_back(now, server.id);
+  ++version_;
   return true;
 }
 
@@ -28,6 +29,7 @@
   const auto at = tombstones_.find(id);
   if (at == tombstones_.end() || at->second.recorded_at != recorded_at) return {};
   tombstones_.erase(at);
+  ++version_;
   return id;
 }
 
--- a/src/mesh/registry/tombstones.hpp
+++ b/src/mesh/registry/tombstones.hpp
@@ -5,6 +5,7 @@
 #define FENNELHOLLOW_MESH_REGISTRY_TOMBSTONES_HPP_
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <map>
@@ -30,7 +31,8 @@
   std::vector<std::string> Expire(Micros now);
   // All of them, in the order of their ids.
   std::vector<Server> All() const;
-  std::size_t size() const { return tombstones_.size(); }
+  // Increases with each change.
+  std::uint64_t version() const { return version_; }
 
  private:
   struct Tombstone {
@@ -41,6 +43,7 @@
   std::map<std::string, Tombstone, std::less<>> tombstones_;
   // In the order of recording. An id stands here again if its state changed; the older entry is void.
   std::deque<std::pair<Micros, std::string>> by_age_;
+  std::uint64_t version_ = 0;
 };
 
 // Far longer than a heartbeat may be late, which is seconds.
--- a/tests/mesh/storage_test.cpp
+++ b/tests/mesh/storage_test.cpp
@@ -9,6 +9,7 @@
 #include <iterator>
 
 #include "base/random.hpp"
+#include "mesh/storage/record_file.hpp"
 #include "mesh/storage/store.hpp"
 
 namespace {
@@ -276,4 +277,18 @@
   }
 }
 
+TEST_CASE("a record file: missing, replaced by a shorter record, damaged") {
+  const TestDirectory directory;
+  fs::create_directories(directory.path);
+  const std::string path = (directory.path / "names.record").string();
+  CHECK(absl::IsNotFound(ReadRecordFile(path, kMaxBytes).status()));
+  REQUIRE(ReplaceRecordFile(path, std::string(5000, 'x')).ok());
+  REQUIRE(ReplaceRecordFile(path, "short").ok());
+  CHECK(ReadRecordFile(path, kMaxBytes).value() == "short");
+  CHECK(directory.files() == 1);
+  std::ofstream(path, std::ios::binary | std::ios::in | std::ios::out).seekp(33).put('y');
+  CHECK(absl::IsDataLoss(ReadRecordFile(path, kMaxBytes).status()));
+  CHECK_FALSE(ReplaceRecordFile((directory.path / "none" / "names.record").string(), "x").ok());
+}
+
 }  // namespace
--- a/tests/soak/departures_test.cpp
+++ b/tests/soak/departures_test.cpp
@@ -1,7 +1,10 @@
 // What a server has been told about its draining and its departure must outlive restarts of its sidecar and
 // of the cores: a heartbeat that comes late must not bring it back.
 #include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
 #include <functional>
+#include <iterator>
 #include <nlohmann/json.hpp>
 #include <string>
 
@@ -60,12 +63,34 @@
     return events.is_object() ? events.value("events", nlohmann::json::array()) : nlohmann::json::array();
   }
 
+  // Whether each core's data directory names the server, so that a kill of the core does not lose it.
+  bool AllDisksHold(const std::string& id) {
+    return Until(kStartTimeout, [&] {
+      for (std::size_t i = 0; i < kCores; ++i)
+        if (!HoldsOnDisk(core(i), id)) return false;
+      return true;
+    });
+  }
+  bool HoldsOnDisk(const NodeProcess& node, const std::string& id) const {
+    std::error_code ignored;
+    for (const auto& file : std::filesystem::directory_iterator(folder / (node.name() + ".data"), ignored)) {
+      if (!file.is_regular_file()) continue;
+      std::ifstream in(file.path(), std::ios::binary);
+      const std::string content{std::istreambuf_iterator<char>(in), {}};
+      if (content.find(id) != std::string::npos) return true;
+    }
+    return false;
+  }
+
   void ListServer() {
     REQUIRE(Acknowledged([&] { return SendHeartbeat(kLeaving, 7, "ready", kLeavingPort); }));
     REQUIRE(IsEverywhere(kLeaving, "ready"));
   }
   void RestartSidecar() {
     sidecar().Kill();
+    StartSidecar();
+  }
+  void StartSidecar() {
     REQUIRE(sidecar().Start());
     REQUIRE(Until(kStartTimeout, [&] { return Serves(sidecar()); }));
   }
@@ -101,6 +126,19 @@
   for (std::size_t i = 0; i < kCores; ++i) CHECK(mesh.StateAt(mesh.core(i), kLeaving) != "ready");
 }
 
+// Guards against a departure that is forgotten if all cores are killed beside the sidecar: their disks stay.
+TEST_CASE("a late heartbeat does not bring back a server after all nodes were killed") {
+  Mesh mesh;
+  mesh.ListServer();
+  REQUIRE(mesh.Acknowledged([&] { return mesh.SendDeparture(kLeaving); }));
+  REQUIRE(mesh.AllDisksHold(kLeaving));
+  for (const auto& node : mesh.processes) node->Kill();
+  for (std::size_t i = 0; i < kCores; ++i) REQUIRE(mesh.core(i).Start());
+  mesh.StartSidecar();
+  mesh.SendLateHeartbeat();
+  for (std::size_t i = 0; i < kCores; ++i) CHECK(mesh.StateAt(mesh.core(i), kLeaving) != "ready");
+}
+
 // Guards against an acknowledgement that one kill makes void: nobody but the sidecar knew of it.
 TEST_CASE("a sidecar without a core does not acknowledge a departure") {
   Nodes nodes;
