--- a/rig/mesh/node_process.cpp
+++ b/rig/mesh/node_process.cpp
@@ -115,7 +115,8 @@
       << "  firstStart: " << (first_start_ ? "true" : "false") << "\n"
       << "  dataDirectory: " << (core ? "\"" + DataDirectory().string() + "\"" : "null") << "\n"
       << "  limits: {cpuShare: 1, processorCores: 1, memoryMb: " << options_.memory_mb
-      << ", fileDescriptors: 1024, diskMb: " << (core ? options_.core_disk_mb : 0) << "}\n";
+      << ", fileDescriptors: " << options_.file_descriptors
+      << ", diskMb: " << (core ? options_.core_disk_mb : 0) << "}\n";
   if (!core)
     out << "  applicationAddress: " << at(ports.application()) << "\n"
         << "  service: " << options_.service << "\n";
@@ -194,6 +195,13 @@
   ::_exit(127);
 }
 
+std::size_t NodeProcess::OpenDescriptors() const {
+  std::error_code error;
+  const std::filesystem::directory_iterator all("/proc/" + std::to_string(current_.pid) + "/fd", error);
+  if (error || !runs()) return 0;
+  return static_cast<std::size_t>(std::distance(begin(all), end(all)));
+}
+
 void NodeProcess::Signal(int signal) const {
   if (current_.pid > 0) ::kill(current_.pid, signal);
 }
--- a/rig/mesh/node_process.hpp
+++ b/rig/mesh/node_process.hpp
@@ -52,6 +52,7 @@
     std::vector<std::string> arguments;
     // What the settings file says of the machine.
     int memory_mb = 260;
+    int file_descriptors = 1024;
     int core_disk_mb = 64;
     // What the kernel enforces.
     ProcessLimits limits;
@@ -84,6 +85,7 @@
   void SetDiskFull(bool full) const;
   // 0 if it does not run.
   std::uint64_t ResidentBytes() const;
+  std::size_t OpenDescriptors() const;
   void Signal(int signal) const;
   // Writes a settings file with the seeds in another order, drawn with `seed`, and sends SIGHUP.
   void Reload(std::uint64_t seed);
--- a/rig/mesh/server.cpp
+++ b/rig/mesh/server.cpp
@@ -125,7 +125,7 @@
   slot_available_.cancel_one();
   response.set("Server-Seal", Seal(id));
   response.set("Ran-By", options_.service);
-  response.body() = Body(id);
+  response.body() = Body(id) + std::string(options_.padding_bytes, '.');
   co_return response;
 }
 
--- a/rig/mesh/server.hpp
+++ b/rig/mesh/server.hpp
@@ -28,6 +28,7 @@
     milliseconds heartbeat_interval{500}, drain_time{1000};
     milliseconds min_service_time{5}, max_service_time{20};
     milliseconds min_slow_time{1000}, max_slow_time{4000};  // of slow requests; see SetSlowShare
+    std::size_t padding_bytes = 0;                          // of each response's body, in addition
   };
   struct Counters {
     std::uint64_t executed = 0, not_executed = 0, wrong_instance = 0, heartbeats_failed = 0;
--- a/tests/soak/nodes.hpp
+++ b/tests/soak/nodes.hpp
@@ -48,8 +48,9 @@
   Nodes(const Nodes&) = delete;
   Nodes& operator=(const Nodes&) = delete;
 
-  // The first addresses are those of the cores, the last one that of a sidecar.
-  NodeProcess& Add(NodeProcess::Role role, const ProcessLimits& limits = {}) {
+  // The first addresses are those of the cores, the last one that of a sidecar. `seeds`: all cores if empty.
+  NodeProcess::Options OptionsFor(NodeProcess::Role role, const ProcessLimits& limits,
+                                  const std::vector<std::string>& seeds) const {
     const bool core = role == NodeProcess::Role::kCore;
     NodeProcess::Options options;
     options.program = Program();
@@ -59,11 +60,16 @@
     options.ip = core ? ips[processes.size()] : ips.back();
     options.service = core ? "" : kPlanService;
     options.ports = ports;
-    options.seeds = {ips.begin(), ips.begin() + kCores};
+    options.seeds = seeds;
+    if (seeds.empty()) options.seeds = {ips.begin(), ips.begin() + kCores};
     options.memory_mb = kCoreMemoryMb;
     options.core_disk_mb = kCoreDiskMb;
     options.limits = limits;
-    processes.push_back(std::make_unique<NodeProcess>(options));
+    return options;
+  }
+  NodeProcess& Add(NodeProcess::Role role, const ProcessLimits& limits = {},
+                   const std::vector<std::string>& seeds = {}) {
+    processes.push_back(std::make_unique<NodeProcess>(OptionsFor(role, limits, seeds)));
     return *processes.back();
   }
 
