A chunk's head and a trailer are bounded like the header

What happened: clients that sent trailers, or a chunk extension, without end filled the memory of their sidecar. Cause: the parser takes a chunk's head and the trailer only as a whole; only the header and the body had a limit, so the bytes in front of it grew. Change: what the parser has not taken is bounded by maximumHeaderBytes all the time; beyond it 431, which ends the connection.

--- a/src/mesh/egress/http_server.cpp
+++ b/src/mesh/egress/http_server.cpp
@@ -216,10 +216,13 @@
       }
       if (error == http::error::need_more && consumed == 0) break;
     }
-    // The parser enforces its header limit on complete lines only; without this check a client could send
-    // header bytes without end and fill the memory.
-    if (!parser_->is_header_done() && read_buffer_.size() > owner_.limits_.max_header_bytes)
-      return Reject(431, "the header is too large");
+    // The parser takes the header, a chunk's head and the trailer only as a whole; without this check a
+    // client could send bytes without end that belong to one of them, and fill the memory.
+    if (!parser_->is_done() && read_buffer_.size() > owner_.limits_.max_header_bytes) {
+      const bool header_done = parser_->is_header_done();
+      return Reject(431,
+                    header_done ? "a chunk's head or the trailer is too large" : "the header is too large");
+    }
     if (parser_->is_done()) HandleRequest();
   }
 
--- a/tests/mesh/egress_http_server_test.cpp
+++ b/tests/mesh/egress_http_server_test.cpp
@@ -205,6 +205,12 @@
   CHECK(fixture.SendAndReceive(post + "Content-Length: 1001\r\n\r\n").find("HTTP/1.1 413 ") == 0);
   CHECK(fixture.SendAndReceive(post + "Transfer-Encoding: chunked\r\n\r\n3e9\r\n" + std::string(1001, 'x'))
             .find("HTTP/1.1 413 ") == 0);
+  // Neither ends, so that the parser takes nothing of them.
+  const std::string chunked = post + "Transfer-Encoding: chunked\r\n\r\n1";
+  CHECK(fixture.SendAndReceive(chunked + ";name=" + std::string(2000, 'x')).find("HTTP/1.1 431 ") == 0);
+  CHECK(
+      fixture.SendAndReceive(chunked + "\r\nx\r\n0\r\nA: " + std::string(2000, 'x')).find("HTTP/1.1 431 ") ==
+      0);
   std::string many;
   for (int i = 0; i < 150; ++i) many += "A: \r\n";
   CHECK(fixture.SendAndReceive(Get("/x", many)).find("HTTP/1.1 431 ") == 0);
