Pipelined input is handled before more of it is read

What happened: clients that sent requests without end and read no responses filled the memory of their sidecar. Cause: after each response the connection read up to 64 KiB more, although requests were left in its buffer. Evidence: 118 MB resident with six connections, on 64 MB. Change: while a turn of the loop is due for what is left, nothing is read. Unit tests of the server and the proxy pass.

--- a/src/mesh/egress/http_server.cpp
+++ b/src/mesh/egress/http_server.cpp
@@ -155,7 +155,7 @@
   }
 
   void WaitReadable() {
-    if (wait_pending_ || state_ == State::kClosed) return;
+    if (wait_pending_ || state_ == State::kClosed || parse_posted_) return;
     // While a response is pending, reading serves only to detect that the client disconnects. Once pipelined
     // input has been read, the rest stays in the socket buffer.
     if (state_ != State::kReading && state_ != State::kLingering && !read_buffer_.empty()) return;
@@ -371,14 +371,20 @@
       return WaitReadable();
     }
     state_ = State::kReading;
-    if (request_started_) {
-      SetBusy(true);
-      // Posted, because handling many pipelined requests recursively could overflow the stack.
-      asio::post(socket_.get_executor(), [self = shared_from_this()] {
-        if (self->state_ == State::kReading) self->Parse();
-      });
-    }
-    WaitReadable();
+    if (!request_started_) return WaitReadable();
+    SetBusy(true);
+    ParseLater();
+  }
+
+  // Posted, because handling many pipelined requests recursively could overflow the stack. Nothing more is
+  // read before, so that a client that goes on sending requests does not fill the buffer.
+  void ParseLater() {
+    parse_posted_ = true;
+    asio::post(socket_.get_executor(), [self = shared_from_this()] {
+      self->parse_posted_ = false;
+      if (self->state_ == State::kReading) self->Parse();
+      self->WaitReadable();
+    });
   }
 
   HttpServer& owner_;
@@ -392,6 +398,7 @@
   bool request_started_ = false, head_parsed_ = false, keep_alive_ = true, chunked_ = false,
        head_request_ = false;
   bool wait_pending_ = false, writing_ = false, counted_busy_ = false;
+  bool parse_posted_ = false;  // what is left in read_buffer_ is parsed in a later turn
 };
 
 HttpServer::HttpServer(asio::io_context& io, const settings::Address& address, Limits limits, Handler handler)
