--- a/src/mesh/egress/http_server.cpp
+++ b/src/mesh/egress/http_server.cpp
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <exception>
 #include <optional>
+#include <utility>
 
 #include "mesh/transport/hop_by_hop.hpp"
 #include "mesh/transport/read_buffer.hpp"
@@ -31,6 +32,17 @@
 // response.
 constexpr auto kLingerTimeout = std::chrono::milliseconds(500);
 constexpr std::size_t kMaxHeaderFields = 100;
+// A client that reads its response more slowly, after the grace period, is taken for gone. The operators'
+// pages name no rate; their clients have given up by their deadline.
+constexpr double kMinResponseBytesPerS = 4 * 1024;
+constexpr auto kResponseGrace = std::chrono::milliseconds(15'000);
+// Connections without progress for so long may be closed if there is no memory, or no place, for others.
+constexpr auto kMemoryStall = std::chrono::milliseconds(250);
+constexpr auto kConnectionStall = std::chrono::milliseconds(1'000);
+// Of a streamed response, on its way through the links and their buffers.
+constexpr std::size_t kStreamOverhead = std::size_t{512} * 1024;
+// Written bytes are dropped from a buffer once there are so many of them.
+constexpr std::size_t kCompactAfter = transport::kReadBufferBytes;
 
 using merlinrun::net::ToStringView;
 
@@ -49,14 +61,34 @@
 class HttpServer::Session : public std::enable_shared_from_this<Session> {
  public:
   Session(HttpServer& owner, Tcp::socket socket)
-      : owner_(owner), socket_(std::move(socket)), phase_start_(Clock::now()) {}
+      : owner_(owner), socket_(std::move(socket)), phase_start_(Clock::now()), last_progress_(phase_start_) {}
 
   std::list<SessionPtr>::iterator position;
   std::uint64_t tag = 0;
   std::function<void()> drained;
+  memory::BufferCharge charge;
 
   void Start() { WaitReadable(); }
 
+  // Resets the connection in favor of others.
+  void Evict() {
+    ++owner_.counters_.evicted;
+    ResetByPeer();
+  }
+
+  // Whether it waits for its client: for the rest of a request, or for the client to read a response.
+  bool AwaitsClient() const {
+    if (state_ == State::kReading) return !idle();
+    return state_ == State::kLingering || queued_bytes() > 0;
+  }
+  Clock::time_point last_progress() const { return last_progress_; }
+
+  void HoldResponse(std::size_t bytes) {
+    if (state_ != State::kBusy) return;
+    held_response_bytes_ = bytes;
+    UpdateChargeOrReset();
+  }
+
   // A request may have arrived on an idle connection.
   bool HasUnreadInput() const {
     ErrorCode ignored;
@@ -66,6 +98,10 @@
 
   void CheckTimeouts(Clock::time_point now) {
     if (state_ == State::kLingering && now - phase_start_ > kLingerTimeout) return Close();
+    if (blocked_ && ReadsTooSlowly(now)) {
+      ++owner_.counters_.too_slow;
+      return ResetByPeer();
+    }
     if (state_ != State::kReading) return;
     if (idle()) {
       if (now - phase_start_ > std::chrono::milliseconds(owner_.limits_.idle_timeout_ms) && !HasUnreadInput())
@@ -92,6 +128,7 @@
 
   void Begin(unsigned status, const Headers& headers, std::int64_t body_length) {
     if (state_ != State::kBusy) return;
+    streaming_ = true;
     if (body_length < 0 && version_ < 11) keep_alive_ = false;
     chunked_ = body_length < 0 && version_ >= 11;
     WriteHead(status, headers, body_length);
@@ -133,9 +170,14 @@
     if (state_ == State::kClosed) return;
     const auto self = shared_from_this();
     SetBusy(false);
-    ReleaseBuffer();
     state_ = State::kClosed;
     drained = nullptr;
+    // A request in progress keeps the session, but not its buffers.
+    parser_.reset();
+    std::string().swap(read_buffer_);
+    std::string().swap(write_buffer_);
+    written_bytes_ = 0;
+    charge.Release();
     ErrorCode ignored;
     socket_.close(ignored);
     owner_.sessions_.erase(position);
@@ -149,9 +191,35 @@
     counted_busy_ = busy;
     busy ? ++owner_.busy_ : --owner_.busy_;
   }
-  void ReleaseBuffer() {
-    owner_.buffered_bytes_ -= session_buffered_bytes_;
-    session_buffered_bytes_ = 0;
+
+  // What the buffers of this connection take, and the copies that the proxy keeps of its request.
+  std::size_t BufferedBytes() const {
+    std::size_t bytes =
+        read_buffer_.capacity() + request_bytes_ + std::max(write_buffer_.capacity(), held_response_bytes_);
+    if (parser_ && parser_->is_header_done()) bytes += parser_->get().body().size();
+    return streaming_ ? bytes + kStreamOverhead : bytes;
+  }
+  bool UpdateCharge() { return owner_.Charge(*this, BufferedBytes()); }
+  // False if the connection was reset for lack of memory.
+  bool UpdateChargeOrReset() {
+    if (UpdateCharge()) return true;
+    Evict();
+    return false;
+  }
+
+  // As if the client had closed the connection.
+  void ResetByPeer() {
+    ErrorCode ignored;
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    OnPeerClosed();
+  }
+
+  // By the time and the bytes since the response began to wait for the client.
+  bool ReadsTooSlowly(Clock::time_point now) const {
+    const double written = static_cast<double>(written_while_blocked_);
+    const auto allowed =
+        std::chrono::milliseconds(static_cast<std::int64_t>(1000 * written / kMinResponseBytesPerS));
+    return now - blocked_since_ > kResponseGrace + allowed;
   }
 
   void WaitReadable() {
@@ -174,11 +242,17 @@
     if (error == asio::error::would_block || error == asio::error::try_again) return WaitReadable();
     if (error || byte_count == 0) return OnPeerClosed();
     if (state_ == State::kLingering) return WaitReadable();
+    last_progress_ = Clock::now();
     if (read_buffer_.empty() && state_ == State::kReading && !request_started_)
       phase_start_ = Clock::now(), request_started_ = true, SetBusy(true);
     read_buffer_.append(transport::ReadBuffer().data(), byte_count);
     if (state_ == State::kReading) Parse();
-    WaitReadable();
+    ShrinkReadBuffer();
+    if (state_ != State::kClosed && UpdateChargeOrReset()) WaitReadable();
+  }
+
+  void ShrinkReadBuffer() {
+    if (read_buffer_.empty() && read_buffer_.capacity() > kCompactAfter / 4) std::string().swap(read_buffer_);
   }
 
   void OnPeerClosed() {
@@ -206,13 +280,9 @@
         return Reject(400, "malformed request");
       }
       if (!head_parsed_ && parser_->is_header_done() && !ValidateHead()) return;
-      const std::size_t body_bytes = parser_->is_header_done() ? parser_->get().body().size() : 0;
-      if (body_bytes > session_buffered_bytes_) {
-        if (owner_.buffered_bytes_ + (body_bytes - session_buffered_bytes_) >
-            owner_.limits_.max_buffered_bytes)
-          return Reject(503, "no memory for the body");
-        owner_.buffered_bytes_ += body_bytes - session_buffered_bytes_;
-        session_buffered_bytes_ = body_bytes;
+      if (parser_->is_header_done() && !parser_->get().body().empty() && !UpdateCharge()) {
+        ++owner_.counters_.refused_bodies;
+        return Reject(503, "no memory for the body");
       }
       if (error == http::error::need_more && consumed == 0) break;
     }
@@ -278,6 +348,7 @@
         request.headers.emplace_back(std::string(name), std::string(ToStringView(field.value())));
     }
     request.body = std::move(head.body());
+    request_bytes_ = request.body.size();
     keep_alive_ = parser_->keep_alive();
     head_request_ = request.method == "HEAD";
     chunked_ = false;
@@ -293,10 +364,14 @@
     state_ = State::kBusy;
     keep_alive_ = false;
     head_request_ = false;
+    parser_.reset();
+    std::string().swap(read_buffer_);
     Respond(status, {{"Content-Type", "application/json"}}, "{\"error\":\"" + std::string(reason) + "\"}");
   }
 
   void WriteHead(unsigned status, const Headers& headers, std::int64_t body_length) {
+    last_progress_ = Clock::now();
+    held_response_bytes_ = 0;
     if (owner_.draining_) keep_alive_ = false;
     write_buffer_ += "HTTP/1.1 ";
     write_buffer_ += std::to_string(status);
@@ -341,24 +416,42 @@
           if (failed) return self->OnPeerClosed();
           self->Flush();
         });
+        if (!std::exchange(blocked_, true)) {
+          blocked_since_ = Clock::now();
+          written_while_blocked_ = 0;
+        }
+        DropWritten();
+        UpdateChargeOrReset();
         return;
       }
       if (error) return OnPeerClosed();
       written_bytes_ += byte_count;
+      written_while_blocked_ += byte_count;
+      last_progress_ = Clock::now();
     }
+    blocked_ = false;
     write_buffer_.clear();
     written_bytes_ = 0;
     if (write_buffer_.capacity() > transport::kReadBufferBytes) std::string().swap(write_buffer_);
     if (state_ == State::kWriting) return ReadNextRequest();
+    UpdateCharge();
     if (drained) {
       const auto call = drained;
       call();
     }
   }
 
+  void DropWritten() {
+    if (written_bytes_ < kCompactAfter) return;
+    write_buffer_.erase(0, std::exchange(written_bytes_, 0));
+    if (write_buffer_.capacity() > 2 * (write_buffer_.size() + kCompactAfter)) write_buffer_.shrink_to_fit();
+  }
+
   void ReadNextRequest() {
     drained = nullptr;
-    ReleaseBuffer();
+    request_bytes_ = 0;
+    streaming_ = false;
+    UpdateCharge();
     SetBusy(false);
     request_started_ = !read_buffer_.empty();
     phase_start_ = Clock::now();
@@ -391,23 +484,30 @@
   Tcp::socket socket_;
   State state_ = State::kReading;
   std::string read_buffer_, write_buffer_;
-  std::size_t written_bytes_ = 0, session_buffered_bytes_ = 0;
+  std::size_t written_bytes_ = 0;  // of write_buffer_
+  std::size_t request_bytes_ = 0;  // of the body of the request in progress, which the proxy holds
+  std::size_t held_response_bytes_ = 0;
+  std::size_t written_while_blocked_ = 0;
   std::optional<http::request_parser<merlinrun::net::IncrementalBody>> parser_;
-  Clock::time_point phase_start_;
+  Clock::time_point phase_start_, last_progress_, blocked_since_;
   unsigned version_ = 11;
   bool request_started_ = false, head_parsed_ = false, keep_alive_ = true, chunked_ = false,
        head_request_ = false;
   bool wait_pending_ = false, writing_ = false, counted_busy_ = false;
+  bool streaming_ = false;
+  bool blocked_ = false;       // response bytes wait for the client
   bool parse_posted_ = false;  // what is left in read_buffer_ is parsed in a later turn
 };
 
-HttpServer::HttpServer(asio::io_context& io, const settings::Address& address, Limits limits, Handler handler)
+HttpServer::HttpServer(asio::io_context& io, const settings::Address& address, Limits limits,
+                       memory::BufferAccount& account, Handler handler)
     : io_(io),
       limits_(limits),
       handler_(std::move(handler)),
       acceptor_(merlinrun::net::Listen(io, Tcp::endpoint(asio::ip::make_address(address.ip), address.port))),
       accept_retry_timer_(io),
-      sweep_timer_(io) {
+      sweep_timer_(io),
+      account_(account) {
   acceptor_.non_blocking(true);
   Accept();
   ScheduleSweep();
@@ -452,28 +552,59 @@
   socket.set_option(Tcp::no_delay(true), error);
   socket.non_blocking(true, error);
   if (error) return;
-  if (sessions_.size() >= limits_.max_connections) {  // make room by closing the oldest idle connection
-    const auto it = std::find_if(sessions_.begin(), sessions_.end(),
-                                 [](const SessionPtr& s) { return s->idle() && !s->HasUnreadInput(); });
-    if (it == sessions_.end()) return;  // closes the new socket, from which nothing has been read
-    const SessionPtr evicted = *it;
-    evicted->Close();
-  }
+  // Otherwise the new socket, from which nothing has been read, is closed.
+  if (sessions_.size() >= limits_.max_connections && !MakeRoomForConnection()) return;
   const auto session = std::make_shared<Session>(*this, std::move(socket));
   session->position = sessions_.insert(sessions_.end(), session);
   session->Start();
 }
 
+// Closes the oldest idle connection or, if there is none, the most stalled one.
+bool HttpServer::MakeRoomForConnection() {
+  const auto it = std::find_if(sessions_.begin(), sessions_.end(),
+                               [](const SessionPtr& s) { return s->idle() && !s->HasUnreadInput(); });
+  if (it != sessions_.end()) {
+    const SessionPtr idle = *it;
+    idle->Close();
+    return true;
+  }
+  const SessionPtr stalled = FindMostStalled(kConnectionStall, std::nullopt, nullptr);
+  if (stalled == nullptr) return false;
+  stalled->Evict();
+  return true;
+}
+
+bool HttpServer::Charge(Session& session, std::size_t bytes) {
+  while (!session.charge.Set(account_, bytes)) {
+    const SessionPtr stalled = FindMostStalled(kMemoryStall, memory::BufferAccount::PoolFor(bytes), &session);
+    if (stalled == nullptr) return false;
+    stalled->Evict();
+  }
+  return true;
+}
+
+HttpServer::SessionPtr HttpServer::FindMostStalled(Clock::duration min_stall,
+                                                   std::optional<memory::BufferAccount::Pool> pool,
+                                                   const Session* except) const {
+  SessionPtr most_stalled;
+  const auto latest = Clock::now() - min_stall;
+  for (const SessionPtr& session : sessions_) {
+    if (session.get() == except || !session->AwaitsClient() || session->last_progress() > latest) continue;
+    if (pool && (session->charge.bytes() == 0 || session->charge.pool() != *pool)) continue;
+    if (most_stalled == nullptr || session->last_progress() < most_stalled->last_progress())
+      most_stalled = session;
+  }
+  return most_stalled;
+}
+
 void HttpServer::ScheduleSweep() {
   sweep_timer_.expires_after(kSweepInterval);
   sweep_timer_.async_wait([this](ErrorCode stopped) {
     if (stopped) return;
     ScheduleSweep();  // before the sweep, which may throw
     const auto now = Clock::now();
-    for (auto it = sessions_.begin(); it != sessions_.end();) {
-      const SessionPtr session = *it++;
-      session->CheckTimeouts(now);
-    }
+    const std::vector<SessionPtr> all(sessions_.begin(), sessions_.end());  // some may be closed meanwhile
+    for (const SessionPtr& session : all) session->CheckTimeouts(now);
   });
 }
 
@@ -506,6 +637,7 @@
 void HttpServer::Write(const SessionPtr& s, std::string_view bytes) { s->Write(bytes); }
 void HttpServer::Finish(const SessionPtr& s) { s->Finish(); }
 void HttpServer::Abort(const SessionPtr& s) { s->Abort(); }
+void HttpServer::HoldResponse(const SessionPtr& s, std::size_t bytes) { s->HoldResponse(bytes); }
 std::size_t HttpServer::QueuedBytes(const SessionPtr& s) { return s->queued_bytes(); }
 void HttpServer::OnDrained(const SessionPtr& s, std::function<void()> drained) {
   s->drained = std::move(drained);
--- a/src/mesh/egress/http_server.hpp
+++ b/src/mesh/egress/http_server.hpp
@@ -4,15 +4,18 @@
 #define FENNELHOLLOW_MESH_EGRESS_HTTP_SERVER_HPP_
 
 #include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
 
+#include "mesh/memory/buffer_account.hpp"
 #include "mesh/settings/settings.hpp"
 #include "net/protocol.hpp"
 
@@ -37,12 +40,16 @@
   struct Limits {
     std::size_t max_header_bytes = 16384;
     std::size_t max_body_bytes = 67108864;
-    std::size_t max_buffered_bytes =
-        std::size_t{96} * 1024 * 1024;  // of request bodies, over all connections
     std::int64_t header_timeout_ms = 3000;
     std::int64_t idle_timeout_ms = 15000;
     std::size_t max_connections = 3000;
   };
+  struct Counters {
+    // Connections that were reset because they held memory or a place without making progress.
+    std::uint64_t evicted = 0;
+    std::uint64_t refused_bodies = 0;  // 503, for lack of memory
+    std::uint64_t too_slow = 0;        // connections whose client did not read its response
+  };
   struct Handler {
     // Called with a complete request. The handler must send exactly one response: Respond, or Begin followed
     // by Finish or Abort.
@@ -51,8 +58,10 @@
     std::function<void(const SessionPtr&)> on_disconnect;
   };
 
-  // Throws boost::system::system_error if the address can't be listened on.
-  HttpServer(asio::io_context& io, const settings::Address& address, Limits limits, Handler handler);
+  // Throws boost::system::system_error if the address can't be listened on. `account`, which must outlive it,
+  // is charged with what the connections buffer, in both directions.
+  HttpServer(asio::io_context& io, const settings::Address& address, Limits limits,
+             memory::BufferAccount& account, Handler handler);
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
@@ -66,6 +75,9 @@
   static void Finish(const SessionPtr& session);
   // Resets the connection, so that the client detects the truncated response.
   static void Abort(const SessionPtr& session);
+  // Charges the session with `bytes` of a response that is buffered before it begins. If there is no memory
+  // for it, the connection is reset and on_disconnect called, as if the client had left.
+  static void HoldResponse(const SessionPtr& session, std::size_t bytes);
   // Response bytes that have not been written to the socket yet.
   static std::size_t QueuedBytes(const SessionPtr& session);
   // `drained` is called whenever all queued bytes have been written, but not any more after Finish or Abort.
@@ -73,6 +85,7 @@
   // A value for the owner's use.
   static std::uint64_t& Tag(const SessionPtr& session);
 
+  const Limits& limits() const { return limits_; }
   void SetLimits(const Limits& limits) { limits_ = limits; }
   // Sends Connection: close with every response from now on. Idle connections stay open, because the client
   // may just be sending a request.
@@ -84,10 +97,20 @@
   void HandleArrived();
   std::size_t sessions() const { return sessions_.size(); }
   std::size_t busy() const { return busy_; }  // connections with an unfinished request or response
+  const Counters& counters() const { return counters_; }
 
  private:
+  using Clock = std::chrono::steady_clock;
+
   void Accept();
   void AddSession(Tcp::socket socket);
+  bool MakeRoomForConnection();
+  // Evicts stalled connections until `session` can be charged with `bytes`. False if there is no room.
+  bool Charge(Session& session, std::size_t bytes);
+  // The connection that has waited longest for its client, at least for `min_stall`; charged to `pool`, if
+  // given.
+  SessionPtr FindMostStalled(Clock::duration min_stall, std::optional<memory::BufferAccount::Pool> pool,
+                             const Session* except) const;
   void ScheduleSweep();
 
   asio::io_context& io_;
@@ -96,7 +119,8 @@
   Tcp::acceptor acceptor_;
   asio::steady_timer accept_retry_timer_, sweep_timer_;
   bool draining_ = false;
-  std::size_t buffered_bytes_ = 0;  // of request bodies
+  memory::BufferAccount& account_;
+  Counters counters_;
   std::size_t busy_ = 0;
   std::list<SessionPtr> sessions_;
 };
--- a/src/mesh/egress/inbound_proxy_client.cpp
+++ b/src/mesh/egress/inbound_proxy_client.cpp
@@ -14,6 +14,8 @@
 constexpr Micros kIdleTimeout = 15'000'000;
 constexpr std::size_t kMaxIdlePerProxy = 48;
 constexpr std::size_t kChunkBytes = std::size_t{256} * 1024;
+// No further chunk of a body is queued while more than this waits in the link.
+constexpr std::size_t kMaxQueuedBytes = kChunkBytes;
 
 }  // namespace
 
@@ -29,6 +31,8 @@
 struct InboundProxyClient::Pending {
   std::string proxy_address;
   ingress::Attempt attempt;
+  std::shared_ptr<const std::string> body;  // null once it has been sent
+  std::size_t body_bytes_sent = 0;
   Events events;
   ConnectionPtr connection;
   std::uint64_t proxy_incarnation = 0;  // of the process that the attempt was sent to
@@ -58,6 +62,9 @@
   events.on_frame = [this, weak = std::weak_ptr<Connection>(connection)](std::string_view frame) {
     if (const auto locked = weak.lock()) OnFrame(locked, frame);
   };
+  events.on_drained = [this, weak = std::weak_ptr<Connection>(connection)] {
+    if (const auto locked = weak.lock()) SendBody(locked);
+  };
   // Keeps the connection alive, so that its end is always reported.
   events.on_closed = [this, connection] { OnClosed(connection); };
   connection->link->Start(std::move(events));
@@ -69,12 +76,14 @@
 }
 
 InboundProxyClient::Handle InboundProxyClient::Send(const std::string& proxy_address,
-                                                    ingress::Attempt attempt, Events events) {
+                                                    ingress::Attempt attempt,
+                                                    std::shared_ptr<const std::string> body, Events events) {
   const Handle handle = ++last_handle_;
   auto pending = std::make_unique<Pending>();
   pending->proxy_address = proxy_address;
   pending->attempt = std::move(attempt);
   pending->attempt.attempt_key = {settings_.incarnation, handle};
+  pending->body = std::move(body);
   pending->events = std::move(events);
   ConnectionPtr connection;
   if (const auto it = idle_.find(proxy_address); it != idle_.end()) {
@@ -100,23 +109,36 @@
   Pending& pending = *it->second;
   pending.sent = true;
   pending.proxy_incarnation = connection->proxy_incarnation;
-  if (pending.attempt.body.size() <= kChunkBytes) {
+  if (pending.body->size() <= kChunkBytes) {
+    pending.attempt.body = *pending.body;
+    pending.body = nullptr;
     connection->link->Send(Encode(FrameType::kAttempt, pending.attempt));
   } else {
-    const std::string body = std::move(pending.attempt.body);
-    pending.attempt.body.clear();
     pending.attempt.body_follows = true;
     connection->link->Send(Encode(FrameType::kAttempt, pending.attempt));
-    for (std::size_t offset = 0; offset < body.size(); offset += kChunkBytes)
-      connection->link->Send(
-          Encode(FrameType::kBodyChunk,
-                 ingress::BodyChunk{body.substr(offset, kChunkBytes), offset + kChunkBytes >= body.size()}));
+    SendBody(connection);
   }
   // Only the key is needed from here on; retries are up to the caller.
-  pending.attempt.body.clear();
+  std::string().swap(pending.attempt.body);
   pending.attempt.headers.clear();
 }
 
+// The next chunks of the body, as far as the link takes them; it goes on when the link has drained.
+void InboundProxyClient::SendBody(const ConnectionPtr& connection) {
+  const auto it = pending_.find(connection->handle);
+  if (it == pending_.end()) return;
+  Pending& pending = *it->second;
+  transport::Link& link = *connection->link;
+  while (pending.sent && pending.body != nullptr && link.open() && link.queued_bytes() < kMaxQueuedBytes) {
+    const std::string& body = *pending.body;
+    ingress::BodyChunk chunk{body.substr(pending.body_bytes_sent, kChunkBytes), false};
+    pending.body_bytes_sent += chunk.bytes.size();
+    chunk.end = pending.body_bytes_sent == body.size();
+    link.Send(Encode(FrameType::kBodyChunk, chunk));
+    if (chunk.end) pending.body = nullptr;
+  }
+}
+
 void InboundProxyClient::Release(const ConnectionPtr& connection) {
   connection->handle = 0;
   if (!connection->link->open()) return;
--- a/src/mesh/egress/inbound_proxy_client.hpp
+++ b/src/mesh/egress/inbound_proxy_client.hpp
@@ -42,9 +42,10 @@
   InboundProxyClient(asio::io_context& io, merlinrun::core::Loop& loop, Settings settings);
   ~InboundProxyClient();
 
-  // `proxy_address` is ip:port. Sets the attempt's key. Events are called from the event loop, never from
-  // within this call.
-  Handle Send(const std::string& proxy_address, ingress::Attempt attempt, Events events);
+  // `proxy_address` is ip:port. Sets the attempt's key, and its body from `body`, which is shared and not
+  // copied as a whole. Events are called from the event loop, never from within this call.
+  Handle Send(const std::string& proxy_address, ingress::Attempt attempt,
+              std::shared_ptr<const std::string> body, Events events);
   // Cancels the attempt; no further events are called.
   void Cancel(Handle handle);
   void Pause(Handle handle);  // stops reading the response until Resume
@@ -60,6 +61,7 @@
   struct Connection;  // a link and its state
   using ConnectionPtr = std::shared_ptr<Connection>;
   struct Pending;  // an attempt that has not ended
+  void SendBody(const ConnectionPtr& connection);
   void SendAttempt(const ConnectionPtr& connection, Handle handle);
   ConnectionPtr Dial(const std::string& proxy_address);
   void OnFrame(const ConnectionPtr& connection, std::string_view frame);
--- a/src/mesh/egress/outbound_proxy.cpp
+++ b/src/mesh/egress/outbound_proxy.cpp
@@ -66,7 +66,8 @@
   HttpServer::SessionPtr session;
   ServiceContext* service_context = nullptr;
   std::uint64_t sequence = 0;  // unique in this process; its text is the request's id in the balancer
-  std::string method, target, body;
+  std::string method, target;
+  std::shared_ptr<const std::string> body;  // shared with the attempts
   Headers headers;
   metrics::RequestLabels labels;
   std::uint8_t priority = 0;
@@ -174,7 +175,7 @@
     const auto session = pending_request_->session;
     HttpServer::Begin(session, response.status, response.headers, response.body_length);
     HttpServer::Write(session, stream->buffered);
-    stream->buffered.clear();
+    std::string().swap(stream->buffered);
     if (stream->was_reset) return HttpServer::Abort(session);
     if (stream->ended) return HttpServer::Finish(session);
     stream->session = session;
@@ -205,7 +206,6 @@
     out.method = pending->method;
     out.target = pending->target;
     out.headers = pending->headers;
-    out.body = pending->body;
     out.remaining_ms = std::max<std::int64_t>(options.response_timeout / kMs, 1);
     out.max_queue_ms = std::clamp<std::int64_t>(
         static_cast<std::int64_t>(kQueueTimeShare * static_cast<double>(pending->latency_target)) / kMs,
@@ -248,7 +248,8 @@
       Finish(attempt, state, Result::kReset, nullptr);
     };
     ++pending->unresolved_attempts;
-    handles_[attempt] = owner_.proxy_client_.Send(proxy_address->second, std::move(out), std::move(events));
+    handles_[attempt] =
+        owner_.proxy_client_.Send(proxy_address->second, std::move(out), pending->body, std::move(events));
     return attempt;
   }
 
@@ -295,10 +296,18 @@
     response.headers = std::move(head.headers);
     response.body = std::move(head.body);
     response.body_length = head.content_length;
+    if (!HoldResponse(attempt, *state)) return;
     if (head.end) return OnResponseComplete(attempt, state, head.executed);
     StreamIfLarge(attempt, state);
   }
 
+  // False if there was no memory for the response: the client's connection was reset, which has cancelled the
+  // attempt.
+  bool HoldResponse(AttemptId attempt, const AttemptState& state) const {
+    HttpServer::HoldResponse(state.pending->session, state.response->body.size());
+    return handles_.contains(attempt);
+  }
+
   void OnBody(AttemptId attempt, const AttemptStatePtr& state, const ingress::BodyChunk& chunk) {
     if (state->stream != nullptr) {
       ResponseStream& stream = *state->stream;
@@ -317,6 +326,7 @@
       return;
     }
     state->response->body += chunk.bytes;
+    if (!HoldResponse(attempt, *state)) return;
     if (chunk.end) return OnResponseComplete(attempt, state, true);
     StreamIfLarge(attempt, state);
   }
@@ -519,6 +529,7 @@
   std::map<std::string, Micros> start_times;
   const Micros now = loop_.Now();
   for (const registry::Server& server : snapshot_.servers) {
+    if (server.state == registry::State::kGone) continue;
     proxy_of_[server.id] = server.sidecar_address;
     const auto previous = start_times_.find(server.id);
     // The registry reports the remaining cold period; the balancer expects the start time.
@@ -611,7 +622,7 @@
   pending->headers = ForwardedHeaders(http_request.headers, http_request.host, match, settings_.service);
   pending->method = std::move(http_request.method);
   pending->target = std::move(http_request.target);
-  pending->body = std::move(http_request.body);
+  pending->body = std::make_shared<const std::string>(std::move(http_request.body));
   pending->labels = labels;
   pending->priority = static_cast<std::uint8_t>(std::clamp(match.priority, 0, kLowestPriority));
   pending->safe = match.safe;
--- a/src/mesh/ingress/inbound_proxy.cpp
+++ b/src/mesh/ingress/inbound_proxy.cpp
@@ -23,11 +23,14 @@
   bool busy = false;
   bool receiving_body = false;
   Attempt attempt;
+  memory::BufferCharge charge;  // of the attempt's body
+  bool lacks_memory = false;    // for the body, whose rest is discarded
 };
 
 struct InboundProxy::ActiveAttempt {
   SessionPtr session;
   Attempt attempt;
+  memory::BufferCharge charge;  // of its body
   Micros received_at = 0;
   bool forwarded = false;
   bool may_have_run_before = false;
@@ -41,10 +44,11 @@
 };
 
 InboundProxy::InboundProxy(asio::io_context& io, merlinrun::core::Loop& loop, Settings settings,
-                           Callbacks callbacks)
+                           memory::BufferAccount& account, Callbacks callbacks)
     : loop_(loop),
       settings_(settings),
       callbacks_(std::move(callbacks)),
+      account_(account),
       admission_(settings.limits),
       pool_(io),
       timer_(loop.NewTimer()) {
@@ -114,6 +118,7 @@
       if (!attempt.ok() || session->busy || session->receiving_body) return close_link();
       if (attempt->body_follows) {
         session->receiving_body = true;
+        session->lacks_memory = false;
         session->attempt = *std::move(attempt);
         return;
       }
@@ -124,10 +129,7 @@
       if (!chunk.ok() || !session->receiving_body ||
           session->attempt.body.size() + chunk->bytes.size() > kMaxBodyBytes)
         return close_link();
-      session->attempt.body += chunk->bytes;
-      if (!chunk->end) return;
-      session->receiving_body = false;
-      return OnAttempt(session, std::exchange(session->attempt, {}));
+      return OnBodyChunk(session, *std::move(chunk));
     }
     case FrameType::kStatusQuery: {
       const auto query = Decode<StatusQuery>(frame);
@@ -146,6 +148,19 @@
   }
 }
 
+void InboundProxy::OnBodyChunk(const SessionPtr& session, BodyChunk chunk) {
+  std::string& body = session->attempt.body;
+  if (!session->lacks_memory && !session->charge.Set(account_, body.size() + chunk.bytes.size())) {
+    session->lacks_memory = true;
+    std::string().swap(body);
+    session->charge.Release();
+  }
+  if (!session->lacks_memory) body += chunk.bytes;
+  if (!chunk.end) return;
+  session->receiving_body = false;
+  OnAttempt(session, std::exchange(session->attempt, {}));
+}
+
 void InboundProxy::OnAttempt(const SessionPtr& session, Attempt attempt) {
   ++counters_.attempts;
   session->busy = true;
@@ -161,12 +176,19 @@
   active->attempt = std::move(attempt);
   active->received_at = loop_.Now();
   const AttemptKey attempt_key = active->attempt.attempt_key;
+  const bool lacks_memory =
+      session->lacks_memory || !session->charge.Set(account_, active->attempt.body.size());
+  active->charge = std::move(session->charge);
+  session->charge = {};
+  session->lacks_memory = false;
   const ActiveAttempt& received = *active;
   active_[attempt_key] = std::move(active);
   const Micros now = loop_.Now();
   const registry::Server* server = callbacks_.find_server(received.attempt.server);
   if (!callbacks_.accepts_new(received.attempt))
     return admission_.OnStatusQuery(now, attempt_key), Reject(attempt_key, RejectReason::kShuttingDown);
+  if (lacks_memory)
+    return admission_.OnStatusQuery(now, attempt_key), Reject(attempt_key, RejectReason::kQueueFull);
   if (server == nullptr)
     return admission_.OnStatusQuery(now, attempt_key), Reject(attempt_key, RejectReason::kUnknownInstance);
   if (server->state != registry::State::kReady)
--- a/src/mesh/ingress/inbound_proxy.hpp
+++ b/src/mesh/ingress/inbound_proxy.hpp
@@ -14,6 +14,7 @@
 #include "mesh/ingress/admission_queue.hpp"
 #include "mesh/ingress/attempt_protocol.hpp"
 #include "mesh/ingress/server_connection_pool.hpp"
+#include "mesh/memory/buffer_account.hpp"
 #include "mesh/registry/registry.hpp"
 #include "mesh/transport/link.hpp"
 
@@ -41,7 +42,9 @@
                   withdrawn = 0, cancelled = 0;
   };
 
-  InboundProxy(asio::io_context& io, merlinrun::core::Loop& loop, Settings settings, Callbacks callbacks);
+  // `account`, which must outlive it, is charged with the bodies of the attempts.
+  InboundProxy(asio::io_context& io, merlinrun::core::Loop& loop, Settings settings,
+               memory::BufferAccount& account, Callbacks callbacks);
   ~InboundProxy();
 
   // Serves a link whose Hello has already been received.
@@ -62,6 +65,7 @@
   struct ActiveAttempt;
 
   void OnFrame(const SessionPtr& session, std::string_view frame);
+  void OnBodyChunk(const SessionPtr& session, BodyChunk chunk);
   void OnAttempt(const SessionPtr& session, Attempt attempt);
   void Admit(const SessionPtr& session);
   void Forward(const AttemptKey& attempt_key);
@@ -75,6 +79,7 @@
   merlinrun::core::Loop& loop_;
   const Settings settings_;
   const Callbacks callbacks_;
+  memory::BufferAccount& account_;
   AdmissionQueue admission_;
   ServerConnectionPool pool_;
   Counters counters_;
--- a/src/mesh/ingress/server_connection_pool.cpp
+++ b/src/mesh/ingress/server_connection_pool.cpp
@@ -154,17 +154,24 @@
     if (error) return Fail(Failure::kNotSent);
     bytes_sent_ = true;  // the server may have received it
     if (byte_count == request_head_.size() + request_body_.size()) return AfterWrite();
-    unsent_ = request_head_.substr(std::min(byte_count, request_head_.size()));
-    unsent_ +=
-        request_body_.substr(byte_count > request_head_.size() ? byte_count - request_head_.size() : 0);
     writing_ = true;
-    asio::async_write(socket_, asio::buffer(unsent_),
+    WriteRest(byte_count);
+    WaitReadable();
+  }
+
+  // The rest is written from the request's own buffers, which stay until then: no request starts on this
+  // connection before.
+  void WriteRest(std::size_t written) {
+    const std::size_t head_bytes = std::min(written, request_head_.size());
+    const std::array<asio::const_buffer, 2> rest{asio::buffer(request_head_) + head_bytes,
+                                                 asio::buffer(request_body_) + (written - head_bytes)};
+    asio::async_write(socket_, rest,
                       [self = shared_from_this(), handle = handle_](ErrorCode failed, std::size_t) {
                         self->writing_ = false;
+                        std::string().swap(self->request_body_);
                         if (self->closed_ || self->handle_ != handle) return;
                         if (failed) return self->Fail(Failure::kReset);
                       });
-    AfterWrite();
   }
 
   void AfterWrite() {
@@ -235,7 +242,12 @@
         } else if (head_parsed_) {
           parser_->get().body().clear();
         }
-        if (error == http::error::need_more || (consumed == 0 && !parser_->is_done())) return;
+        if (error == http::error::need_more || (consumed == 0 && !parser_->is_done())) {
+          // The parser takes a chunk's head and the trailer only as a whole: one without end fills the
+          // memory.
+          if (read_buffer_.size() > kMaxHeadBytes) Fail(Failure::kMalformed);
+          return;
+        }
         if (!parser_->is_done()) continue;
       }
       const unsigned status = parser_->get().result_int();
@@ -353,7 +365,7 @@
   const std::string address_;
   Handle handle_ = 0;
   Events events_;
-  std::string id_, request_head_, request_body_, unsent_, read_buffer_;
+  std::string id_, request_head_, request_body_, read_buffer_;
   std::optional<http::response_parser<merlinrun::net::IncrementalBody>> parser_;
   int stray_responses_ = 0;
   bool connected_ = false, closed_ = false, wait_pending_ = false, writing_ = false, reading_paused_ = false,
--- /dev/null
+++ b/src/mesh/memory/buffer_account.hpp
@@ -0,0 +1,72 @@
+// Accounts for the memory of all buffers that peers of this process can fill. Performs no I/O; not
+// thread-safe.
+#ifndef FENNELHOLLOW_MESH_MEMORY_BUFFER_ACCOUNT_HPP_
+#define FENNELHOLLOW_MESH_MEMORY_BUFFER_ACCOUNT_HPP_
+
+#include <cstddef>
+#include <utility>
+
+#include "net/memory_budget.hpp"
+
+namespace fennelhollow::memory {
+
+// A connection with at most this many buffered bytes is charged to the small pool, which holds what ordinary
+// requests and responses take; others are charged to the large pool. However many connections fill the large
+// pool, the small one is left to the others.
+inline constexpr std::size_t kSmallChargeBytes = std::size_t{16} * 1024;
+
+// Must outlive its charges.
+class BufferAccount {
+ public:
+  enum class Pool { kSmall, kLarge };
+  struct Limits {  // in bytes
+    std::size_t small = 0, large = 0;
+  };
+  // The shares of a process that may take `memory_bytes`: what is left is for everything else, such as the
+  // tables, the allocator's overhead, and bytes on their way through a link.
+  static Limits LimitsFor(std::size_t memory_bytes);
+
+  explicit BufferAccount(const Limits& limits)
+      : small_(limits.small), large_(limits.large), limits_(limits) {}
+
+  static Pool PoolFor(std::size_t bytes) { return bytes <= kSmallChargeBytes ? Pool::kSmall : Pool::kLarge; }
+  std::size_t charged(Pool pool) const {
+    return pool == Pool::kSmall ? small_.reserved() : large_.reserved();
+  }
+  const Limits& limits() const { return limits_; }
+  bool IsWithinLimits() const {
+    return small_.reserved() <= limits_.small && large_.reserved() <= limits_.large;
+  }
+
+ private:
+  friend class BufferCharge;
+  merlinrun::net::MemoryBudget small_, large_;
+  const Limits limits_;
+};
+
+// What one connection or attempt is charged; released on destruction.
+class BufferCharge {
+ public:
+  BufferCharge() = default;
+  BufferCharge(BufferCharge&& other) noexcept
+      : reservation_(std::move(other.reservation_)), bytes_(std::exchange(other.bytes_, 0)) {}
+  BufferCharge& operator=(BufferCharge&& other) noexcept {
+    reservation_ = std::move(other.reservation_);
+    bytes_ = std::exchange(other.bytes_, 0);
+    return *this;
+  }
+  // Changes the charge to `bytes`. False, and unchanged, if the pool of that size is exhausted; a smaller
+  // charge never fails, unless it moves to the small pool.
+  bool Set(BufferAccount& account, std::size_t bytes);
+  void Release();
+  std::size_t bytes() const { return bytes_; }
+  BufferAccount::Pool pool() const { return BufferAccount::PoolFor(bytes_); }
+
+ private:
+  merlinrun::net::MemoryReservation reservation_;
+  std::size_t bytes_ = 0;
+};
+
+}  // namespace fennelhollow::memory
+
+#endif  // FENNELHOLLOW_MESH_MEMORY_BUFFER_ACCOUNT_HPP_
--- a/src/mesh/metrics/invariants.cpp
+++ b/src/mesh/metrics/invariants.cpp
@@ -14,6 +14,8 @@
       return "configuration_monotonic";
     case Invariant::kCommittedEntryMonotonic:
       return "committed_entry_monotonic";
+    case Invariant::kBuffersWithinLimits:
+      return "buffers_within_limits";
   }
   return "unknown";
 }
--- a/src/mesh/metrics/invariants.hpp
+++ b/src/mesh/metrics/invariants.hpp
@@ -22,8 +22,10 @@
   kConfigurationMonotonic,
   // Within one incarnation of a core the committed entry never goes back.
   kCommittedEntryMonotonic,
+  // The buffers that peers can fill take no more than their share of the process's memory.
+  kBuffersWithinLimits,
 };
-inline constexpr std::size_t kInvariantCount = 3;
+inline constexpr std::size_t kInvariantCount = 4;
 std::string_view NameOf(Invariant invariant);
 
 class Invariants {
--- a/src/mesh/node/main.cpp
+++ b/src/mesh/node/main.cpp
@@ -27,14 +27,21 @@
 constexpr const char* kVersion = "0.3.0";
 constexpr const char* kSettingsVariable = "FENNELHOLLOW_CONFIG";
 
+// Blocks of this size and more are mapped, so that their memory returns to the system when they are freed. By
+// default the allocator raises this bound, and keeps the large buffers of clients that are gone.
+constexpr int kMappedBlockBytes = 128 * 1024;
+
 // Each arena of a thread would reserve 64 MB of address space, which the kernel may limit to `memoryMb`.
-void UseOneMallocArena() { ::mallopt(M_ARENA_MAX, 1); }
+void ConfigureAllocator() {
+  ::mallopt(M_ARENA_MAX, 1);
+  ::mallopt(M_MMAP_THRESHOLD, kMappedBlockBytes);
+}
 
 int Main(int argc, char** argv) {
   boost::asio::io_context io(1);
   merlinrun::net::ProcessSignals signals(io);
   merlinrun::net::IgnoreWriteSignals();
-  UseOneMallocArena();
+  ConfigureAllocator();
   FLAGS_logtostderr = true;
   google::InitGoogleLogging(argv[0]);
   argagg::parser parser{
--- a/src/mesh/node/metrics_endpoint.cpp
+++ b/src/mesh/node/metrics_endpoint.cpp
@@ -15,6 +15,9 @@
 constexpr std::uint32_t kMaxPort = 65'535;
 constexpr const char* kTextContentType = "text/plain; version=0.0.4; charset=utf-8";
 constexpr std::size_t kMaxSessions = 16;
+// For what all scrapes together buffer.
+constexpr memory::BufferAccount::Limits kBufferLimits{.small = std::size_t{256} * 1024,
+                                                      .large = std::size_t{8} * 1024 * 1024};
 constexpr auto kOpenRetryInterval = std::chrono::seconds(1);
 
 egress::HttpServer::Limits ServerLimits() {
@@ -43,7 +46,8 @@
     : address_(std::move(address)),
       registry_(registry),
       before_scrape_(std::move(before_scrape)),
-      server_(io, settings::Address{ip, address_.port}, ServerLimits(),
+      buffers_(kBufferLimits),
+      server_(io, settings::Address{ip, address_.port}, ServerLimits(), buffers_,
               {[this](const egress::HttpServer::SessionPtr& session, const egress::HttpRequest& request) {
                  OnRequest(session, request);
                },
--- a/src/mesh/node/metrics_endpoint.hpp
+++ b/src/mesh/node/metrics_endpoint.hpp
@@ -39,6 +39,7 @@
   const MetricsAddress address_;
   const prometheus::Registry& registry_;
   const std::function<void()> before_scrape_;
+  memory::BufferAccount buffers_;
   egress::HttpServer server_;
 };
 
--- a/src/mesh/node/sidecar.cpp
+++ b/src/mesh/node/sidecar.cpp
@@ -21,6 +21,8 @@
 #include "mesh/gossip/io/udp_socket.hpp"
 #include "mesh/gossip/view.hpp"
 #include "mesh/ingress/inbound_proxy.hpp"
+#include "mesh/memory/buffer_account.hpp"
+#include "mesh/metrics/buffer_metrics.hpp"
 #include "mesh/metrics/process_metrics.hpp"
 #include "mesh/metrics/request_metrics.hpp"
 #include "mesh/node/control_listener.hpp"
@@ -60,6 +62,10 @@
 // Share of the retry budget used here: calls made by retried requests count against it too, and this sidecar
 // does not see all of them.
 constexpr double kRetryBudgetShare = 0.5;
+constexpr std::size_t kMebibyte = std::size_t{1} << 20;
+// Share of the process's memory for the bodies of control calls, as a divisor.
+constexpr std::size_t kControlMemoryDivisor = 8;
+
 std::string Ip(const std::string& address) { return address.substr(0, address.rfind(':')); }
 
 }  // namespace
@@ -80,7 +86,9 @@
         request_metrics_(registry_),
         invariants_(registry_, options.on_violation),
         inbound_proxy_client_(io, loop_, {settings.node_name, self_, incarnation, 300, 400}),
-        inbound_proxy_(io, loop_, {incarnation, {}},
+        buffers_(memory::BufferAccount::LimitsFor(MemoryBytes(settings))),
+        buffer_metrics_(registry_),
+        inbound_proxy_(io, loop_, {incarnation, {}}, buffers_,
                        {[this](const std::string& id) { return heartbeats_.Find(id); },
                         [this](const std::string& id) { OnUnreachable(id); },
                         [this](const ingress::Attempt& attempt) { return AcceptsAttempt(attempt); },
@@ -106,12 +114,12 @@
       if (const auto at = listen.find("controlPlane"); at != listen.end())
         control_listener_ = std::make_unique<ControlListener>(
             io_, merlinrun::net::Tcp::endpoint(asio::ip::make_address(at->second.ip), at->second.port),
-            ControlListener::Limits{}, [this](const Command& command, const ControlListener::Reply& reply) {
+            ControlLimits(), [this](const Command& command, const ControlListener::Reply& reply) {
               OnCommand(command, reply);
             });
       if (const auto at = listen.find("outbound"); at != listen.end())
         outbound_listener_ = std::make_unique<HttpServer>(
-            io_, at->second, HttpServer::Limits{},
+            io_, at->second, ClientLimits(), buffers_,
             HttpServer::Handler{[this](const HttpServer::SessionPtr& session, egress::HttpRequest in) {
                                   outbound_proxy_.OnRequest(session, std::move(in));
                                 },
@@ -120,7 +128,7 @@
                                 }});
       if (const auto at = listen.find("readiness"); at != listen.end())
         readiness_listener_ = std::make_unique<HttpServer>(
-            io_, at->second, HttpServer::Limits{},
+            io_, at->second, ReadinessLimits(), buffers_,
             HttpServer::Handler{[this](const HttpServer::SessionPtr& session, const egress::HttpRequest&) {
                                   const bool ready = IsReady();
                                   HttpServer::Respond(session, ready ? 200 : 503,
@@ -131,8 +139,8 @@
     } catch (const std::exception& error) {  // from the system or Asio
       return StartFailure(error);
     }
-    metrics_endpoint_ = std::make_unique<MetricsEndpointOpener>(
-        io_, settings_.ip, metrics_address_, registry_, [this] { process_metrics_.Update(); });
+    metrics_endpoint_ = std::make_unique<MetricsEndpointOpener>(io_, settings_.ip, metrics_address_,
+                                                                registry_, [this] { UpdateMetrics(); });
     Tick();
     return absl::OkStatus();
   }
@@ -223,6 +231,15 @@
                             {"malformed", gossip_view_.counters().malformed},
                             {"overRate", gossip_view_.counters().over_rate},
                             {"lostNeighbours", gossip_view_.counters().lost_neighbours}}}};
+    out["buffers"] = {{"smallBytes", buffers_.charged(memory::BufferAccount::Pool::kSmall)},
+                      {"largeBytes", buffers_.charged(memory::BufferAccount::Pool::kLarge)}};
+    if (outbound_listener_) {
+      const auto& listener = outbound_listener_->counters();
+      out["clients"] = {{"connections", outbound_listener_->sessions()},
+                        {"evicted", listener.evicted},
+                        {"refusedBodies", listener.refused_bodies},
+                        {"tooSlow", listener.too_slow}};
+    }
     if (shutdown_) out["shutdown"] = ShutdownStatus();
     for (const auto& [service, causes] : outbound_counters.requests_by_end_cause) {
       nlohmann::json& to = out["refusedFor"][service] = nlohmann::json::object();
@@ -243,6 +260,28 @@
     return out;
   }
 
+  static std::size_t MemoryBytes(const settings::Settings& settings) {
+    return static_cast<std::size_t>(std::max<std::int64_t>(settings.memory_mb, 1)) * kMebibyte;
+  }
+
+  HttpServer::Limits ClientLimits() const {
+    return {};
+  }
+  HttpServer::Limits ReadinessLimits() const {
+    return {};
+  }
+  ControlListener::Limits ControlLimits() const {
+    ControlListener::Limits limits;
+    limits.max_total_body_bytes =
+        std::min(limits.max_total_body_bytes, MemoryBytes(settings_) / kControlMemoryDivisor);
+    return limits;
+  }
+
+  void UpdateMetrics() {
+    process_metrics_.Update();
+    buffer_metrics_.Update(buffers_, outbound_listener_ ? outbound_listener_->counters().evicted : 0);
+  }
+
   egress::OutboundProxy::Settings OutboundSettings() const {
     egress::OutboundProxy::Settings out;
     out.service = settings_.service;
@@ -414,6 +453,10 @@
       inbound_proxy_client_ticked_at_ = now;
       inbound_proxy_client_.OnTick(now);
     }
+    invariants_.Check(metrics::Invariant::kBuffersWithinLimits, buffers_.IsWithinLimits(), [&] {
+      return absl::StrCat(buffers_.charged(memory::BufferAccount::Pool::kSmall), " and ",
+                          buffers_.charged(memory::BufferAccount::Pool::kLarge), " bytes are charged");
+    });
     if (shutdown_) ContinueStop(now);
   }
 
@@ -533,7 +576,7 @@
       if (tenant.rate_per_s > 0) tenant_limits[tenant.name] = {tenant.rate_per_s, tenant.burst};
     limiter_.UpdateLimits(loop_.Now(), tenant_limits);
     const configuration::Limits& http_limits = (*tables)->limits();
-    HttpServer::Limits server_limits;
+    HttpServer::Limits server_limits = ClientLimits();
     server_limits.max_header_bytes = http_limits.header_bytes;
     server_limits.max_body_bytes = http_limits.body_bytes;
     server_limits.header_timeout_ms = http_limits.header_timeout_ms;
@@ -584,6 +627,8 @@
   metrics::ProcessMetrics process_metrics_{registry_};
   metrics::Invariants invariants_;
   egress::InboundProxyClient inbound_proxy_client_;
+  memory::BufferAccount buffers_;  // outlives all that is charged to it
+  metrics::BufferMetrics buffer_metrics_;
   ingress::InboundProxy inbound_proxy_;
   egress::OutboundProxy outbound_proxy_;
   const MetricsAddress metrics_address_;
--- a/tests/mesh/egress_http_server_test.cpp
+++ b/tests/mesh/egress_http_server_test.cpp
@@ -12,14 +12,20 @@
 using loopback::RunFor;
 using loopback::RunUntil;
 
+using AccountLimits = memory::BufferAccount::Limits;
+const AccountLimits kAmple = memory::BufferAccount::LimitsFor(std::size_t{256} << 20);
+
 struct ServerFixture {
-  explicit ServerFixture(const HttpServer::Limits& limits = {})
-      : ServerFixture(limits, [](auto&, auto&) {}) {}
+  explicit ServerFixture(const HttpServer::Limits& limits = {}, const AccountLimits& memory = kAmple)
+      : ServerFixture(
+            limits, [](auto&, auto&) {}, memory) {}
   // `handler` is called for each request.
   ServerFixture(const HttpServer::Limits& limits,
-                std::function<void(const HttpServer::SessionPtr&, const HttpRequest&)> handler)
+                std::function<void(const HttpServer::SessionPtr&, const HttpRequest&)> handler,
+                const AccountLimits& memory = kAmple)
       : port(loopback::FreePort(io)),
-        server(io, {"127.0.0.1", port}, limits,
+        account(memory),
+        server(io, {"127.0.0.1", port}, limits, account,
                {[this, handler](const HttpServer::SessionPtr& session, HttpRequest in) {
                   sessions.push_back(session);
                   requests.push_back(in);
@@ -47,6 +53,7 @@
   std::vector<HttpServer::SessionPtr> sessions;
   std::vector<HttpRequest> requests;
   int disconnects = 0;
+  memory::BufferAccount account;
   HttpServer server;
 };
 
@@ -220,18 +227,60 @@
 }
 
 TEST_CASE("the buffered bodies of all connections are bounded, and finished requests release theirs") {
-  HttpServer::Limits limits;
-  limits.max_buffered_bytes = 1500;
-  ServerFixture fixture(limits);
-  const std::string post =
-      "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\n" + std::string(1000, 'x');
+  constexpr std::size_t kBody = 100'000;
+  ServerFixture fixture({}, AccountLimits{.small = 1 << 20, .large = 3 * kBody});
+  const std::string post = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(kBody) +
+                           "\r\n\r\n" + std::string(kBody, 'x');
   const auto first = fixture.SendBytes(post);
-  REQUIRE(RunUntil(fixture.io, [&] { return fixture.requests.size() == 1; }));
+  const auto second = fixture.SendBytes(post);
+  REQUIRE(RunUntil(fixture.io, [&] { return fixture.requests.size() == 2; }));
   CHECK(fixture.SendAndReceive(post).find("HTTP/1.1 503 ") == 0);
+  CHECK(fixture.server.counters().refused_bodies == 1);
+  const auto small = fixture.SendBytes(Get("/small"));
+  REQUIRE(RunUntil(fixture.io, [&] { return fixture.requests.size() == 3; }));
   HttpServer::Respond(fixture.sessions[0], 200, {}, "");
   REQUIRE(fixture.WaitForText(first, "200 OK"));
   const auto third = fixture.SendBytes(post);
-  CHECK(RunUntil(fixture.io, [&] { return fixture.requests.size() == 2; }));
+  CHECK(RunUntil(fixture.io, [&] { return fixture.requests.size() == 4; }));
+  CHECK(fixture.account.IsWithinLimits());
+}
+
+TEST_CASE("what connections hold is charged while they hold it") {
+  ServerFixture fixture({}, Echo);
+  const auto charged = [&] {
+    return fixture.account.charged(memory::BufferAccount::Pool::kSmall) +
+           fixture.account.charged(memory::BufferAccount::Pool::kLarge);
+  };
+  constexpr std::size_t kBody = 300'000;
+  const auto connection =
+      fixture.SendBytes("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(kBody) +
+                        "\r\n\r\n" + std::string(kBody - 1, 'x'));
+  REQUIRE(RunUntil(fixture.io, [&] { return charged() >= kBody - 1; }));
+  connection->Write("x");
+  REQUIRE(fixture.WaitForText(connection, "POST /x"));
+  REQUIRE(RunUntil(fixture.io, [&] { return connection->received.size() > kBody; }));
+  CHECK(RunUntil(fixture.io, [&] { return charged() < 1000; }));
+}
+
+// Guards against responses that are kept for clients that do not read them.
+TEST_CASE("a client that reads nothing is evicted in favor of another response") {
+  constexpr std::size_t kBody = std::size_t{24} << 20;
+  ServerFixture fixture(
+      {},
+      [](const auto& session, const auto&) {
+        HttpServer::Respond(session, 200, {}, std::string(kBody, 'x'));
+      },
+      AccountLimits{.small = 1 << 20, .large = kBody + (std::size_t{1} << 20)});
+  const auto stalled = RawConnection::ConnectWithoutReading(fixture.io, fixture.port);
+  stalled->Write(Get("/first"));
+  REQUIRE(RunUntil(fixture.io, [&] { return fixture.requests.size() == 1; }));
+  RunFor(fixture.io, 400);
+  const auto reader = RawConnection::ConnectWithoutReading(fixture.io, fixture.port);
+  reader->Write(Get("/second"));
+  REQUIRE(RunUntil(fixture.io, [&] { return fixture.server.counters().evicted == 1; }));
+  reader->Read();
+  CHECK(RunUntil(fixture.io, [&] { return reader->received.size() > kBody; }));
+  CHECK(fixture.account.IsWithinLimits());
 }
 
 TEST_CASE("Expect: 100-continue is answered") {
--- a/tests/mesh/egress_outbound_test.cpp
+++ b/tests/mesh/egress_outbound_test.cpp
@@ -67,7 +67,7 @@
     attempt.unsafe = unsafe;
     attempt.server = "s";
     handle =
-        client.Send(address, attempt,
+        client.Send(address, attempt, std::make_shared<const std::string>(),
                     {[out](ingress::ResponseHead head) {
                        ++out->heads;
                        out->body += head.body;
@@ -183,7 +183,7 @@
       : server(io, std::move(script)),
         port(loopback::FreePort(io)),
         proxy(
-            io, loop, {port, {}},
+            io, loop, {port, {}}, account,
             {[this](const std::string& requested) { return requested == instance.id ? &instance : nullptr; },
              [this](const std::string&) { ++unreachable_reports; },
              [this](const ingress::Attempt&) { return accepts_new; },
@@ -209,6 +209,7 @@
   registry::Server instance;
   bool accepts_new = true;
   int unreachable_reports = 0;
+  memory::BufferAccount account{memory::BufferAccount::LimitsFor(std::size_t{256} << 20)};
   ingress::InboundProxy proxy;
   std::vector<std::shared_ptr<transport::Link>> links;
   transport::Listener listener;
@@ -354,7 +355,7 @@
         std::make_unique<OutboundProxy>(loop, OutboundProxy::Settings{"me", "z", {{"z", "r"}}, 1, {}, 0.5, 0},
                                         proxy_client, limiter, request_metrics);
     http_server = std::make_unique<HttpServer>(
-        io, settings::Address{"127.0.0.1", port}, HttpServer::Limits{},
+        io, settings::Address{"127.0.0.1", port}, HttpServer::Limits{}, account,
         HttpServer::Handler{[this](const auto& session, HttpRequest in) {
                               outbound_proxy->OnRequest(session, std::move(in));
                             },
@@ -403,6 +404,7 @@
   std::vector<std::unique_ptr<Machine>> machines;
   quota::Limiter limiter{{}};
   InboundProxyClient proxy_client{io, loop, {"me", "127.0.0.1:1", 5, 300, 400}};
+  memory::BufferAccount account{memory::BufferAccount::LimitsFor(std::size_t{256} << 20)};
   prometheus::Registry registry;
   metrics::RequestMetrics request_metrics{registry};
   std::unique_ptr<OutboundProxy> outbound_proxy;
--- a/tests/mesh/loopback.hpp
+++ b/tests/mesh/loopback.hpp
@@ -42,12 +42,16 @@
  public:
   explicit RawConnection(Tcp::socket socket) : socket_(std::move(socket)) {}
   static std::shared_ptr<RawConnection> Connect(asio::io_context& io, std::uint16_t port) {
+    auto connection = ConnectWithoutReading(io, port);
+    connection->Read();
+    return connection;
+  }
+  // Receives nothing before Read.
+  static std::shared_ptr<RawConnection> ConnectWithoutReading(asio::io_context& io, std::uint16_t port) {
     Tcp::socket socket(io);
     socket.connect({asio::ip::make_address("127.0.0.1"), port});
     socket.set_option(Tcp::no_delay(true));
-    auto connection = std::make_shared<RawConnection>(std::move(socket));
-    connection->Read();
-    return connection;
+    return std::make_shared<RawConnection>(std::move(socket));
   }
   void Read() {
     socket_.async_read_some(asio::buffer(buffer_),
