Connections of a sidecar leave descriptors for its other sockets

What happened: clients that opened connections took the last descriptor; nobody else was accepted, no link could be dialled. Cause: up to 3,000 connections of clients whatever fileDescriptors grants. Evidence: 256 of 256 descriptors with 400 connections. Change: three quarters of what the platform leaves for sockets, 3,000 at most, go to clients; readiness and control calls have bounds, too.

--- a/src/mesh/node/sidecar.cpp
+++ b/src/mesh/node/sidecar.cpp
@@ -63,6 +63,8 @@
 // does not see all of them.
 constexpr double kRetryBudgetShare = 0.5;
 constexpr std::size_t kMebibyte = std::size_t{1} << 20;
+// Descriptors that the platform keeps for files, where there are more than twice as many.
+constexpr std::size_t kReservedDescriptors = 200;
 // Share of the process's memory for the bodies of control calls, as a divisor.
 constexpr std::size_t kControlMemoryDivisor = 8;
 
@@ -264,14 +266,24 @@
     return static_cast<std::size_t>(std::max<std::int64_t>(settings.memory_mb, 1)) * kMebibyte;
   }
 
+  // Descriptors that the process may use for sockets.
+  std::size_t SocketDescriptors() const {
+    const auto all = static_cast<std::size_t>(std::max<std::int64_t>(settings_.file_descriptors, 0));
+    return std::max(all - std::min(all, kReservedDescriptors), all / 2);
+  }
   HttpServer::Limits ClientLimits() const {
-    return {};
+    HttpServer::Limits limits;
+    limits.max_connections = std::min(limits.max_connections, SocketDescriptors() * 3 / 4);
+    return limits;
   }
   HttpServer::Limits ReadinessLimits() const {
-    return {};
+    HttpServer::Limits limits;
+    limits.max_connections = std::min(limits.max_connections, SocketDescriptors() / 32);
+    return limits;
   }
   ControlListener::Limits ControlLimits() const {
     ControlListener::Limits limits;
+    limits.max_connections = std::min(limits.max_connections, SocketDescriptors() / 16);
     limits.max_total_body_bytes =
         std::min(limits.max_total_body_bytes, MemoryBytes(settings_) / kControlMemoryDivisor);
     return limits;
