--- a/rig/mesh/server.cpp
+++ b/rig/mesh/server.cpp
@@ -15,6 +15,7 @@
 constexpr const char* kHealthPath = "/health";
 constexpr milliseconds kHeartbeatTimeout{1000};
 constexpr milliseconds kIdle{10'000};
+constexpr std::uint64_t kMaxBodyBytes = std::uint64_t{64} << 20;
 
 // Closes with a TCP reset, as the kernel does for a crashed process.
 void Reset(beast::tcp_stream& stream) {
@@ -67,12 +68,13 @@
   beast::flat_buffer buffer;
   boost::system::error_code error;
   while (!error && !self->ended_) {
-    Request request;
+    http::request_parser<Request::body_type> parser;
+    parser.body_limit(kMaxBodyBytes);
     stream->expires_after(kIdle);
-    co_await http::async_read(*stream, buffer, request, asio::redirect_error(asio::use_awaitable, error));
+    co_await http::async_read(*stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
     if (error || self->ended_) break;
     stream->expires_never();  // the client sets the deadline
-    Response response = co_await self->HandleRequest(request);
+    Response response = co_await self->HandleRequest(parser.get());
     if (self->ended_) break;
     response.set("Keep-Alive", "timeout=10");
     response.prepare_payload();
--- a/src/mesh/egress/http_server.cpp
+++ b/src/mesh/egress/http_server.cpp
@@ -97,6 +97,7 @@
   bool idle() const { return state_ == State::kReading && read_buffer_.empty() && !request_started_; }
 
   void CheckTimeouts(Clock::time_point now) {
+    if (state_ == State::kClosed) return;
     if (state_ == State::kLingering && now - phase_start_ > kLingerTimeout) return Close();
     if (blocked_ && ReadsTooSlowly(now)) {
       ++owner_.counters_.too_slow;
--- a/tests/soak/hostile_clients_test.cpp
+++ b/tests/soak/hostile_clients_test.cpp
@@ -31,9 +31,9 @@
 
 // One core, one sidecar with small limits, and one server, which answers with `padding_bytes` and some more.
 struct Site : Nodes {
-  explicit Site(std::size_t padding_bytes = 0) {
+  explicit Site(std::size_t padding_bytes = 0, int sidecar_memory_mb = kSidecarMemoryMb) {
     REQUIRE(Add(NodeProcess::Role::kCore, {}, {ips.front()}).Start());
-    REQUIRE(AddSidecar().Start());
+    REQUIRE(AddSidecar(sidecar_memory_mb).Start());
     Server::Options options;
     options.id = "i-1";
     options.service = kPlanService;
@@ -52,9 +52,9 @@
   Site(const Site&) = delete;
   Site& operator=(const Site&) = delete;
 
-  NodeProcess& AddSidecar() {
+  NodeProcess& AddSidecar(int memory_mb) {
     NodeProcess::Options options = OptionsFor(NodeProcess::Role::kSidecar, {}, {ips.front()});
-    options.memory_mb = kSidecarMemoryMb;
+    options.memory_mb = memory_mb;
     options.file_descriptors = kSidecarDescriptors;
     options.limits.file_descriptors = kSidecarDescriptors;
     processes.push_back(std::make_unique<NodeProcess>(options));
@@ -62,14 +62,18 @@
   }
   NodeProcess& sidecar() { return *processes.back(); }
 
-  unsigned ApplyConfiguration() {
+  unsigned ApplyConfiguration(int version = 3, int base_version = 0) {
     nlohmann::json configuration = FirstConfiguration();
+    configuration["version"] = version;
+    configuration["baseVersion"] = base_version;
     for (auto& item : configuration["resourceList"])
-      if (item["resourceKind"] == "limits") item["specification"]["maximumBodyBytes"] = kMaximumBodyBytes;
+      if (item["resourceKind"] == "limits") item["specification"]["maximumBodyBytes"] = maximum_body_bytes;
     return Call(processes.front()->control(),
                 MakeRequest(http::verb::post, "/-/Configuration.Replace", kHost, configuration.dump()));
   }
 
+  unsigned ApplyLargerLimits() { return ApplyConfiguration(4, 3); }
+
   // A client of the pages tries again after a refusal.
   bool IsOrdinaryRequestAnswered() {
     return Until(kStartTimeout, [&] {
@@ -124,6 +128,7 @@
 
   ExecutionCounts runs;
   std::shared_ptr<Server> server;
+  std::size_t maximum_body_bytes = kMaximumBodyBytes;
   int connected = 0;  // clients of the crowd that have not ended
   std::uint64_t requests = 0, highest_resident = 0;
   std::size_t highest_descriptors = 0;
@@ -240,5 +245,25 @@
   site.Check();
 }
 
+// Guards against bodies inside the limits that were always refused: more than 16 MiB were queued in a link.
+TEST_CASE("a single upload near the limit is served in calm") {
+  constexpr int kUsualMemoryMb = 256;
+  Site site(0, kUsualMemoryMb);
+  site.maximum_body_bytes = 40 * kMebibyte;
+  REQUIRE(site.ApplyLargerLimits() == 200);
+  const bool served = site.Until(kStartTimeout, [&] {
+    Request upload = ShopRequest(true, "/plans/x", AttemptId(++site.requests), kRequestDeadline);
+    upload.body() = std::string(site.maximum_body_bytes - kMebibyte, 'u');
+    upload.prepare_payload();
+    return site.Call(site.sidecar().outbound(), upload) == 200;
+  });
+  site.Look();
+  CHECK(served);
+  CHECK_FALSE(site.sidecar().Ended());
+#if !defined(__SANITIZE_ADDRESS__) && !defined(__SANITIZE_THREAD__)
+  CHECK(site.highest_resident < kUsualMemoryMb * kMebibyte);
+#endif
+}
+
 }  // namespace
 }  // namespace fennelhollow::rig
