--- a/src/mesh/ingress/inbound_proxy.cpp
+++ b/src/mesh/ingress/inbound_proxy.cpp
@@ -125,11 +125,11 @@
       return OnAttempt(session, *std::move(attempt));
     }
     case FrameType::kBodyChunk: {
-      auto chunk = Decode<BodyChunk>(frame);
+      const auto chunk = Decode<BodyChunk>(frame);
       if (!chunk.ok() || !session->receiving_body ||
           session->attempt.body.size() + chunk->bytes.size() > kMaxBodyBytes)
         return close_link();
-      return OnBodyChunk(session, *std::move(chunk));
+      return OnBodyChunk(session, *chunk);
     }
     case FrameType::kStatusQuery: {
       const auto query = Decode<StatusQuery>(frame);
@@ -148,7 +148,7 @@
   }
 }
 
-void InboundProxy::OnBodyChunk(const SessionPtr& session, BodyChunk chunk) {
+void InboundProxy::OnBodyChunk(const SessionPtr& session, const BodyChunk& chunk) {
   std::string& body = session->attempt.body;
   if (!session->lacks_memory && !session->charge.Set(account_, body.size() + chunk.bytes.size())) {
     session->lacks_memory = true;
--- a/src/mesh/ingress/inbound_proxy.hpp
+++ b/src/mesh/ingress/inbound_proxy.hpp
@@ -65,7 +65,7 @@
   struct ActiveAttempt;
 
   void OnFrame(const SessionPtr& session, std::string_view frame);
-  void OnBodyChunk(const SessionPtr& session, BodyChunk chunk);
+  void OnBodyChunk(const SessionPtr& session, const BodyChunk& chunk);
   void OnAttempt(const SessionPtr& session, Attempt attempt);
   void Admit(const SessionPtr& session);
   void Forward(const AttemptKey& attempt_key);
