Timeouts do not look at the parser of the request before

Cause: whether the header was parsed was kept from the former request. Change: it is reset with each response.

--- a/src/mesh/egress/http_server.cpp
+++ b/src/mesh/egress/http_server.cpp
@@ -455,6 +455,7 @@
     UpdateCharge();
     SetBusy(false);
     request_started_ = !read_buffer_.empty();
+    head_parsed_ = false;
     phase_start_ = Clock::now();
     if (!keep_alive_) {
       ErrorCode error;
