--- a/src/mesh/egress/http_server.cpp
+++ b/src/mesh/egress/http_server.cpp
@@ -43,6 +43,8 @@
 constexpr std::size_t kStreamOverhead = std::size_t{512} * 1024;
 // Written bytes are dropped from a buffer once there are so many of them.
 constexpr std::size_t kCompactAfter = transport::kReadBufferBytes;
+// What an empty read buffer may keep, on each of thousands of idle connections.
+constexpr std::size_t kKeptBufferBytes = 512;
 
 using merlinrun::net::ToStringView;
 
@@ -253,7 +255,7 @@
   }
 
   void ShrinkReadBuffer() {
-    if (read_buffer_.empty() && read_buffer_.capacity() > kCompactAfter / 4) std::string().swap(read_buffer_);
+    if (read_buffer_.empty() && read_buffer_.capacity() > kKeptBufferBytes) std::string().swap(read_buffer_);
   }
 
   void OnPeerClosed() {
@@ -452,6 +454,7 @@
     drained = nullptr;
     request_bytes_ = 0;
     streaming_ = false;
+    ShrinkReadBuffer();
     UpdateCharge();
     SetBusy(false);
     request_started_ = !read_buffer_.empty();
