A report leaves no more tombstones than a sidecar has instances

Cause: tombstones were recorded from all servers of a report, of which only the first eight are accepted otherwise; a peer could fill a core's memory between two ticks. Result: the new test failed before (24 for 8), passes; registry_test passes.

--- a/src/mesh/registry/registry.cpp
+++ b/src/mesh/registry/registry.cpp
@@ -73,6 +73,11 @@
          a.slots == b.slots && a.state == b.state && a.sidecar_address == b.sidecar_address;
 }
 
+// How many servers of a report are accepted: the first ones.
+std::size_t AcceptedCount(const std::vector<Server>& servers) {
+  return std::min(servers.size(), kMaxInstances);
+}
+
 std::int64_t RemainingColdMs(std::int64_t cold_ms, Micros passed) {
   return std::max<std::int64_t>(0, cold_ms - std::max<Micros>(0, passed) / 1000);
 }
@@ -108,9 +113,10 @@
   return newest;
 }
 
-void Registry::RecordTombstones(Micros now, const std::vector<Server>& servers, ChangedKeys& changed) {
-  for (const Server& server : servers)
-    if (tombstones_.Record(now, server)) UpdateServer(now, server.id, changed);
+void Registry::RecordTombstones(Micros now, const std::vector<Server>& servers, std::size_t count,
+                                ChangedKeys& changed) {
+  for (std::size_t i = 0; i < count; ++i)
+    if (tombstones_.Record(now, servers[i])) UpdateServer(now, servers[i].id, changed);
 }
 
 void Registry::PublishDeparted(const Server& departed, ChangedKeys& changed) {
@@ -184,13 +190,13 @@
 
 void Registry::Restore(Micros now, const std::vector<Server>& servers) {
   ChangedKeys changed;
-  RecordTombstones(now, servers, changed);
+  RecordTombstones(now, servers, servers.size(), changed);
   Commit(std::move(changed));
 }
 
 void Registry::OnReport(Micros now, const Sidecar& from, const std::vector<Server>& servers) {
   ChangedKeys changed;
-  RecordTombstones(now, servers, changed);
+  RecordTombstones(now, servers, AcceptedCount(servers), changed);
   ReplaceReport(now, from, servers, changed);
   Commit(std::move(changed));
 }
@@ -218,8 +224,8 @@
     if (reported_by->second.empty()) reporters_by_server_.erase(reported_by);
   }
   reporter.sidecar = from;
-  reporter.servers.assign(servers.begin(), servers.begin() + static_cast<std::ptrdiff_t>(
-                                                                 std::min(servers.size(), kMaxInstances)));
+  reporter.servers.assign(servers.begin(),
+                          servers.begin() + static_cast<std::ptrdiff_t>(AcceptedCount(servers)));
   reporter.last_heard = reporter.reported_at = now;
   reporter.silent = reporter.left = false;
   for (const Server& server : reporter.servers) {
@@ -247,7 +253,7 @@
 void Registry::OnLeaving(Micros now, const std::string& name, std::uint64_t incarnation,
                          const std::vector<Server>& servers) {
   ChangedKeys changed;
-  RecordTombstones(now, servers, changed);
+  RecordTombstones(now, servers, AcceptedCount(servers), changed);
   MarkLeft(now, name, incarnation, changed);
   Commit(std::move(changed));
 }
--- a/src/mesh/registry/registry.hpp
+++ b/src/mesh/registry/registry.hpp
@@ -104,7 +104,8 @@
   void ReplaceReport(Micros now, const Sidecar& from, const std::vector<Server>& servers,
                      ChangedKeys& changed);
   void MarkLeft(Micros now, const std::string& name, std::uint64_t incarnation, ChangedKeys& changed);
-  void RecordTombstones(Micros now, const std::vector<Server>& servers, ChangedKeys& changed);
+  void RecordTombstones(Micros now, const std::vector<Server>& servers, std::size_t count,
+                        ChangedKeys& changed);
   void PublishDeparted(const Server& departed, ChangedKeys& changed);
   void Withdraw(const std::string& id, ChangedKeys& changed);
   void Publish(Micros now, Server server, Micros reported_at, ChangedKeys& changed);
--- a/tests/mesh/registry_test.cpp
+++ b/tests/mesh/registry_test.cpp
@@ -233,6 +233,18 @@
   CHECK(tombstones.All().size() == kMaxTombstones);
 }
 
+// Guards against a report that fills a core's memory with tombstones.
+TEST_CASE("a report leaves no more tombstones than a sidecar has instances") {
+  Registry registry(7, 1500 * kMs, 12 * kS);
+  std::vector<Server> servers;
+  for (std::size_t i = 0; i < 3 * kMaxInstances; ++i) servers.push_back(Departed("x" + std::to_string(i)));
+  SECTION("as a report") { registry.OnReport(0, SidecarOf(1, 1), servers); }
+  SECTION("as a leaving sidecar's") { registry.OnLeaving(0, "side-1", 1, servers); }
+  CHECK(registry.tombstones().All().size() == kMaxInstances);
+  registry.Restore(0, servers);
+  CHECK(registry.tombstones().All().size() == servers.size());
+}
+
 TEST_CASE("a departed server leaves the snapshot when its tombstone expires") {
   Registry registry(7, 1500 * kMs, 12 * kS);
   registry.OnReport(0, SidecarOf(1, 1), {Departed("a")});
