A sidecar closes links whose Hello does not come within two seconds

What would happen: 256 silent connections at the internal port keep all other sidecars out, for good. Cause: a wait on a peer without an end of time; cores have had such a bound.

--- a/src/mesh/node/sidecar.cpp
+++ b/src/mesh/node/sidecar.cpp
@@ -62,6 +62,8 @@
 // Share of the retry budget used here: calls made by retried requests count against it too, and this sidecar
 // does not see all of them.
 constexpr double kRetryBudgetShare = 0.5;
+constexpr std::size_t kMaxUnidentifiedLinks = 256;
+constexpr Micros kHelloTimeout = 2000 * kMillisecond;
 constexpr std::size_t kMebibyte = std::size_t{1} << 20;
 // Descriptors that the platform keeps for files, where there are more than twice as many.
 constexpr std::size_t kReservedDescriptors = 200;
@@ -103,7 +105,7 @@
 
   ~Impl() override {
     for (auto& [address, link] : core_links_) link->Close();
-    for (auto& link : unidentified_links_) link->Close();
+    for (const auto& [link, accepted_at] : unidentified_links_) link->Close();
   }
 
   absl::Status Start() {
@@ -413,8 +415,8 @@
   // ---- Inbound links from other sidecars ----
 
   void OnInboundLink(const std::shared_ptr<transport::Link>& link) {
-    if (unidentified_links_.size() >= 256) return link->Close();
-    unidentified_links_.insert(link);
+    if (unidentified_links_.size() >= kMaxUnidentifiedLinks) return link->Close();
+    unidentified_links_[link] = loop_.Now();
     transport::Link::Events events;
     events.on_frame = [this, weak = std::weak_ptr<transport::Link>(link)](std::string_view frame) {
       const auto inbound = weak.lock();
@@ -433,6 +435,16 @@
     link->Start(std::move(events));
   }
 
+  // Otherwise peers that say nothing would keep others out.
+  void CloseLinksWithoutHello(Micros now) {
+    std::erase_if(unidentified_links_, [now](const auto& entry) {
+      const auto& [link, accepted_at] = entry;
+      if (now - accepted_at < kHelloTimeout) return false;
+      link->Close();
+      return true;
+    });
+  }
+
   // ---- Control plane ----
 
   void Tick() {
@@ -445,6 +457,7 @@
     heartbeats_.OnTick(now, settings_.heartbeat_interval_ms * kMillisecond);
     OnInstancesChanged(now);
     acknowledgements_.OnTick(now);
+    CloseLinksWithoutHello(now);
     client_.OnTick(now);
     UpdateCoreLinks(now);
     OpenGossipSocket(now);
@@ -633,7 +646,8 @@
   Micros candidates_set_at_ = -kCandidateRefreshInterval;
   std::map<std::string, std::shared_ptr<transport::Link>> core_links_;
   std::set<const transport::Link*> established_links_;
-  std::set<std::shared_ptr<transport::Link>> unidentified_links_;  // accepted, Hello not received yet
+  // Accepted, Hello not received yet; and when they were accepted.
+  std::map<std::shared_ptr<transport::Link>, Micros> unidentified_links_;
   prometheus::Registry registry_;
   metrics::RequestMetrics request_metrics_;
   metrics::ProcessMetrics process_metrics_{registry_};
--- a/tests/soak/hostile_clients_test.cpp
+++ b/tests/soak/hostile_clients_test.cpp
@@ -91,15 +91,15 @@
 
   using Client = std::function<asio::awaitable<void>(Tcp::socket&)>;
   // Connects `count` clients; each stays connected until its coroutine ends or the test does.
-  void Connect(int count, const Client& client) {
+  void Connect(int count, const Client& client) { Connect(count, client, sidecar().outbound()); }
+  void Connect(int count, const Client& client, const Address& to) {
     connected += count;
-    for (int i = 0; i < count; ++i) asio::co_spawn(io, Run(*this, client), asio::detached);
+    for (int i = 0; i < count; ++i) asio::co_spawn(io, Run(*this, client, to), asio::detached);
   }
-  static asio::awaitable<void> Run(Site& site, Client client) {
+  static asio::awaitable<void> Run(Site& site, Client client, Address to) {
     boost::system::error_code error;
     auto socket = std::make_shared<Tcp::socket>(site.io);
-    co_await socket->async_connect(site.sidecar().outbound().Endpoint(),
-                                   asio::redirect_error(asio::use_awaitable, error));
+    co_await socket->async_connect(to.Endpoint(), asio::redirect_error(asio::use_awaitable, error));
     if (!error) co_await client(*socket);
     --site.connected;
   }
@@ -170,6 +170,16 @@
   };
 }
 
+// Sends nothing and stays until the other side closes the connection.
+Site::Client WaitForEnd() {
+  return [](Tcp::socket& socket) -> asio::awaitable<void> {
+    boost::system::error_code error;
+    char byte = 0;
+    co_await asio::async_read(socket, asio::buffer(&byte, 1),
+                              asio::redirect_error(asio::use_awaitable, error));
+  };
+}
+
 std::string Repeated(const std::string& text, std::size_t bytes) {
   std::string out;
   while (out.size() < bytes) out += text;
@@ -253,6 +263,15 @@
   site.Check();
 }
 
+// Guards against silent connections that keep other sidecars from the internal port for good.
+TEST_CASE("silent connections at the internal port are closed") {
+  Site site;
+  site.Connect(100, WaitForEnd(), site.sidecar().internal());
+  site.Watch(kCrowdTimeout);
+  CHECK(site.connected == 0);
+  site.Check();
+}
+
 // Guards against bodies inside the limits that were always refused: more than 16 MiB were queued in a link.
 TEST_CASE("a single upload near the limit is served in calm") {
   constexpr int kUsualMemoryMb = 256;
