--- a/src/mesh/egress/http_server.cpp
+++ b/src/mesh/egress/http_server.cpp
@@ -32,10 +32,8 @@
 // response.
 constexpr auto kLingerTimeout = std::chrono::milliseconds(500);
 constexpr std::size_t kMaxHeaderFields = 100;
-// A client that reads its response more slowly, after the grace period, is taken for gone. The operators'
-// pages name no rate; their clients have given up by their deadline.
+// Minimum rate at which a client reads its response after the grace period.
 constexpr double kMinResponseBytesPerS = 4 * 1024;
-constexpr auto kResponseGrace = std::chrono::milliseconds(15'000);
 // Connections without progress for so long may be closed if there is no memory, or no place, for others.
 constexpr auto kMemoryStall = std::chrono::milliseconds(250);
 constexpr auto kConnectionStall = std::chrono::milliseconds(1'000);
@@ -43,7 +41,7 @@
 constexpr std::size_t kStreamOverhead = std::size_t{512} * 1024;
 // Written bytes are dropped from a buffer once there are so many of them.
 constexpr std::size_t kCompactAfter = transport::kReadBufferBytes;
-// What an empty read buffer may keep, on each of thousands of idle connections.
+// Capacity that an empty read buffer keeps.
 constexpr std::size_t kKeptBufferBytes = 512;
 
 using merlinrun::net::ToStringView;
@@ -75,7 +73,7 @@
   // Resets the connection in favor of others.
   void Evict() {
     ++owner_.counters_.evicted;
-    ResetByPeer();
+    ResetConnection();
   }
 
   // Whether it waits for its client: for the rest of a request, or for the client to read a response.
@@ -85,7 +83,7 @@
   }
   Clock::time_point last_progress() const { return last_progress_; }
 
-  void HoldResponse(std::size_t bytes) {
+  void ChargeHeldResponse(std::size_t bytes) {
     if (state_ != State::kBusy) return;
     held_response_bytes_ = bytes;
     UpdateChargeOrReset();
@@ -103,7 +101,7 @@
     if (state_ == State::kLingering && now - phase_start_ > kLingerTimeout) return Close();
     if (blocked_ && ReadsTooSlowly(now)) {
       ++owner_.counters_.too_slow;
-      return ResetByPeer();
+      return ResetConnection();
     }
     if (state_ != State::kReading) return;
     if (idle()) {
@@ -211,7 +209,7 @@
   }
 
   // As if the client had closed the connection.
-  void ResetByPeer() {
+  void ResetConnection() {
     ErrorCode ignored;
     socket_.set_option(asio::socket_base::linger(true, 0), ignored);
     OnPeerClosed();
@@ -222,7 +220,7 @@
     const double written = static_cast<double>(written_while_blocked_);
     const auto allowed =
         std::chrono::milliseconds(static_cast<std::int64_t>(1000 * written / kMinResponseBytesPerS));
-    return now - blocked_since_ > kResponseGrace + allowed;
+    return now - blocked_since_ > std::chrono::milliseconds(owner_.limits_.response_grace_ms) + allowed;
   }
 
   void WaitReadable() {
@@ -642,7 +640,7 @@
 void HttpServer::Write(const SessionPtr& s, std::string_view bytes) { s->Write(bytes); }
 void HttpServer::Finish(const SessionPtr& s) { s->Finish(); }
 void HttpServer::Abort(const SessionPtr& s) { s->Abort(); }
-void HttpServer::HoldResponse(const SessionPtr& s, std::size_t bytes) { s->HoldResponse(bytes); }
+void HttpServer::ChargeHeldResponse(const SessionPtr& s, std::size_t bytes) { s->ChargeHeldResponse(bytes); }
 std::size_t HttpServer::QueuedBytes(const SessionPtr& s) { return s->queued_bytes(); }
 void HttpServer::OnDrained(const SessionPtr& s, std::function<void()> drained) {
   s->drained = std::move(drained);
--- a/src/mesh/egress/http_server.hpp
+++ b/src/mesh/egress/http_server.hpp
@@ -42,6 +42,7 @@
     std::size_t max_body_bytes = 67108864;
     std::int64_t header_timeout_ms = 3000;
     std::int64_t idle_timeout_ms = 15000;
+    std::int64_t response_grace_ms = 15000;  // before a minimum rate of reading a response holds
     std::size_t max_connections = 3000;
   };
   struct Counters {
@@ -77,7 +78,7 @@
   static void Abort(const SessionPtr& session);
   // Charges the session with `bytes` of a response that is buffered before it begins. If there is no memory
   // for it, the connection is reset and on_disconnect called, as if the client had left.
-  static void HoldResponse(const SessionPtr& session, std::size_t bytes);
+  static void ChargeHeldResponse(const SessionPtr& session, std::size_t bytes);
   // Response bytes that have not been written to the socket yet.
   static std::size_t QueuedBytes(const SessionPtr& session);
   // `drained` is called whenever all queued bytes have been written, but not any more after Finish or Abort.
@@ -85,7 +86,6 @@
   // A value for the owner's use.
   static std::uint64_t& Tag(const SessionPtr& session);
 
-  const Limits& limits() const { return limits_; }
   void SetLimits(const Limits& limits) { limits_ = limits; }
   // Sends Connection: close with every response from now on. Idle connections stay open, because the client
   // may just be sending a request.
--- a/src/mesh/egress/outbound_proxy.cpp
+++ b/src/mesh/egress/outbound_proxy.cpp
@@ -296,15 +296,15 @@
     response.headers = std::move(head.headers);
     response.body = std::move(head.body);
     response.body_length = head.content_length;
-    if (!HoldResponse(attempt, *state)) return;
+    if (!ChargeHeldResponse(attempt, *state)) return;
     if (head.end) return OnResponseComplete(attempt, state, head.executed);
     StreamIfLarge(attempt, state);
   }
 
   // False if there was no memory for the response: the client's connection was reset, which has cancelled the
   // attempt.
-  bool HoldResponse(AttemptId attempt, const AttemptState& state) const {
-    HttpServer::HoldResponse(state.pending->session, state.response->body.size());
+  bool ChargeHeldResponse(AttemptId attempt, const AttemptState& state) const {
+    HttpServer::ChargeHeldResponse(state.pending->session, state.response->body.size());
     return handles_.contains(attempt);
   }
 
@@ -326,7 +326,7 @@
       return;
     }
     state->response->body += chunk.bytes;
-    if (!HoldResponse(attempt, *state)) return;
+    if (!ChargeHeldResponse(attempt, *state)) return;
     if (chunk.end) return OnResponseComplete(attempt, state, true);
     StreamIfLarge(attempt, state);
   }
--- a/tests/mesh/egress_http_server_test.cpp
+++ b/tests/mesh/egress_http_server_test.cpp
@@ -283,6 +283,24 @@
   CHECK(fixture.account.IsWithinLimits());
 }
 
+// Guards against responses that wait for their client without an end of time.
+TEST_CASE("a client that reads nothing is given up after the grace period") {
+  constexpr std::size_t kBody = std::size_t{24} << 20;
+  HttpServer::Limits limits;
+  limits.response_grace_ms = 1;
+  ServerFixture fixture(limits, [](const auto& session, const auto&) {
+    HttpServer::Begin(session, 200, {}, kBody);
+    HttpServer::Write(session, std::string(kBody, 'x'));
+  });
+  const auto connection = RawConnection::ConnectWithoutReading(fixture.io, fixture.port);
+  connection->Write(Get("/x"));
+  REQUIRE(RunUntil(fixture.io, [&] { return fixture.requests.size() == 1; }));
+  // What was read until the response blocked counts for the rate; nothing is read afterwards.
+  CHECK(RunUntil(fixture.io, [&] { return fixture.server.counters().too_slow == 1; }));
+  CHECK(fixture.disconnects == 1);
+  CHECK(fixture.server.sessions() == 0);
+}
+
 TEST_CASE("Expect: 100-continue is answered") {
   ServerFixture fixture({}, Echo);
   const auto connection =
--- a/tests/mesh/egress_outbound_test.cpp
+++ b/tests/mesh/egress_outbound_test.cpp
@@ -452,6 +452,33 @@
   CHECK(mesh.arrivals.size() == 2);
 }
 
+// Guards against bodies that an inbound proxy takes beyond its memory.
+TEST_CASE("an unsafe request whose body finds no memory at the last hop is refused and has not run") {
+  MeshFixture mesh(1, Serve);
+  memory::BufferAccount& account = mesh.machines[0]->account;
+  memory::BufferCharge small, large;
+  REQUIRE(small.Set(account, memory::kSmallChargeBytes));
+  REQUIRE(large.Set(account, account.limits().large));
+  const auto send = [&](std::size_t body_bytes) {
+    const auto connection = RawConnection::Connect(mesh.io, mesh.port);
+    connection->Write("POST /unsafe/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: id-" + std::to_string(++mesh.sent) +
+                      "\r\nDeadline-Remaining: 4000\r\nContent-Length: " + std::to_string(body_bytes) +
+                      "\r\n\r\n" + std::string(body_bytes, 'b'));
+    REQUIRE(RunUntil(mesh.io, [&] { return connection->received.find("\r\n\r\n") != std::string::npos; }));
+    return connection->received.substr(9, 3);
+  };
+  for (const std::size_t body_bytes :
+       {std::size_t{100'000}, std::size_t{1'000'000}}) {  // in one frame, in several
+    INFO(body_bytes);
+    CHECK(send(body_bytes) == "503");
+    CHECK(mesh.arrivals.empty());
+  }
+  CHECK(mesh.SendAndWait("unsafe") == 200);  // a small body finds room
+  large.Release();
+  CHECK(send(1'000'000) == "200");
+  CHECK(RunUntil(mesh.io, [&] { return account.charged(memory::BufferAccount::Pool::kLarge) == 0; }));
+}
+
 TEST_CASE("an unsafe request that exceeds its deadline gets 504") {
   MeshFixture mesh(2, [](std::size_t, RawConnection&, const std::string&) {});
   CHECK(mesh.SendAndWait("unsafe", 300) == 504);
--- a/tests/mesh/ingress_server_pool_test.cpp
+++ b/tests/mesh/ingress_server_pool_test.cpp
@@ -194,6 +194,14 @@
        Failure::kMalformed, 0},
       {"no HTTP", "\x16\x03garbage\r\n\r\n", Failure::kMalformed, 0},
       {"bad chunk", sealed + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", Failure::kMalformed, 1},
+      // The parser takes a chunk's head and the trailer only as a whole: without a bound they fill the
+      // memory.
+      {"endless chunk extension",
+       sealed + "Transfer-Encoding: chunked\r\n\r\n1;name=" + std::string(40'000, 'a'), Failure::kMalformed,
+       1},
+      {"endless trailer",
+       sealed + "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nA: " + std::string(40'000, 'a'),
+       Failure::kMalformed, 1},
       {"body cut short", sealed + "Content-Length: 10\r\n\r\nfour", Failure::kReset, 1},
       {"chunks cut short", sealed + "Transfer-Encoding: chunked\r\n\r\n4\r\nfour\r\n", Failure::kReset, 1},
       {"head cut short", sealed, Failure::kReset, 0},
--- a/tests/soak/hostile_clients_test.cpp
+++ b/tests/soak/hostile_clients_test.cpp
@@ -192,7 +192,7 @@
 
 // Guards against trailers without end behind a chunked body: they filled the memory, as nothing bounds what
 // the parser has not consumed.
-TEST_CASE("trailer fields without end") {
+TEST_CASE("trailer fields without end do not fill the memory") {
   Site site;
   site.Connect(kFloods, Flood(Head("POST", "/plans/x", kChunked) + "1\r\nx\r\n0\r\n",
                               Repeated("Trailer-Field: value\r\n", kPieceBytes), kFloodBytes));
@@ -200,8 +200,8 @@
   site.Check();
 }
 
-// The same with one line that never ends.
-TEST_CASE("a trailer line without end") {
+// Guards against the same with one line that never ends.
+TEST_CASE("a trailer line without end does not fill the memory") {
   Site site;
   site.Connect(kFloods, Flood(Head("POST", "/plans/x", kChunked) + "1\r\nx\r\n0\r\nTrailer: ",
                               std::string(kPieceBytes, 'a'), kFloodBytes));
@@ -209,8 +209,8 @@
   site.Check();
 }
 
-// The same with a chunk extension.
-TEST_CASE("a chunk extension without end") {
+// Guards against the same with a chunk extension.
+TEST_CASE("a chunk extension without end does not fill the memory") {
   Site site;
   site.Connect(kFloods, Flood(Head("POST", "/plans/x", kChunked) + "1;name=", std::string(kPieceBytes, 'a'),
                               kFloodBytes));
@@ -219,7 +219,7 @@
 }
 
 // Guards against a buffer that grows with each request that is handled while more of them have arrived.
-TEST_CASE("pipelined requests without end, whose responses are not read") {
+TEST_CASE("pipelined requests without end do not fill the memory") {
   Site site;
   const std::string request = Head("GET", "/plans/x", "");
   site.Connect(kFloods, Flood("", Repeated(request, kPieceBytes), kFloodBytes));
@@ -228,7 +228,7 @@
 }
 
 // Guards against long responses that many clients do not read: each had a bound, all together had none.
-TEST_CASE("downloads that are not read") {
+TEST_CASE("downloads that are not read do not fill the memory") {
   Site site(8 * kMebibyte);
   site.Connect(48, AskAndNeverRead(Head("GET", "/plans/x", "")));
   site.Watch(kCrowdHolds);
@@ -236,7 +236,7 @@
 }
 
 // Guards against bodies whose copies are not counted.
-TEST_CASE("large uploads at once") {
+TEST_CASE("large uploads at once do not fill the memory") {
   Site site;
   const std::size_t body_bytes = 12 * kMebibyte;
   site.Connect(12, Flood(Head("POST", "/plans/x", "Content-Length: " + std::to_string(body_bytes) + "\r\n"),
@@ -246,7 +246,7 @@
 }
 
 // Guards against bodies that are kept for clients that send no more of them.
-TEST_CASE("uploads that stop midway") {
+TEST_CASE("uploads that stop midway do not fill the memory") {
   Site site;
   const std::size_t sent_bytes = std::size_t{800} * 1024;
   site.Connect(120, AskAndNeverRead(Head("POST", "/plans/x", "Content-Length: 1000000\r\n") +
@@ -256,7 +256,7 @@
 }
 
 // Guards against connections that leave no descriptor for anybody else.
-TEST_CASE("more connections than the sidecar has descriptors") {
+TEST_CASE("many connections do not take the last descriptor") {
   Site site;
   site.Connect(400, AskAndNeverRead("GET /plans/x HTTP/1.1\r\nHost: "));
   site.Watch(kCrowdHolds);
