A sidecar leaves a core that has just started for one whose registry is complete

What would happen: a new process of a sidecar subscribes to a core that has lost its disk a moment before, does not learn from it that its server has departed, and a late heartbeat lists the server there again. Cause: a core whose registry may be incomplete was avoided only if another one answered first, and kept for 10 to 20 s. Change: it counts as worse than a core whose registry is complete, as one without a leader does. Two more tests: a core that lost its disk learns from the sidecar; tombstones are written after a change, and a failed write is repeated.

--- a/src/mesh/push/client.cpp
+++ b/src/mesh/push/client.cpp
@@ -219,7 +219,8 @@
   const bool heard = current.heard_at >= subscribed_at_;
   const bool worse =
       heard && *best != subscribed_ &&
-      ((chosen.has_leader && !current.has_leader) || (current.entry < newest && chosen.entry == newest));
+      ((chosen.has_leader && !current.has_leader) || (current.entry < newest && chosen.entry == newest) ||
+       (current.warming_up && !chosen.warming_up));
   if (!worse) {
     worse_since_ = kNever;
   } else if (worse_since_ == kNever) {
--- a/tests/mesh/node_test.cpp
+++ b/tests/mesh/node_test.cpp
@@ -1,11 +1,13 @@
 #include <prometheus/counter.h>
 #include <pthread.h>
+#include <unistd.h>
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <deque>
+#include <filesystem>
 #include <map>
 #include <memory>
 #include <new>
@@ -23,6 +25,7 @@
 #include "mesh/node/metrics_endpoint.hpp"
 #include "mesh/node/peer_links.hpp"
 #include "mesh/node/pending_acknowledgements.hpp"
+#include "mesh/node/tombstone_writer.hpp"
 #include "mesh/node/worker.hpp"
 
 namespace fennelhollow::node {
@@ -83,6 +86,37 @@
   }
 }
 
+// Guards against tombstones that are lost with the processes of all cores.
+TEST_CASE("tombstones are written after a change, and a failed write is repeated") {
+  namespace fs = std::filesystem;
+  const fs::path folder = fs::temp_directory_path() / ("tombstones-" + std::to_string(::getpid()));
+  fs::remove_all(folder);
+  asio::io_context io;
+  Worker worker(io, "test");
+  TombstoneWriter writer(worker, folder.string());
+  registry::Tombstones tombstones;
+  Micros now = 0;
+  const auto update = [&] {
+    now += 2'000'000;  // beyond all pauses between writes
+    writer.Update(now, tombstones);
+    while (worker.pending() > 0) io.run_one();
+  };
+  CHECK(ReadTombstones(folder.string()).empty());
+  tombstones.Record(0, ServerOf("a", registry::State::kGone, registry::kFinalSequence));
+  update();
+  CHECK(ReadTombstones(folder.string()).empty());  // there is no such directory
+  fs::create_directories(folder);
+  update();
+  REQUIRE(ReadTombstones(folder.string()).size() == 1);
+  CHECK(ReadTombstones(folder.string()).front() == *tombstones.Find("a"));
+  tombstones.Record(0, ServerOf("b", registry::State::kDraining));
+  writer.Update(now, tombstones);  // too soon after the write
+  CHECK(worker.pending() == 0);
+  update();
+  CHECK(ReadTombstones(folder.string()).size() == 2);
+  fs::remove_all(folder);
+}
+
 TEST_CASE("a worker runs jobs in order, completes them on the loop and bounds its queue") {
   asio::io_context io;
   std::vector<int> executed, done;
--- a/tests/mesh/push_test.cpp
+++ b/tests/mesh/push_test.cpp
@@ -353,6 +353,23 @@
   CHECK(world.cores_.at("core:1")->publisher->Subscribers() > 2);
 }
 
+// Guards against a sidecar that takes the incomplete registry of a core that has just started, and learns
+// nothing from the others.
+TEST_CASE("a sidecar does not stay with a core that has just started if another one is complete") {
+  World world(3, 30);
+  world.SetLeader("core:1");
+  world.RunFor(6 * kS);  // beyond the warm-up of all cores
+  world.StopCore("core:0");
+  world.StartCore("core:0");
+  for (int i = 0; i < 30; ++i) world.StartSidecar("side-" + std::to_string(200 + i));
+  world.RunFor(1500 * kMs);
+  for (auto& [name, sidecar] : world.sidecars_) {
+    INFO(name);
+    CHECK(sidecar->client->subscribed_core() != "core:0");
+    CHECK(sidecar->client->snapshot().servers.size() == 60);
+  }
+}
+
 TEST_CASE("a core without a leader is replaced by one with a leader, and confirms no leases") {
   World world(3, 8);
   world.SetLeader("core:0");
--- a/tests/soak/departures_test.cpp
+++ b/tests/soak/departures_test.cpp
@@ -15,6 +15,8 @@
 
 constexpr const char* kLeaving = "i-leaving";
 constexpr const char* kWitness = "i-witness";
+// Longer than a core's registry counts as incomplete after its start.
+constexpr milliseconds kCoreWarmUp{4'000};
 
 // Three cores and a sidecar; the heartbeats of the servers beside it are sent by the tests.
 struct Mesh : Nodes {
@@ -90,6 +92,12 @@
     sidecar().Kill();
     StartSidecar();
   }
+  void RestartCoreWithoutDisk() {
+    core(0).Kill();
+    core(0).LoseDisk();
+    REQUIRE(core(0).Start());
+    REQUIRE(Until(kStartTimeout, [&] { return Serves(core(0)); }));
+  }
   void StartSidecar() {
     REQUIRE(sidecar().Start());
     REQUIRE(Until(kStartTimeout, [&] { return Serves(sidecar()); }));
@@ -139,6 +147,34 @@
   for (std::size_t i = 0; i < kCores; ++i) CHECK(mesh.StateAt(mesh.core(i), kLeaving) != "ready");
 }
 
+// Guards against a departure that is forgotten with the disk of a core: the sidecar reports it again.
+TEST_CASE("a core that lost its disk learns of a departure from the sidecar") {
+  Mesh mesh;
+  mesh.ListServer();
+  REQUIRE(mesh.Acknowledged([&] { return mesh.SendDeparture(kLeaving); }));
+  mesh.RestartCoreWithoutDisk();
+  REQUIRE(mesh.AllDisksHold(kLeaving));
+  mesh.RestartSidecar();
+  mesh.SendLateHeartbeat();
+  for (std::size_t i = 0; i < kCores; ++i) CHECK(mesh.StateAt(mesh.core(i), kLeaving) != "ready");
+}
+
+// Guards against a departure that is forgotten with the sidecar and the disk of a core: the other cores tell
+// the new process of the sidecar, which reports it.
+TEST_CASE("a core that lost its disk learns of a departure from the other cores by way of the sidecar") {
+  Mesh mesh;
+  mesh.ListServer();
+  REQUIRE(mesh.Acknowledged([&] { return mesh.SendDeparture(kLeaving); }));
+  REQUIRE(mesh.AllDisksHold(kLeaving));
+  mesh.Pause(kCoreWarmUp);  // until the other cores are no longer starting
+  mesh.sidecar().Kill();
+  mesh.RestartCoreWithoutDisk();
+  mesh.StartSidecar();
+  REQUIRE(mesh.AllDisksHold(kLeaving));
+  mesh.SendLateHeartbeat();
+  for (std::size_t i = 0; i < kCores; ++i) CHECK(mesh.StateAt(mesh.core(i), kLeaving) != "ready");
+}
+
 // Guards against an acknowledgement that one kill makes void: nobody but the sidecar knew of it.
 TEST_CASE("a sidecar without a core does not acknowledge a departure") {
   Nodes nodes;
