--- a/rig/soak/run.cpp
+++ b/rig/soak/run.cpp
@@ -8,6 +8,7 @@
 #include <exception>
 #include <memory>
 #include <random>
+#include <string>
 
 #include "rig/soak/clients.hpp"
 #include "rig/soak/cluster.hpp"
@@ -30,6 +31,8 @@
 constexpr int kFaultPhaseSpreadMs = 8'000;
 constexpr milliseconds kExitSlack{1'000};
 constexpr milliseconds kStopTimeout{10'000};
+// A run that lasts so much longer than it was to is reported with the phase that it is in.
+constexpr milliseconds kOverrunTimeout{110'000};
 constexpr milliseconds kPollInterval{100};
 // Minimum served share of added routes relative to the first ones, given kMinSamples requests.
 constexpr double kMinAddedShare = 0.25;
@@ -66,6 +69,12 @@
       if (error) checker_.ReportViolation("the run was stopped by an exception");
       io_.stop();
     });
+    asio::steady_timer overrun(io_, options_.length + kOverrunTimeout);
+    overrun.async_wait([this](const boost::system::error_code& stopped) {
+      if (stopped) return;
+      checker_.ReportViolation("the run does not end; its phase: " + phase_);
+      io_.stop();
+    });
     io_.run();
     return Report();
   }
@@ -81,7 +90,13 @@
     return options;
   }
 
+  void EnterPhase(const std::string& phase) {
+    phase_ = phase;
+    log_.Add("phase: " + phase);
+  }
+
   asio::awaitable<void> RunAll() {
+    EnterPhase("start");
     const bool begun = co_await operators_.ApplyFirstConfiguration();
     if (!begun) {
       checker_.ReportViolation("the first configuration was not acknowledged");
@@ -100,11 +115,14 @@
 
   // Planned work without faults, during which the responses to clients are checked.
   asio::awaitable<void> PlannedRound() {
+    EnterPhase("before planned work");
     co_await Sleep(io_, kReconnectTimeout);
     clients_.SetChecked(true);
     operators_.SetStorm(true);
     cluster_.SetSlowShare(kSlowShare);
+    EnterPhase("planned work");
     co_await planned_work_.Run(kPlannedPhase);
+    EnterPhase("after planned work");
     operators_.SetStorm(false);
     cluster_.SetSlowShare(0);
     clients_.SetChecked(false);
@@ -116,13 +134,16 @@
 
   // Injects faults, waits for recovery, then measures a fault-free interval with possibly overloaded servers.
   asio::awaitable<void> FaultRound() {
+    EnterPhase("faults");
     co_await faults_.InjectFaults(kMinFaultPhase + milliseconds(random_() % kFaultPhaseSpreadMs));
     if (random_() % 3 == 0) co_await faults_.KillEverything();
+    EnterPhase("recovery");
     const int slowdown = 1 + static_cast<int>(random_() % kMaxSlowdown);
     cluster_.SlowDownServers(slowdown);
     const bool recovered = co_await Recovered("the faults");
     if (!recovered) co_return;
     co_await Sleep(io_, kReconnectTimeout);
+    EnterPhase("measurement");
     const auto acknowledged = operators_.last_acknowledged();
     clients_.Measure();
     co_await Sleep(io_, kMeasurementWindow);
@@ -189,6 +210,7 @@
 
   // Stops clients and operators, then all processes in order.
   asio::awaitable<void> Stop() {
+    EnterPhase("stop");
     clients_.Stop();
     operators_.Stop();
     const auto until = Clock::now() + kStopTimeout;
@@ -232,6 +254,7 @@
   PlannedWork planned_work_;
   FaultInjector faults_;
   std::uint64_t planned_rounds_ = 0, rounds_ = 0;
+  std::string phase_;
 };
 
 }  // namespace
