Departures are acknowledged by a majority of disks; a new instance is asked for first

With one of three cores stopped over the departure, then a kill of all nodes and the loss of one disk, two cores listed the departed server again after a late heartbeat. With the disks of two cores full the departure was acknowledged as well.

Cause: an acknowledged fact was known to fewer machines than may be lost, and a restarted sidecar believed the first heartbeat it got before it had asked.

Change: cores answer each report that lists servers with what they remember of them and whether that is on disk (push::ServerRecords, a message of its own). A sidecar says 200 once a majority of the cores has the state on disk, and lists a new instance once a majority vouches that it knows nothing of it, so that the two share a core. A core that has lost its disk, or cannot read its tombstones, does not vouch for 15 s.

--- a/rig/sim/core_process.cpp
+++ b/rig/sim/core_process.cpp
@@ -135,6 +135,10 @@
   for (const SidecarLink link : links) network_.Send(link, settings_.self, frame);
 }
 
+void CoreProcess::SendRecords(SidecarLink link, const push::ServerRecords& records) {
+  network_.Send(link, settings_.self, transport::Pack(records));
+}
+
 void CoreProcess::CloseSidecar(SidecarLink link) {
   incoming_.erase(link);
   network_.Close(link, settings_.self);
--- a/rig/sim/core_process.hpp
+++ b/rig/sim/core_process.hpp
@@ -59,6 +59,7 @@
   Micros Now() const override { return events_.now(); }
   bool SendToPeer(const consensus::ReplicaId& to, std::string_view frame) override;
   void SendToSidecars(const std::vector<SidecarLink>& links, const push::CoreUpdate& update) override;
+  void SendRecords(SidecarLink link, const push::ServerRecords& records) override;
   void CloseSidecar(SidecarLink link) override;
   void Write(const consensus::PersistentState& state, std::uint64_t token) override;
   bool RunInBackground(std::function<void()> work, std::function<void(const absl::Status&)> done) override;
--- a/src/mesh/control/control_replica.hpp
+++ b/src/mesh/control/control_replica.hpp
@@ -33,6 +33,7 @@
   // Sends to OnPeerFrame of another core. False if not connected; a frame that was sent may still be lost.
   virtual bool SendToPeer(const ReplicaId& to, std::string_view frame) = 0;
   virtual void SendToSidecars(const std::vector<SidecarLink>& links, const push::CoreUpdate& update) = 0;
+  virtual void SendRecords(SidecarLink link, const push::ServerRecords& records) = 0;
   virtual void CloseSidecar(SidecarLink link) = 0;
   // Writes to disk and syncs, then calls OnWritten(token, ok). At most one write is in progress.
   virtual void Write(const consensus::PersistentState& durable, std::uint64_t token) = 0;
@@ -72,10 +73,14 @@
   void OnWritten(std::uint64_t token, bool ok);
   void OnSidecarReport(SidecarLink link, const push::SidecarReport& report);
   void OnSidecarDown(SidecarLink link);
-  // What this core remembered of draining and departed servers before its start.
+  // What this core remembered of draining and departed servers before its start. Sidecars get no records
+  // before.
   void RestoreTombstones(const std::vector<registry::Server>& servers) {
     publisher_.RestoreTombstones(host_.Now(), servers);
   }
+  void OnTombstonesWritten(std::uint64_t version) { publisher_.OnTombstonesWritten(version); }
+  // This core has lost its disk, and with it tombstones.
+  void SetDiskLost() { publisher_.SetDiskLost(); }
   void OnTick();
   // Handles an operator's call. Calls `reply` exactly once, within a second.
   void Submit(CallKind kind, std::string body, std::function<void(Response)> reply);
@@ -119,6 +124,9 @@
   void SendAll(const std::vector<SidecarLink>& links, const push::CoreUpdate& update) override {
     host_.SendToSidecars(links, update);
   }
+  void SendRecords(SidecarLink link, const push::ServerRecords& records) override {
+    host_.SendRecords(link, records);
+  }
   void Close(SidecarLink link) override { host_.CloseSidecar(link); }
 
   // ConfigurationServiceHost
--- a/src/mesh/node/core.cpp
+++ b/src/mesh/node/core.cpp
@@ -64,7 +64,7 @@
   absl::Status status;
   bool data_loss = false;  // a store exists but is corrupt
   std::optional<consensus::PersistentState> state;
-  std::vector<registry::Server> tombstones;
+  absl::StatusOr<std::vector<registry::Server>> tombstones;
 };
 
 OpenResult OpenStore(Disk& disk, const std::string& data_directory, std::size_t max_bytes) {
@@ -171,6 +171,7 @@
   Micros Now() const override { return loop_.Now(); }
   bool SendToPeer(const ReplicaId& to, std::string_view frame) override { return peers_.Send(to, frame); }
   void SendToSidecars(const std::vector<SidecarLink>& links, const push::CoreUpdate& update) override;
+  void SendRecords(SidecarLink link, const push::ServerRecords& records) override;
   void CloseSidecar(SidecarLink link) override;
   void Write(const consensus::PersistentState& state, std::uint64_t token) override;
   bool RunInBackground(std::function<void()> work, std::function<void(const absl::Status&)> done) override {
@@ -181,6 +182,7 @@
 
   void OpenStoreAsync();
   void OnStoreOpened(OpenResult opened);
+  void RestoreTombstones(absl::StatusOr<std::vector<registry::Server>> tombstones, bool disk_lost);
   void OnWritten(std::uint64_t token, const absl::Status& status);
   void WriteTombstones();
   void OnTick();
@@ -307,12 +309,20 @@
   LOG(INFO) << "core " << self_ << " starts, incarnation " << incarnation_ << ", "
             << (replica.persisted ? absl::StrCat("entry ", replica.persisted->accepted.index, " persisted")
                                   : std::string(replica.bootstrap ? "bootstrapping" : "nothing persisted"));
-  replica_.RestoreTombstones(opened.tombstones);
-  tombstone_writer_ = std::make_unique<TombstoneWriter>(*disk_worker_, settings_.data_directory);
+  RestoreTombstones(std::move(opened.tombstones), !settings_.first_start && !replica.persisted);
+  tombstone_writer_ = std::make_unique<TombstoneWriter>(
+      *disk_worker_, settings_.data_directory,
+      [this](std::uint64_t version) { replica_.OnTombstonesWritten(version); });
   replica_.Start(std::move(replica));
   if (stopping_) FinishStopIfDone();
 }
 
+void Core::Impl::RestoreTombstones(absl::StatusOr<std::vector<registry::Server>> tombstones, bool disk_lost) {
+  if (!tombstones.ok()) LOG(ERROR) << "tombstones cannot be read: " << tombstones.status().message();
+  if (disk_lost || !tombstones.ok()) replica_.SetDiskLost();
+  replica_.RestoreTombstones(tombstones.ok() ? *tombstones : std::vector<registry::Server>{});
+}
+
 void Core::Impl::Write(const consensus::PersistentState& state, std::uint64_t token) {
   ++counters_.writes;
   const auto status = std::make_shared<absl::Status>();
@@ -388,6 +398,11 @@
   }
 }
 
+void Core::Impl::SendRecords(SidecarLink link, const push::ServerRecords& records) {
+  const auto it = inbound_links_.find(link);
+  if (it != inbound_links_.end()) it->second.link->Send(transport::Pack(records));
+}
+
 void Core::Impl::CloseSidecar(SidecarLink link) {  // called by the replica, which has dropped it already
   const auto it = inbound_links_.find(link);
   if (it == inbound_links_.end()) return;
--- a/src/mesh/node/sidecar.cpp
+++ b/src/mesh/node/sidecar.cpp
@@ -27,6 +27,7 @@
 #include "mesh/metrics/request_metrics.hpp"
 #include "mesh/node/control_listener.hpp"
 #include "mesh/node/pending_acknowledgements.hpp"
+#include "mesh/node/record_quorum.hpp"
 #include "mesh/node/shutdown_schedule.hpp"
 #include "mesh/push/client.hpp"
 #include "mesh/quota/quota.hpp"
@@ -367,7 +368,7 @@
     if (const auto* departure = std::get_if<InstanceDeparture>(&command)) {
       heartbeats_.OnDeparture(now, departure->id, self_);
       OnInstancesChanged(now);
-      return acknowledgements_.Add(now, departure->id, registry::State::kGone, client_.snapshot(), reply);
+      return acknowledgements_.Add(now, departure->id, registry::State::kGone, reply);
     }
     if (std::holds_alternative<Status>(command)) return reply({200, StatusText(), {}});
     if (const auto* unknown = std::get_if<Unknown>(&command))
@@ -385,7 +386,35 @@
   void AcknowledgeHeartbeat(Micros now, const std::string& id, const ControlListener::Reply& reply) {
     const registry::Server* server = heartbeats_.Find(id);
     if (server == nullptr || server->state != registry::State::kDraining) return reply({});
-    acknowledgements_.Add(now, id, registry::State::kDraining, client_.snapshot(), reply);
+    acknowledgements_.Add(now, id, registry::State::kDraining, reply);
+  }
+
+  // A core has answered a report: applies what it remembers of the servers beside this sidecar.
+  void OnRecords(const std::string& core, const push::ServerRecords& records) {
+    const Micros now = loop_.Now();
+    record_quorum_.OnRecords(core, records);
+    for (const push::ServerRecord& record : records.servers) {
+      registry::Server remembered;
+      remembered.id = record.id;
+      remembered.state = record.state;
+      if (record.state == registry::State::kGone) remembered.sequence = registry::kFinalSequence;
+      remembered.sidecar_address = self_;
+      heartbeats_.OnRemembered(now, remembered);
+    }
+    ConfirmInstances(now);
+    acknowledgements_.Update();
+  }
+
+  void ConfirmInstances(Micros now) {
+    for (const std::string& id : heartbeats_.Unconfirmed())
+      if (record_quorum_.IsUnknown(id, client_.cores())) heartbeats_.Confirm(now, id);
+    OnInstancesChanged(now);
+  }
+
+  void RetainRecords(Micros now) {
+    std::vector<std::string> ids;
+    for (const registry::Server& server : heartbeats_.Instances(now)) ids.push_back(server.id);
+    record_quorum_.Retain(ids);
   }
 
   void OnInstancesChanged(Micros now) {
@@ -455,7 +484,9 @@
       longest_loop_delay_ = std::max(longest_loop_delay_, now - last_tick_at_ - kTickInterval);
     last_tick_at_ = now;
     heartbeats_.OnTick(now, settings_.heartbeat_interval_ms * kMillisecond);
-    OnInstancesChanged(now);
+    ConfirmInstances(now);
+    RetainRecords(now);
+    acknowledgements_.Update();
     acknowledgements_.OnTick(now);
     CloseLinksWithoutHello(now);
     client_.OnTick(now);
@@ -540,6 +571,8 @@
     core_links_[address] = link;
     transport::Link::Events events;
     events.on_frame = [this, address](std::string_view frame) {
+      const auto records = transport::Unpack<push::ServerRecords>(frame);
+      if (records.ok() && records->tag == push::ServerRecords::kTag) return OnRecords(address, *records);
       const auto update = transport::Unpack<push::CoreUpdate>(frame);
       if (!update.ok()) {
         ++malformed_updates_;
@@ -614,7 +647,6 @@
     const Micros now = loop_.Now();
     for (const registry::Server& server : snapshot.servers)
       if (server.sidecar_address == self_) heartbeats_.OnRemembered(now, server);
-    acknowledgements_.OnSnapshot(snapshot);
     limiter_.SetSidecarCount(now, count);
     // Ranked by name, the sidecars of a service would be adjacent and select overlapping subsets.
     outbound_proxy_.OnEndpoints(snapshot, egress::InterleavedRank(snapshot.sidecars, settings_.node_name),
@@ -633,7 +665,10 @@
   const std::uint64_t incarnation_;
   const std::string self_;
   registry::HeartbeatTracker heartbeats_;
-  PendingAcknowledgements acknowledgements_;
+  RecordQuorum record_quorum_;
+  PendingAcknowledgements acknowledgements_{[this](const std::string& id, registry::State state) {
+    return record_quorum_.IsRecorded(id, state, client_.cores());
+  }};
   std::uint64_t seen_heartbeat_changes_ = 0;
   quota::Limiter limiter_;
   push::Client client_;
--- a/src/mesh/node/tombstone_writer.cpp
+++ b/src/mesh/node/tombstone_writer.cpp
@@ -1,6 +1,5 @@
 #include "mesh/node/tombstone_writer.hpp"
 
-#include <absl/status/statusor.h>
 #include <glog/logging.h>
 
 #include <memory>
@@ -36,11 +35,10 @@
 
 }  // namespace
 
-std::vector<registry::Server> ReadTombstones(const std::string& directory) {
+absl::StatusOr<std::vector<registry::Server>> ReadTombstones(const std::string& directory) {
   auto servers = ReadFile(directory + kFileName);
-  if (servers.ok()) return *std::move(servers);
-  if (!absl::IsNotFound(servers.status())) LOG(WARNING) << "tombstones: " << servers.status().message();
-  return {};
+  if (absl::IsNotFound(servers.status())) return std::vector<registry::Server>{};
+  return servers;
 }
 
 void TombstoneWriter::Update(Micros now, const registry::Tombstones& tombstones) {
@@ -61,6 +59,7 @@
   if (!status.ok() != std::exchange(failing_, !status.ok()))
     LOG(WARNING) << "tombstones: writes "
                  << (status.ok() ? std::string("succeed again") : "fail: " + status.ToString());
+  if (status.ok()) on_written_(written_version_);
 }
 
 }  // namespace fennelhollow::node
--- a/src/mesh/push/messages.hpp
+++ b/src/mesh/push/messages.hpp
@@ -68,6 +68,30 @@
   }
 };
 
+// What a core remembers of one server of a sidecar's report.
+struct ServerRecord {
+  std::string id;
+  registry::State state = registry::State::kReady;  // kReady: it has no tombstone
+  bool on_disk = false;                             // the tombstone outlives the core's process
+  template <class Archive>
+  void serialize(Archive& a) {
+    a(id, state, on_disk);
+  }
+};
+
+// Core to sidecar: the answer to each report that lists servers, sent again once a tombstone of one of them
+// is on disk. A message of its own: sidecars of versions without it count it as malformed and go on.
+struct ServerRecords {
+  static constexpr std::uint64_t kTag = 0x53455256'52454331;  // no log index is that large
+  std::uint64_t tag = kTag;
+  bool complete = true;  // false: this core has lost its disk, and with it tombstones
+  std::vector<ServerRecord> servers;
+  template <class Archive>
+  void serialize(Archive& a) {
+    a(tag, complete, servers);
+  }
+};
+
 }  // namespace fennelhollow::push
 
 #endif  // FENNELHOLLOW_MESH_PUSH_MESSAGES_HPP_
--- a/src/mesh/push/publisher.cpp
+++ b/src/mesh/push/publisher.cpp
@@ -81,6 +81,14 @@
     registry_.OnKeepalive(now, report.sidecar.name, report.sidecar.incarnation);
   }
 
+  if (report.leaving || report.has_servers) {
+    link.servers.clear();
+    const std::size_t count = std::min(report.servers.size(), registry::kMaxInstances);
+    for (std::size_t i = 0; i < count; ++i) link.servers.push_back(report.servers[i].id);
+    if (disk_lost_ && now - started_ >= kRecoveryPeriod) disk_lost_ = false;
+    SendRecords(id, link);
+  }
+
   if (report.subscribe && !link.subscribed) {
     link.snapshot_delivery = Delivery{0, 0, now, settings_.resend_after};
     link.state_delivery = Delivery{0, 0, now, settings_.resend_after};
@@ -112,6 +120,35 @@
   sink_.Send(id, update);
 }
 
+ServerRecord Publisher::RecordOf(const std::string& id) const {
+  const registry::Server* tombstone = registry_.tombstones().Find(id);
+  if (tombstone == nullptr) return {id, registry::State::kReady, false};
+  return {id, tombstone->state, registry_.tombstones().IsWritten(id)};
+}
+
+void Publisher::SendRecords(LinkId id, Link& link) {
+  if (link.servers.empty() || !tombstones_restored_) return;
+  ServerRecords records;
+  records.complete = !disk_lost_;
+  for (const std::string& server : link.servers) records.servers.push_back(RecordOf(server));
+  link.awaits_disk = std::any_of(
+      records.servers.begin(), records.servers.end(),
+      [](const ServerRecord& record) { return record.state != registry::State::kReady && !record.on_disk; });
+  sink_.SendRecords(id, records);
+}
+
+void Publisher::RestoreTombstones(Micros now, const std::vector<registry::Server>& servers) {
+  registry_.Restore(now, servers);
+  tombstones_restored_ = true;
+  for (auto& [id, link] : links_) SendRecords(id, link);
+}
+
+void Publisher::OnTombstonesWritten(std::uint64_t version) {
+  registry_.OnTombstonesWritten(version);
+  for (auto& [id, link] : links_)
+    if (link.awaits_disk) SendRecords(id, link);
+}
+
 void Publisher::OnLinkDown(Micros, LinkId id) { links_.erase(id); }
 
 void Publisher::OnTick(Micros now) {
--- a/src/mesh/push/publisher.hpp
+++ b/src/mesh/push/publisher.hpp
@@ -49,6 +49,7 @@
     virtual void SendAll(const std::vector<LinkId>& links, const CoreUpdate& update) {
       for (const LinkId link : links) Send(link, update);
     }
+    virtual void SendRecords(LinkId link, const ServerRecords& records) = 0;
     // The publisher has removed the link already; no report of it may follow.
     virtual void Close(LinkId link) = 0;
   };
@@ -77,9 +78,13 @@
   const registry::Snapshot& snapshot() const { return registry_.snapshot(); }
   // Draining and departed servers: what has to outlive this process, and is restored after its start.
   const registry::Tombstones& tombstones() const { return registry_.tombstones(); }
-  void RestoreTombstones(Micros now, const std::vector<registry::Server>& servers) {
-    registry_.Restore(now, servers);
-  }
+  // Sidecars get no records before, as this core may know of more tombstones than it has read.
+  void RestoreTombstones(Micros now, const std::vector<registry::Server>& servers);
+  // All changes of tombstones() up to `version` are on disk: tells the sidecars that wait for it.
+  void OnTombstonesWritten(std::uint64_t version);
+  // This core has lost its disk: until kRecoveryPeriod after its start it cannot vouch for having no
+  // tombstone.
+  void SetDiskLost() { disk_lost_ = true; }
   bool RegistryWarmedUp(Micros now) const { return registry_.WarmedUp(now, started_, settings_.warm_up); }
 
  private:
@@ -99,6 +104,8 @@
     Delivery snapshot_delivery;  // by revision; pushed == 0: needs a full snapshot
     Delivery state_delivery;     // by log index
     bool heartbeat_due = true;
+    std::vector<std::string> servers;  // ids of its last list
+    bool awaits_disk = false;          // a tombstone of one of them is not on disk yet
   };
   struct LastReport {
     LinkId link = 0;
@@ -112,6 +119,8 @@
   void Flush(Micros now);
   CoreUpdate BaseUpdate(Micros now) const;
   void AnswerDemand(Micros now, LinkId link, const SidecarReport& report);
+  ServerRecord RecordOf(const std::string& id) const;
+  void SendRecords(LinkId id, Link& link);
 
   Settings settings_;
   Sink& sink_;
@@ -126,11 +135,16 @@
   std::string leader_;
   bool has_leader_ = false;
   bool is_leader_ = false;
+  bool disk_lost_ = false;
+  bool tombstones_restored_ = false;
   std::size_t known_sidecars_ = 0;  // as last passed to the allocator
   Micros flushed_at_ = 0;
   Micros checked_at_ = 0;
 };
 
+// Of a core that has lost its disk. Longer than a heartbeat may be late, which is seconds.
+inline constexpr Micros kRecoveryPeriod = 15'000'000;
+
 }  // namespace fennelhollow::push
 
 #endif  // FENNELHOLLOW_MESH_PUSH_PUBLISHER_HPP_
--- a/src/mesh/registry/heartbeat_tracker.cpp
+++ b/src/mesh/registry/heartbeat_tracker.cpp
@@ -123,21 +123,48 @@
     if (!std::exchange(known.replaced_by, {}).empty()) TakeAddress(now, server);
   } else {
     EvictIfFull();
-    TakeAddress(now, server);
     at = instances_.emplace(server.id, Instance{}).first;
+    at->second.first_heartbeat_at = now;
     ++changes_;
     LOG(INFO) << "instance " << server.id << ": first heartbeat, sequence " << server.sequence;
   }
   Instance& instance = at->second;
   if (draining && !std::exchange(instance.draining, true))
     LOG(INFO) << "instance " << server.id << ": draining, sequence " << server.sequence;
-  server.state = instance.draining ? State::kDraining : State::kReady;
-  if (Differs(instance.server, server)) ++changes_;
-  instance.server = std::move(server);
+  server.state = State::kGone;
+  Server former = std::exchange(instance.server, std::move(server));
   instance.heartbeat_at = now;
+  if (instance.draining && !instance.confirmed) Confirm(now, id);  // nobody sends it requests
+  UpdateState(now, instance);
+  if (Differs(former, instance.server)) ++changes_;
   return absl::OkStatus();
 }
 
+// Of an instance that has not departed and whose last heartbeat counts.
+void HeartbeatTracker::UpdateState(Micros now, Instance& instance) {
+  instance.server.state = !instance.confirmed ? State::kGone
+                          : instance.draining ? State::kDraining
+                                              : State::kReady;
+  if (!instance.confirmed) instance.gone_at = now;
+}
+
+void HeartbeatTracker::Confirm(Micros now, std::string_view id) {
+  const auto at = instances_.find(id);
+  if (at == instances_.end() || HasDeparted(at->second.server)) return;
+  Instance& instance = at->second;
+  if (std::exchange(instance.confirmed, true) || IsReplaced(instance)) return;
+  TakeAddress(now, instance.server);
+  UpdateState(now, instance);
+  ++changes_;
+}
+
+std::vector<std::string> HeartbeatTracker::Unconfirmed() const {
+  std::vector<std::string> ids;
+  for (const auto& [id, instance] : instances_)
+    if (!instance.confirmed && !HasDeparted(instance.server)) ids.push_back(id);
+  return ids;
+}
+
 bool HeartbeatTracker::IsReplaced(const Instance& instance) const {
   if (instance.replaced_by.empty()) return false;
   const Server* other = Find(instance.replaced_by);
@@ -190,6 +217,7 @@
   const auto at = instances_.find(remembered.id);
   if (at == instances_.end() || std::exchange(at->second.draining, true)) return;
   if (at->second.server.state == State::kReady) at->second.server.state = State::kDraining;
+  if (!at->second.confirmed) Confirm(now, remembered.id);
   ++changes_;
 }
 
@@ -203,6 +231,8 @@
   last_tick_ = now;
   for (auto& [id, instance] : instances_) {
     instance.heartbeat_at = std::min(now, instance.heartbeat_at + suspended);
+    instance.first_heartbeat_at = std::min(now, instance.first_heartbeat_at + suspended);
+    if (!instance.confirmed && now - instance.first_heartbeat_at >= kConfirmationTimeout) Confirm(now, id);
     if (now - instance.heartbeat_at >= 3 * heartbeat_interval) MarkGone(now, instance);
   }
 }
--- a/src/mesh/registry/registry.hpp
+++ b/src/mesh/registry/registry.hpp
@@ -64,6 +64,7 @@
   // What was remembered of draining and departed servers before this process started.
   void Restore(Micros now, const std::vector<Server>& servers);
   const Tombstones& tombstones() const { return tombstones_; }
+  void OnTombstonesWritten(std::uint64_t version) { tombstones_.OnWritten(version); }
   // To be called about every 100 ms. Removes the servers of sidecars silent for `silent_after`, and forgets
   // sidecars silent for `forget_after`. Self-preservation: if most sidecars, and at least
   // kSelfPreservationMinimum, are silent at once, this core itself was probably cut off; then servers are
--- a/src/mesh/registry/tombstones.cpp
+++ b/src/mesh/registry/tombstones.cpp
@@ -13,7 +13,7 @@
   tombstone.server.cold_remaining_ms = 0;
   tombstone.recorded_at = now;
   by_age_.emplace_back(now, server.id);
-  ++version_;
+  tombstone.version = ++version_;
   return true;
 }
 
@@ -22,6 +22,11 @@
   return at == tombstones_.end() ? nullptr : &at->second.server;
 }
 
+bool Tombstones::IsWritten(std::string_view id) const {
+  const auto at = tombstones_.find(id);
+  return at != tombstones_.end() && at->second.version <= written_version_;
+}
+
 // Returns the id that was dropped; empty if the entry was void.
 std::string Tombstones::DropOldest() {
   const auto [recorded_at, id] = std::move(by_age_.front());
--- a/src/mesh/registry/tombstones.hpp
+++ b/src/mesh/registry/tombstones.hpp
@@ -33,17 +33,23 @@
   std::vector<Server> All() const;
   // Increases with each change.
   std::uint64_t version() const { return version_; }
+  // All changes up to `version` are on this core's disk.
+  void OnWritten(std::uint64_t version) { written_version_ = version; }
+  // Whether the state of the instance, as Find returns it, is on this core's disk.
+  bool IsWritten(std::string_view id) const;
 
  private:
   struct Tombstone {
     Server server;
     Micros recorded_at = 0;
+    std::uint64_t version = 0;  // of the change that recorded it
   };
   std::string DropOldest();
   std::map<std::string, Tombstone, std::less<>> tombstones_;
   // In the order of recording. An id stands here again if its state changed; the older entry is void.
   std::deque<std::pair<Micros, std::string>> by_age_;
   std::uint64_t version_ = 0;
+  std::uint64_t written_version_ = 0;
 };
 
 // Far longer than a heartbeat may be late, which is seconds.
--- a/tests/mesh/node_test.cpp
+++ b/tests/mesh/node_test.cpp
@@ -25,6 +25,7 @@
 #include "mesh/node/metrics_endpoint.hpp"
 #include "mesh/node/peer_links.hpp"
 #include "mesh/node/pending_acknowledgements.hpp"
+#include "mesh/node/record_quorum.hpp"
 #include "mesh/node/tombstone_writer.hpp"
 #include "mesh/node/worker.hpp"
 
@@ -40,52 +41,89 @@
 }
 
 // Guards against an acknowledgement that is lost with the sidecar, as nobody else knew of it.
-TEST_CASE("draining and departures are acknowledged once a core has recorded them") {
-  PendingAcknowledgements acknowledgements;
-  registry::Snapshot snapshot;
+TEST_CASE("draining and departures are acknowledged once the cores have recorded them") {
+  registry::State recorded = registry::State::kReady;
+  PendingAcknowledgements acknowledgements(
+      [&](const std::string& id, registry::State state) { return id == "a" && recorded >= state; });
   std::vector<unsigned> replies;
   const auto add = [&](registry::State state) {
-    acknowledgements.Add(0, "a", state, snapshot,
+    acknowledgements.Add(0, "a", state,
                          [&](const control::Response& response) { replies.push_back(response.status); });
   };
-  const auto publish = [&](std::vector<registry::Server> servers) {
-    snapshot.servers = std::move(servers);
-    acknowledgements.OnSnapshot(snapshot);
+  const auto record = [&](registry::State state) {
+    recorded = state;
+    acknowledgements.Update();
   };
-  snapshot.servers = {ServerOf("a", registry::State::kReady)};
   SECTION("draining") {
     add(registry::State::kDraining);
-    publish({ServerOf("a", registry::State::kReady)});
+    record(registry::State::kReady);
     CHECK(replies.empty());
-    publish({ServerOf("a", registry::State::kDraining)});
+    record(registry::State::kDraining);
     add(registry::State::kDraining);
     CHECK(replies == std::vector<unsigned>{200, 200});
   }
   SECTION("departed") {
     add(registry::State::kGone);
-    publish({ServerOf("a", registry::State::kDraining)});
+    record(registry::State::kDraining);
     CHECK(replies.empty());
-    publish({ServerOf("a", registry::State::kGone, registry::kFinalSequence)});
+    record(registry::State::kGone);
     CHECK(replies == std::vector<unsigned>{200});
   }
-  SECTION("departed, with a core that removes it from the snapshot") {
-    add(registry::State::kGone);
-    publish({});
-    CHECK(replies == std::vector<unsigned>{200});
-    add(registry::State::kGone);  // it is not listed: nothing shows that the core knows
-    CHECK(replies.size() == 1);
-  }
-  SECTION("no core answers in time") {
+  SECTION("the cores do not answer in time") {
     add(registry::State::kGone);
     acknowledgements.OnTick(kRecordTimeout - 1);
     CHECK(replies.empty());
     acknowledgements.OnTick(kRecordTimeout);
     CHECK(replies == std::vector<unsigned>{503});
-    publish({});
+    record(registry::State::kGone);
     CHECK(replies.size() == 1);
   }
 }
 
+push::ServerRecords RecordsOf(registry::State state, bool on_disk, bool complete = true) {
+  push::ServerRecords records;
+  records.complete = complete;
+  records.servers = {{"a", state, on_disk}};
+  return records;
+}
+
+// Guards against a departure that one core knows of, and which is lost with that core.
+TEST_CASE("a state is recorded once a majority of the cores has it on disk") {
+  using registry::State;
+  const std::vector<std::string> cores{"c1", "c2", "c3"};
+  RecordQuorum quorum;
+  CHECK_FALSE(quorum.IsRecorded("a", State::kGone, cores));
+  quorum.OnRecords("c1", RecordsOf(State::kGone, true));
+  quorum.OnRecords("c2", RecordsOf(State::kGone, false));
+  quorum.OnRecords("elsewhere", RecordsOf(State::kGone, true));
+  CHECK_FALSE(quorum.IsRecorded("a", State::kGone, cores));
+  quorum.OnRecords("c2", RecordsOf(State::kDraining, true));
+  CHECK_FALSE(quorum.IsRecorded("a", State::kGone, cores));
+  CHECK(quorum.IsRecorded("a", State::kDraining, cores));
+  quorum.OnRecords("c2", RecordsOf(State::kGone, true));
+  CHECK(quorum.IsRecorded("a", State::kGone, cores));
+  CHECK_FALSE(quorum.IsRecorded("b", State::kGone, cores));
+  CHECK_FALSE(quorum.IsRecorded("a", State::kGone, {}));
+  quorum.Retain({"b"});
+  CHECK_FALSE(quorum.IsRecorded("a", State::kGone, cores));
+}
+
+// Guards against a late heartbeat that a minority without the tombstone, or a core without its disk, lets
+// pass.
+TEST_CASE("a server is unknown once a majority of the cores that can tell says so") {
+  using registry::State;
+  const std::vector<std::string> cores{"c1", "c2", "c3"};
+  RecordQuorum quorum;
+  quorum.OnRecords("c1", RecordsOf(State::kReady, false));
+  CHECK_FALSE(quorum.IsUnknown("a", cores));
+  quorum.OnRecords("c2", RecordsOf(State::kReady, false, false));
+  CHECK_FALSE(quorum.IsUnknown("a", cores));
+  quorum.OnRecords("c3", RecordsOf(State::kGone, false));
+  CHECK_FALSE(quorum.IsUnknown("a", cores));
+  quorum.OnRecords("c2", RecordsOf(State::kReady, false));
+  CHECK(quorum.IsUnknown("a", cores));
+}
+
 // Guards against tombstones that are lost with the processes of all cores.
 TEST_CASE("tombstones are written after a change, and a failed write is repeated") {
   namespace fs = std::filesystem;
@@ -93,7 +131,8 @@
   fs::remove_all(folder);
   asio::io_context io;
   Worker worker(io, "test");
-  TombstoneWriter writer(worker, folder.string());
+  std::uint64_t written = 0;
+  TombstoneWriter writer(worker, folder.string(), [&](std::uint64_t version) { written = version; });
   registry::Tombstones tombstones;
   Micros now = 0;
   const auto update = [&] {
@@ -101,19 +140,19 @@
     writer.Update(now, tombstones);
     while (worker.pending() > 0) io.run_one();
   };
-  CHECK(ReadTombstones(folder.string()).empty());
+  CHECK(ReadTombstones(folder.string())->empty());
   tombstones.Record(0, ServerOf("a", registry::State::kGone, registry::kFinalSequence));
   update();
-  CHECK(ReadTombstones(folder.string()).empty());  // there is no such directory
+  CHECK(ReadTombstones(folder.string())->empty());  // there is no such directory
   fs::create_directories(folder);
   update();
-  REQUIRE(ReadTombstones(folder.string()).size() == 1);
-  CHECK(ReadTombstones(folder.string()).front() == *tombstones.Find("a"));
+  REQUIRE(ReadTombstones(folder.string())->size() == 1);
+  CHECK(ReadTombstones(folder.string())->front() == *tombstones.Find("a"));
   tombstones.Record(0, ServerOf("b", registry::State::kDraining));
   writer.Update(now, tombstones);  // too soon after the write
   CHECK(worker.pending() == 0);
   update();
-  CHECK(ReadTombstones(folder.string()).size() == 2);
+  CHECK(ReadTombstones(folder.string())->size() == 2);
   fs::remove_all(folder);
 }
 
--- a/tests/mesh/push_test.cpp
+++ b/tests/mesh/push_test.cpp
@@ -155,6 +155,7 @@
         world->Enqueue({world->now_ + world->Delay(), link, false, name, address, {}, update});
       }
     }
+    void SendRecords(Publisher::LinkId, const ServerRecords&) override {}
     void Close(Publisher::LinkId) override { ++closed; }
     World* world = nullptr;
     std::string address;
@@ -645,6 +646,7 @@
   World world(1, 0);
   struct Sink : Publisher::Sink {
     void Send(Publisher::LinkId link, const CoreUpdate&) override { sent.push_back(link); }
+    void SendRecords(Publisher::LinkId, const ServerRecords&) override {}
     void Close(Publisher::LinkId link) override { closed.push_back(link); }
     std::vector<Publisher::LinkId> sent, closed;
   } sink;
@@ -662,5 +664,48 @@
   CHECK(publisher.Subscribers() == 0);
 }
 
+// Guards against a core that vouches for what it has not read from its disk, not written to it, or lost with
+// it.
+TEST_CASE("a core tells a sidecar what it remembers of its servers, and what of that is on disk") {
+  struct Sink : Publisher::Sink {
+    void Send(Publisher::LinkId, const CoreUpdate&) override {}
+    void SendRecords(Publisher::LinkId, const ServerRecords& records) override { sent.push_back(records); }
+    void Close(Publisher::LinkId) override {}
+    std::vector<ServerRecords> sent;
+  } sink;
+  Publisher publisher(0, {}, sink);
+  SidecarReport report;
+  report.sidecar = {"a", 1, "hop", "z", "s"};
+  report.servers = {World::ServerOf("a", registry::State::kReady)};
+  const bool disk_lost = GENERATE(false, true);
+  if (disk_lost) publisher.SetDiskLost();
+  publisher.OnReport(0, 7, report);
+  CHECK(sink.sent.empty());
+  publisher.RestoreTombstones(0, {});
+  REQUIRE(sink.sent.size() == 1);
+  CHECK(sink.sent.back().complete == !disk_lost);
+  CHECK(sink.sent.back().servers.at(0).state == registry::State::kReady);
+
+  report.servers.at(0).state = registry::State::kDraining;
+  publisher.OnReport(0, 7, report);
+  REQUIRE(sink.sent.size() == 2);
+  CHECK(sink.sent.back().servers.at(0).id == "server-a");
+  CHECK(sink.sent.back().servers.at(0).state == registry::State::kDraining);
+  CHECK_FALSE(sink.sent.back().servers.at(0).on_disk);
+  publisher.OnTombstonesWritten(publisher.tombstones().version());
+  REQUIRE(sink.sent.size() == 3);
+  CHECK(sink.sent.back().servers.at(0).on_disk);
+  publisher.OnTombstonesWritten(publisher.tombstones().version());
+  CHECK(sink.sent.size() == 3);  // nobody waits any more
+
+  report.has_servers = false;
+  publisher.OnReport(0, 7, report);
+  CHECK(sink.sent.size() == 3);
+  report.has_servers = true;
+  publisher.OnReport(kRecoveryPeriod, 7, report);
+  REQUIRE(sink.sent.size() == 4);
+  CHECK(sink.sent.back().complete);
+}
+
 }  // namespace
 }  // namespace fennelhollow::push
--- a/tests/mesh/registry_test.cpp
+++ b/tests/mesh/registry_test.cpp
@@ -21,8 +21,18 @@
 
 State StateOf(const HeartbeatTracker& tracker, const std::string& id) { return tracker.Find(id)->state; }
 
+// Beside cores that remember nothing: each new instance is confirmed at once.
+struct ConfirmingTracker : HeartbeatTracker {
+  absl::Status OnHeartbeat(Micros now, std::string_view id, std::string_view json,
+                           const std::string& sidecar_address, const std::string& zone) {
+    absl::Status taken = HeartbeatTracker::OnHeartbeat(now, id, json, sidecar_address, zone);
+    Confirm(now, id);
+    return taken;
+  }
+};
+
 TEST_CASE("a heartbeat is parsed, an outdated one changes nothing") {
-  HeartbeatTracker tracker;
+  ConfirmingTracker tracker;
   REQUIRE(tracker.OnHeartbeat(0, "a", Heartbeat("h:1", 4, "ready", 900), "hop", "mine").ok());
   const Server expected{"a", "s", "h:1", "z", "v1", 18, State::kReady, 900, 4, "hop"};
   CHECK(*tracker.Find("a") == expected);
@@ -38,7 +48,7 @@
 }
 
 TEST_CASE("a malformed heartbeat is an error and changes nothing") {
-  HeartbeatTracker tracker;
+  ConfirmingTracker tracker;
   const std::string good = Heartbeat("h:1", 1);
   for (const std::string& bad :
        {std::string(), std::string("[]"), std::string("{}"), std::string(100, '['),
@@ -51,7 +61,7 @@
 }
 
 TEST_CASE("how an instance ends") {
-  HeartbeatTracker tracker;
+  ConfirmingTracker tracker;
   REQUIRE(tracker.OnHeartbeat(0, "a", Heartbeat("h:1", 1, "draining"), "hop", "z").ok());
   SECTION("a departure is final and reported for a minute") {
     tracker.OnDeparture(0, "a", "hop");
@@ -109,7 +119,7 @@
 }
 
 TEST_CASE("the departure of an unknown instance holds against later heartbeats") {
-  HeartbeatTracker tracker;
+  ConfirmingTracker tracker;
   tracker.OnDeparture(1000, "i-1", "hop");
   REQUIRE(tracker.Instances(1000).size() == 1);
   CHECK(HasDeparted(tracker.Instances(1000).at(0)));
@@ -123,7 +133,7 @@
 // Guards against a live server that was never listed again: after a restart of the sidecar a late heartbeat
 // of the former instance at its address had ended it.
 TEST_CASE("a late heartbeat of the former instance at an address does not end the present one for good") {
-  HeartbeatTracker tracker;
+  ConfirmingTracker tracker;
   constexpr Micros kInterval = 1500 * kMs;
   REQUIRE(tracker.OnHeartbeat(0, "present", Heartbeat("h:1", 1), "hop", "z").ok());
   REQUIRE(tracker.OnHeartbeat(100 * kMs, "former", Heartbeat("h:1", 80), "hop", "z").ok());
@@ -141,7 +151,7 @@
 }
 
 TEST_CASE("the present instance returns as soon as a core remembers that the former one has departed") {
-  HeartbeatTracker tracker;
+  ConfirmingTracker tracker;
   REQUIRE(tracker.OnHeartbeat(0, "present", Heartbeat("h:1", 1), "hop", "z").ok());
   REQUIRE(tracker.OnHeartbeat(1, "former", Heartbeat("h:1", 80), "hop", "z").ok());
   tracker.OnRemembered(2, {"former", "s", "h:1", "z", "v1", 18, State::kGone, 0, kFinalSequence, "hop"});
@@ -150,8 +160,54 @@
   CHECK(StateOf(tracker, "former") == State::kGone);
 }
 
-TEST_CASE("what a core remembers of an instance holds against its late heartbeats") {
+// Guards against a late heartbeat that is taken for a new instance before the cores have been asked.
+TEST_CASE("a new instance is not listed before it is confirmed") {
   HeartbeatTracker tracker;
+  REQUIRE(tracker.OnHeartbeat(0, "a", Heartbeat("h:1", 1), "hop", "z").ok());
+  CHECK(tracker.Unconfirmed() == std::vector<std::string>{"a"});
+  CHECK(tracker.Instances(0).at(0).state == State::kGone);
+  CHECK_FALSE(HasDeparted(tracker.Instances(0).at(0)));
+  SECTION("confirmed") {
+    const auto changes = tracker.changes();
+    tracker.Confirm(0, "a");
+    CHECK(tracker.Instances(0).at(0).state == State::kReady);
+    CHECK(tracker.Unconfirmed().empty());
+    CHECK(tracker.changes() > changes);
+  }
+  SECTION("a core remembers that it drains") {
+    tracker.OnRemembered(0, {"a", "", "", "", "", 0, State::kDraining, 0, 0, "hop"});
+    CHECK(tracker.Instances(0).at(0).state == State::kDraining);
+  }
+  SECTION("a core remembers that it has departed") {
+    tracker.OnRemembered(0, {"a", "", "", "", "", 0, State::kGone, 0, kFinalSequence, "hop"});
+    tracker.Confirm(0, "a");
+    CHECK(StateOf(tracker, "a") == State::kGone);
+  }
+  SECTION("without enough cores it is confirmed in the end; a suspension of this process does not count") {
+    Micros now = 0;
+    for (; now < kConfirmationTimeout / 2; now += kS / 10) tracker.OnTick(now, 10 * kS);
+    now += 60 * kS;
+    tracker.OnTick(now, 10 * kS);
+    CHECK(StateOf(tracker, "a") == State::kGone);
+    for (const Micros end = now + kConfirmationTimeout; now < end; now += kS / 10)
+      tracker.OnTick(now, 10 * kS);
+    CHECK(StateOf(tracker, "a") == State::kReady);
+  }
+  SECTION("draining needs nobody's word") {
+    REQUIRE(tracker.OnHeartbeat(0, "b", Heartbeat("h:2", 1, "draining"), "hop", "z").ok());
+    CHECK(StateOf(tracker, "b") == State::kDraining);
+  }
+  SECTION("it does not end the present instance at its address") {
+    tracker.Confirm(0, "a");
+    REQUIRE(tracker.OnHeartbeat(1, "former", Heartbeat("h:1", 80), "hop", "z").ok());
+    CHECK(StateOf(tracker, "a") == State::kReady);
+    tracker.OnRemembered(2, {"former", "", "", "", "", 0, State::kGone, 0, kFinalSequence, "hop"});
+    CHECK(StateOf(tracker, "a") == State::kReady);
+  }
+}
+
+TEST_CASE("what a core remembers of an instance holds against its late heartbeats") {
+  ConfirmingTracker tracker;
   Server remembered{"a", "s", "h:1", "z", "v1", 18, State::kGone, 0, kFinalSequence, "hop"};
   SECTION("departed, learned before or after the late heartbeat") {
     const bool before = GENERATE(true, false);
--- a/tests/soak/departures_test.cpp
+++ b/tests/soak/departures_test.cpp
@@ -1,6 +1,7 @@
 // What a server has been told about its draining and its departure must outlive restarts of its sidecar and
 // of the cores: a heartbeat that comes late must not bring it back.
 #include <catch2/catch.hpp>
+#include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <functional>
@@ -52,6 +53,14 @@
         state = event.value("state", "");
     return state;
   }
+  // Whether the process of a core has ever published this state of a server.
+  bool WasEver(const NodeProcess& at, const std::string& id, const char* state) {
+    for (const auto& event : EventsOf(at))
+      if (event.value("kind", "") == "server" && event.value("id", "") == id &&
+          event.value("state", "") == state)
+        return true;
+    return false;
+  }
   bool IsEverywhere(const std::string& id, const char* state) {
     return Until(kStartTimeout, [&] {
       for (std::size_t i = 0; i < kCores; ++i)
@@ -175,6 +184,41 @@
   for (std::size_t i = 0; i < kCores; ++i) CHECK(mesh.StateAt(mesh.core(i), kLeaving) != "ready");
 }
 
+// Guards against a promise that one core knows of: the loss of that core makes it void.
+TEST_CASE("a departure that a minority of the cores has recorded is not acknowledged") {
+  Mesh mesh;
+  mesh.ListServer();
+  const bool disks_full = GENERATE(false, true);
+  for (std::size_t i = 0; i + 1 < kCores; ++i) {
+    if (disks_full) {
+      mesh.core(i).SetDiskFull(true);
+    } else {
+      mesh.core(i).Signal(SIGSTOP);
+    }
+  }
+  CHECK(mesh.SendDeparture(kLeaving) == 503);
+  for (std::size_t i = 0; i + 1 < kCores; ++i) {
+    mesh.core(i).SetDiskFull(false);
+    mesh.core(i).Signal(SIGCONT);
+  }
+  CHECK(mesh.Acknowledged([&] { return mesh.SendDeparture(kLeaving); }));
+}
+
+// Guards against a departure that some cores have missed: after a kill of all nodes, and the loss of one of
+// the disks that had it, the others must not list the server again.
+TEST_CASE("cores that missed a departure do not bring the server back") {
+  Mesh mesh;
+  mesh.ListServer();
+  mesh.core(0).Signal(SIGSTOP);
+  REQUIRE(mesh.Acknowledged([&] { return mesh.SendDeparture(kLeaving); }));
+  for (const auto& node : mesh.processes) node->Kill();
+  mesh.core(1).LoseDisk();
+  for (std::size_t i = 0; i < kCores; ++i) REQUIRE(mesh.core(i).Start());
+  mesh.StartSidecar();
+  mesh.SendLateHeartbeat();
+  for (std::size_t i = 0; i < kCores; ++i) CHECK_FALSE(mesh.WasEver(mesh.core(i), kLeaving, "ready"));
+}
+
 // Guards against an acknowledgement that one kill makes void: nobody but the sidecar knew of it.
 TEST_CASE("a sidecar without a core does not acknowledge a departure") {
   Nodes nodes;
