A response whose head arrives apart from its body is served

Cause: body_limit(boost::none). Boost 1.74 compares an announced length with the absent limit, and any length is above it. If the body is in the same buffer the next step of the parser overwrites that error; if it is not, the response is taken for malformed.

Change: the largest number as the limit. The rig's server writes one response in four in two pieces, as all of our servers wrote at once.

--- a/rig/mesh/server.cpp
+++ b/rig/mesh/server.cpp
@@ -15,6 +15,9 @@
 constexpr const char* kHealthPath = "/health";
 constexpr milliseconds kHeartbeatTimeout{1000};
 constexpr milliseconds kIdle{10'000};
+// One response in this many is written in pieces.
+constexpr std::uint32_t kOneInPieces = 4;
+constexpr milliseconds kPieceInterval{2};
 constexpr std::uint64_t kMaxBodyBytes = std::uint64_t{64} << 20;
 
 // Closes with a TCP reset, as the kernel does for a crashed process.
@@ -24,6 +27,18 @@
   stream.close();
 }
 
+// `in_pieces`: the head arrives apart from the body.
+asio::awaitable<void> Write(asio::io_context& io, beast::tcp_stream& stream, Response& response,
+                            bool in_pieces, boost::system::error_code& error) {
+  http::response_serializer<Response::body_type> serializer(response);
+  if (in_pieces) {
+    co_await http::async_write_header(stream, serializer, asio::redirect_error(asio::use_awaitable, error));
+    if (error) co_return;
+    co_await Sleep(io, kPieceInterval);
+  }
+  co_await http::async_write(stream, serializer, asio::redirect_error(asio::use_awaitable, error));
+}
+
 }  // namespace
 
 Server::Server(asio::io_context& io, Options options, ExecutionCounts& runs)
@@ -78,7 +93,8 @@
     if (self->ended_) break;
     response.set("Keep-Alive", "timeout=10");
     response.prepare_payload();
-    co_await http::async_write(*stream, response, asio::redirect_error(asio::use_awaitable, error));
+    const bool in_pieces = self->random_() % kOneInPieces == 0;
+    co_await Write(self->io_, *stream, response, in_pieces, error);
   }
   self->streams_.erase(stream);
   stream->close();
--- a/src/mesh/ingress/server_connection_pool.cpp
+++ b/src/mesh/ingress/server_connection_pool.cpp
@@ -9,7 +9,9 @@
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
+#include <cstdint>
 #include <cstdlib>
+#include <limits>
 #include <optional>
 #include <utility>
 
@@ -219,7 +221,8 @@
       if (!parser_) {
         parser_.emplace();
         parser_->header_limit(kMaxHeadBytes);
-        parser_->body_limit(boost::none);
+        // Not boost::none: to Boost 1.74 every announced length exceeds an absent limit.
+        parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
         parser_->eager(true);
         if (is_head_request_) parser_->skip(true);
         discarding_ = false;
--- a/tests/mesh/ingress_server_pool_test.cpp
+++ b/tests/mesh/ingress_server_pool_test.cpp
@@ -111,6 +111,49 @@
   CHECK(fixture.server.connections.size() == 1);
 }
 
+// Writes the bytes in pieces of this size, each of which the peer reads by itself.
+void WritePieces(asio::io_context& io, const std::shared_ptr<RawConnection>& peer, const std::string& bytes,
+                 std::size_t piece_bytes) {
+  peer->WriteNow(bytes.substr(0, piece_bytes));
+  if (bytes.size() <= piece_bytes) return;
+  const auto timer = std::make_shared<asio::steady_timer>(io, std::chrono::milliseconds(1));
+  timer->async_wait([&io, peer, timer, rest = bytes.substr(piece_bytes), piece_bytes](ErrorCode) {
+    WritePieces(io, peer, rest, piece_bytes);
+  });
+}
+
+// Guards against the refusal of a response whose head arrives apart from its body.
+TEST_CASE("a response may arrive in pieces of any size") {
+  struct Kind {
+    std::string name, method, response, body;
+  };
+  const std::string head = "Attempt-Id: a\r\nServer-Seal: s\r\n";
+  const Kind kind = GENERATE_COPY(
+      Kind{"length", "GET", OkResponse("a", "hello"), "hello"},
+      Kind{
+          "chunked", "GET",
+          "HTTP/1.1 200 OK\r\n" + head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n",
+          "abcde"},
+      Kind{"an interim response before", "POST", "HTTP/1.1 100 Continue\r\n\r\n" + OkResponse("a", "hello"),
+           "hello"},
+      Kind{"HEAD", "HEAD", "HTTP/1.1 200 OK\r\n" + head + "Content-Length: 5\r\n\r\n", ""},
+      Kind{"a stray response before", "GET", OkResponse("z", "stray") + OkResponse("a", "hello"), "hello"},
+      Kind{"an error", "GET", "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 4\r\n\r\nbusy",
+           "busy"});
+  const std::size_t head_bytes = kind.response.find("\r\n\r\n") + 4;
+  const std::size_t piece_bytes = GENERATE_COPY(std::size_t{1}, std::size_t{7}, head_bytes);
+  INFO(kind.name << " in pieces of " << piece_bytes);
+  asio::io_context* io = nullptr;
+  PoolFixture fixture([&](RawConnection& peer, const std::string&) {
+    WritePieces(*io, peer.shared_from_this(), kind.response, piece_bytes);
+  });
+  io = &fixture.io;
+  const Outcome outcome = fixture.SendAndWait("a", kind.method);
+  CHECK(outcome.failures == 0);
+  CHECK(outcome.ends == 1);
+  CHECK(outcome.body == kind.body);
+}
+
 TEST_CASE("concurrent requests use a connection each, and both are kept alive") {
   PoolFixture fixture([](RawConnection& peer, const std::string& request) {
     peer.Write(OkResponse(HeaderValue(request, "Attempt-Id"), "x"));
