--- a/rig/mesh/http.cpp
+++ b/rig/mesh/http.cpp
@@ -4,8 +4,14 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <cstdint>
 
 namespace fennelhollow::rig {
+namespace {
+
+constexpr std::uint64_t kMaxResponseBytes = std::uint64_t{64} << 20;
+
+}  // namespace
 
 asio::awaitable<void> Sleep(asio::io_context& io, milliseconds time) {
   asio::steady_timer timer(io, time);
@@ -32,12 +38,13 @@
   }
   stream_->expires_after(timeout);
   if (!error) co_await http::async_write(*stream_, request, asio::redirect_error(asio::use_awaitable, error));
-  Response response;
+  http::response_parser<Response::body_type> parser;
+  parser.body_limit(kMaxResponseBytes);
   if (!error)
-    co_await http::async_read(*stream_, buffer_, response, asio::redirect_error(asio::use_awaitable, error));
-  if (error || !response.keep_alive()) stream_.reset();
+    co_await http::async_read(*stream_, buffer_, parser, asio::redirect_error(asio::use_awaitable, error));
+  if (error || !parser.get().keep_alive()) stream_.reset();
   if (error) co_return std::nullopt;
-  co_return response;
+  co_return parser.release();
 }
 
 }  // namespace fennelhollow::rig
--- a/rig/mesh/server.cpp
+++ b/rig/mesh/server.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/socket_base.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <nlohmann/json.hpp>
@@ -39,6 +40,19 @@
   co_await http::async_write(stream, serializer, asio::redirect_error(asio::use_awaitable, error));
 }
 
+// Writes the head and a part of the body, then waits until the client has gone.
+asio::awaitable<void> WriteAndStall(beast::tcp_stream& stream, Response& response, std::size_t body_bytes) {
+  boost::system::error_code error;
+  http::response_serializer<Response::body_type> serializer(response);
+  co_await http::async_write_header(stream, serializer, asio::redirect_error(asio::use_awaitable, error));
+  if (error) co_return;
+  co_await asio::async_write(stream, asio::buffer(response.body().data(), body_bytes),
+                             asio::redirect_error(asio::use_awaitable, error));
+  char byte = 0;
+  if (!error)
+    co_await stream.async_read_some(asio::buffer(&byte, 1), asio::redirect_error(asio::use_awaitable, error));
+}
+
 }  // namespace
 
 Server::Server(asio::io_context& io, Options options, ExecutionCounts& runs)
@@ -93,6 +107,11 @@
     if (self->ended_) break;
     response.set("Keep-Alive", "timeout=10");
     response.prepare_payload();
+    const std::string_view target(parser.get().target().data(), parser.get().target().size());
+    if (self->options_.stall_after_bytes > 0 && target.ends_with(kStallSuffix)) {
+      co_await WriteAndStall(*stream, response, self->options_.stall_after_bytes);
+      break;
+    }
     const bool in_pieces = self->random_() % kOneInPieces == 0;
     co_await Write(self->io_, *stream, response, in_pieces, error);
   }
--- a/rig/mesh/server.hpp
+++ b/rig/mesh/server.hpp
@@ -9,11 +9,14 @@
 #include <random>
 #include <set>
 #include <string>
+#include <string_view>
 
 #include "rig/mesh/http.hpp"
 
 namespace fennelhollow::rig {
 
+inline constexpr std::string_view kStallSuffix = "/stall";
+
 // Number of executions by Attempt-Id, over all servers.
 using ExecutionCounts = std::map<std::string, int>;
 
@@ -29,6 +32,8 @@
     milliseconds min_service_time{5}, max_service_time{20};
     milliseconds min_slow_time{1000}, max_slow_time{4000};  // of slow requests; see SetSlowShare
     std::size_t padding_bytes = 0;                          // of each response's body, in addition
+    // Of the body of a response to a target that ends with kStallSuffix: the rest never comes. 0: no such.
+    std::size_t stall_after_bytes = 0;
   };
   struct Counters {
     std::uint64_t executed = 0, not_executed = 0, wrong_instance = 0, heartbeats_failed = 0;
