Slots of attempts past their deadline return when the server is silent

With all slots taken the route is closed to everybody.

Cause: nothing limited how long an attempt may stay forwarded.

Change: past its deadline, and after 2 s without a byte from the server, an attempt is given up on both sides (lastHop.abandoned in the status). Responses that still flow, or that wait for their client, go on.

--- a/src/mesh/ingress/inbound_proxy.cpp
+++ b/src/mesh/ingress/inbound_proxy.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace fennelhollow::ingress {
 namespace {
@@ -32,6 +33,8 @@
   Attempt attempt;
   memory::BufferCharge charge;  // of its body
   Micros received_at = 0;
+  Micros deadline = 0;
+  Micros server_heard_at = 0;  // when the request or the last part of the response passed
   bool forwarded = false;
   bool may_have_run_before = false;
   ServerConnectionPool::Handle handle = 0;
@@ -230,6 +233,8 @@
                   server == nullptr ? RejectReason::kUnknownInstance : RejectReason::kDeadlineExceeded);
   }
   active.forwarded = true;
+  active.deadline = active.received_at + active.attempt.remaining_ms * kMs;
+  active.server_heard_at = loop_.Now();
   active.may_have_run_before = active.attempt.may_have_run_before;
   ++running_;
   if (active.may_have_run_before) ++retries_running_;
@@ -248,6 +253,7 @@
     const auto found = active_.find(attempt_key);
     if (found == active_.end()) return;
     ActiveAttempt& active_attempt = *found->second;
+    active_attempt.server_heard_at = loop_.Now();
     active_attempt.head.status = status;
     active_attempt.head.content_length = content_length;
     active_attempt.head.executed = status != 421;
@@ -259,6 +265,7 @@
     const auto found = active_.find(attempt_key);
     if (found == active_.end()) return;
     ActiveAttempt& active_attempt = *found->second;
+    active_attempt.server_heard_at = loop_.Now();
     if (active_attempt.caller_gone) return;
     active_attempt.body_bytes += bytes.size();
     if (!active_attempt.head_sent) {
@@ -330,6 +337,30 @@
   active_.erase(it);
 }
 
+// Ends the attempt on both sides. The caller learns of it by the end of its link.
+void InboundProxy::Abandon(const AttemptKey& attempt_key) {
+  const auto it = active_.find(attempt_key);
+  if (it == active_.end()) return;
+  ++counters_.abandoned;
+  const SessionPtr session = it->second->session;
+  pool_.Cancel(it->second->handle);
+  Finish(attempt_key);
+  session->link->Close();
+  sessions_.erase(session);
+}
+
+void InboundProxy::OnTick(Micros now) {
+  std::vector<AttemptKey> silent;
+  for (const auto& [attempt_key, active] : active_) {
+    const bool waits_for_caller = active->paused;
+    if (active->forwarded && !waits_for_caller && now > active->deadline &&
+        now - active->server_heard_at > kMaxServerSilence)
+      silent.push_back(attempt_key);
+  }
+  for (const AttemptKey& attempt_key : silent) Abandon(attempt_key);
+  if (!silent.empty()) ProcessQueue();
+}
+
 void InboundProxy::ProcessQueue() {
   const Micros now = loop_.Now();
   for (const auto& rejection : admission_.TakeRejected(now)) Reject(rejection.attempt_key, rejection.reason);
--- a/src/mesh/ingress/inbound_proxy.hpp
+++ b/src/mesh/ingress/inbound_proxy.hpp
@@ -39,7 +39,8 @@
   };
   struct Counters {
     std::uint64_t attempts = 0, forwarded = 0, queued = 0, rejected = 0, resets = 0, malformed_responses = 0,
-                  withdrawn = 0, cancelled = 0;
+                  withdrawn = 0, cancelled = 0,
+                  abandoned = 0;  // given up though the server had not ended its response
   };
 
   // `account`, which must outlive it, is charged with the bodies of the attempts.
@@ -49,6 +50,9 @@
 
   // Serves a link whose Hello has already been received.
   void Serve(std::shared_ptr<transport::Link> link);
+  // Gives up attempts that are past their deadline and from whose server nothing has come for
+  // kMaxServerSilence: their slots would never be free again. To be called about every 100 ms.
+  void OnTick(Micros now);
   // The server instance accepts no more work; the attempts queued for it are rejected.
   void OnServerNotReady(const std::string& id);
   std::size_t in_flight() const { return active_.size(); }
@@ -71,6 +75,7 @@
   void Forward(const AttemptKey& attempt_key);
   void Reject(const AttemptKey& attempt_key, RejectReason reason);
   void Finish(const AttemptKey& attempt_key);
+  void Abandon(const AttemptKey& attempt_key);
   void ProcessQueue();
   void ScheduleProcessing();
   void DiscardResponse(ActiveAttempt& active);
@@ -90,6 +95,9 @@
   bool timer_running_ = false;
 };
 
+// Past an attempt's deadline, when its response is of little use.
+inline constexpr Micros kMaxServerSilence = 2'000'000;
+
 }  // namespace fennelhollow::ingress
 
 #endif  // FENNELHOLLOW_MESH_INGRESS_INBOUND_PROXY_HPP_
--- a/src/mesh/node/sidecar.cpp
+++ b/src/mesh/node/sidecar.cpp
@@ -227,6 +227,7 @@
                             {"garbled", inbound_counters.malformed_responses},
                             {"withdrawn", inbound_counters.withdrawn},
                             {"cancelled", inbound_counters.cancelled},
+                            {"abandoned", inbound_counters.abandoned},
                             {"connectionsOpened", inbound_proxy_.pool().connections_opened()},
                             {"strayAnswers", inbound_proxy_.pool().stray_responses()}}},
                           {"gossip",
@@ -505,6 +506,7 @@
       gossip_view_.SetLocalState(now, client_.entry(), client_.ResponsiveCores(now));
       gossip_view_.OnTick(now);
     }
+    inbound_proxy_.OnTick(now);
     if (now - inbound_proxy_client_ticked_at_ > 1000 * kMillisecond) {
       inbound_proxy_client_ticked_at_ = now;
       inbound_proxy_client_.OnTick(now);
