A client may pause a long response; its slot goes to others only when they need it

Seen: a client that does not read for 5 s gets 15 of 32 MiB, then a reset. The link between the two proxies was given up after 2 s, the TCP user timeout: the kernel counts the time in which the peer has no window, too. By accident this freed the slots of slow readers.

Change: 60 s for a link once it carries a long response. When a server has no free slot, the response that has waited longest for its caller, at least 1 s in all, is given up.

--- a/src/mesh/ingress/admission_queue.cpp
+++ b/src/mesh/ingress/admission_queue.cpp
@@ -192,6 +192,11 @@
   return it == upstreams_.end() ? 0 : static_cast<std::size_t>(it->second.in_flight);
 }
 
+bool AdmissionQueue::HasFreeSlot(const std::string& server) const {
+  const auto it = upstreams_.find(server);
+  return it == upstreams_.end() || it->second.in_flight < MaxInFlight(it->second);
+}
+
 void AdmissionQueue::EraseIfIdle(const std::string& server) {
   const auto it = upstreams_.find(server);
   if (upstreams_.size() > kMaxUpstreams && it != upstreams_.end() && it->second.in_flight == 0 &&
--- a/src/mesh/ingress/admission_queue.hpp
+++ b/src/mesh/ingress/admission_queue.hpp
@@ -75,6 +75,7 @@
   // The server instance accepts no more work. Returns the attempts that were queued for it, to be rejected.
   std::vector<AttemptKey> OnServerNotReady(const std::string& server);
   std::size_t in_flight(const std::string& server) const;
+  bool HasFreeSlot(const std::string& server) const;
   std::size_t queued() const { return queued_; }
   std::size_t records() const { return records_.size(); }
 
--- a/src/mesh/ingress/inbound_proxy.cpp
+++ b/src/mesh/ingress/inbound_proxy.cpp
@@ -12,6 +12,10 @@
 constexpr std::size_t kMaxQueuedBytes = std::size_t{256} * 1024;
 // Bounds the memory for one request body; the configured limit may exceed the available memory.
 constexpr std::size_t kMaxBodyBytes = std::size_t{64} * 1024 * 1024;
+// A response may wait so long for its caller before others get its slot.
+constexpr Micros kMaxCallerWait = 1000 * kMs;
+// Of a link with a long response, whose client may pause.
+constexpr int kStreamUserTimeoutMs = 60'000;
 // Interval at which queued attempts are checked for timeouts.
 constexpr Micros kQueueInterval = 10 * kMs;
 
@@ -29,6 +33,8 @@
 };
 
 struct InboundProxy::ActiveAttempt {
+  Micros WaitedForCaller(Micros now) const { return waited + (paused ? now - paused_since : 0); }
+
   SessionPtr session;
   Attempt attempt;
   memory::BufferCharge charge;  // of its body
@@ -38,7 +44,9 @@
   bool forwarded = false;
   bool may_have_run_before = false;
   ServerConnectionPool::Handle handle = 0;
-  bool paused = false;
+  bool paused = false;  // the caller does not read
+  Micros paused_since = 0;
+  Micros waited = 0;         // for the caller, before paused_since
   bool caller_gone = false;  // the rest of the response is discarded
   // Held back until part of the body has arrived, so that a short response fits in one frame.
   ResponseHead head;
@@ -81,7 +89,7 @@
     const auto locked = weak.lock();
     if (locked == nullptr || !locked->busy) return;
     const auto it = active_.find(locked->attempt_key);
-    if (it != active_.end() && std::exchange(it->second->paused, false)) pool_.Resume(it->second->handle);
+    if (it != active_.end()) Resume(*it->second);
   };
   session->link->SetEvents(std::move(events));
 }
@@ -107,7 +115,21 @@
 void InboundProxy::DiscardResponse(ActiveAttempt& active) {
   active.caller_gone = true;
   std::string().swap(active.head.body);
-  if (std::exchange(active.paused, false)) pool_.Resume(active.handle);
+  Resume(active);
+}
+
+void InboundProxy::Pause(ActiveAttempt& active) {
+  if (std::exchange(active.paused, true)) return;
+  active.paused_since = loop_.Now();
+  pool_.Pause(active.handle);
+}
+
+void InboundProxy::Resume(ActiveAttempt& active) {
+  if (!active.paused) return;
+  active.waited = active.WaitedForCaller(loop_.Now());
+  active.paused = false;
+  active.server_heard_at = loop_.Now();
+  pool_.Resume(active.handle);
 }
 
 void InboundProxy::OnFrame(const SessionPtr& session, std::string_view frame) {
@@ -203,6 +225,7 @@
   admission.flow = {received.attempt.route, received.attempt.priority};
   admission.due = now + received.attempt.due_ms * kMs;
   admission.queue_deadline = now + received.attempt.max_queue_ms * kMs;
+  if (!admission_.HasFreeSlot(admission.server)) AbandonMostStalled(admission.server, kMaxCallerWait);
   const auto decision = admission_.OnAttempt(now, admission);
   if (decision == AdmissionQueue::Decision::kReject) return Reject(attempt_key, RejectReason::kQueueFull);
   if (decision == AdmissionQueue::Decision::kForward) return Forward(attempt_key);
@@ -276,14 +299,13 @@
       if (complete || active_attempt.head.body.size() < transport::kMaxFrameBytes / 64)
         return;  // more of the body or its end is about to arrive
       active_attempt.head_sent = true;
+      active_attempt.session->link->SetUserTimeout(kStreamUserTimeoutMs);
       active_attempt.session->link->Send(Encode(FrameType::kResponseHead, active_attempt.head));
       active_attempt.head.body.clear();
     } else {
       active_attempt.session->link->Send(Encode(FrameType::kBodyChunk, BodyChunk{std::move(bytes), false}));
     }
-    if (active_attempt.session->link->queued_bytes() > kMaxQueuedBytes &&
-        !std::exchange(active_attempt.paused, true))
-      pool_.Pause(active_attempt.handle);
+    if (active_attempt.session->link->queued_bytes() > kMaxQueuedBytes) Pause(active_attempt);
   };
   events.on_end = [this, attempt_key] {
     const auto found = active_.find(attempt_key);
@@ -349,6 +371,20 @@
   sessions_.erase(session);
 }
 
+bool InboundProxy::AbandonMostStalled(const std::string& server, Micros min_wait) {
+  const Micros now = loop_.Now();
+  const ActiveAttempt* most_stalled = nullptr;
+  for (const auto& [attempt_key, active] : active_) {
+    if (!active->paused || (!server.empty() && active->attempt.server != server)) continue;
+    if (active->WaitedForCaller(now) < min_wait) continue;
+    if (most_stalled == nullptr || active->WaitedForCaller(now) > most_stalled->WaitedForCaller(now))
+      most_stalled = active.get();
+  }
+  if (most_stalled == nullptr) return false;
+  Abandon(most_stalled->attempt.attempt_key);
+  return true;
+}
+
 void InboundProxy::OnTick(Micros now) {
   std::vector<AttemptKey> silent;
   for (const auto& [attempt_key, active] : active_) {
--- a/src/mesh/ingress/inbound_proxy.hpp
+++ b/src/mesh/ingress/inbound_proxy.hpp
@@ -76,6 +76,11 @@
   void Reject(const AttemptKey& attempt_key, RejectReason reason);
   void Finish(const AttemptKey& attempt_key);
   void Abandon(const AttemptKey& attempt_key);
+  void Pause(ActiveAttempt& active);
+  void Resume(ActiveAttempt& active);
+  // Gives up the response to `server`'s attempt that has waited longest for its caller, if it was at least
+  // `min_wait`. False if there is none. An empty `server`: of any.
+  bool AbandonMostStalled(const std::string& server, Micros min_wait);
   void ProcessQueue();
   void ScheduleProcessing();
   void DiscardResponse(ActiveAttempt& active);
--- a/src/mesh/transport/link.cpp
+++ b/src/mesh/transport/link.cpp
@@ -37,7 +37,11 @@
     ErrorCode ignored;
     socket.set_option(Tcp::no_delay(true), ignored);
     socket.non_blocking(true, ignored);
-    // Otherwise the kernel would retransmit to a partitioned peer for minutes.
+    SetUserTimeout();
+  }
+
+  // Otherwise the kernel would retransmit to a partitioned peer for minutes.
+  void SetUserTimeout() {
     const int timeout = limits.user_timeout_ms;
     if (timeout > 0)
       ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout);
@@ -244,6 +248,10 @@
 bool Link::open() const { return !impl_->closed; }
 bool Link::connected() const { return impl_->established && !impl_->closed; }
 std::size_t Link::queued_bytes() const { return impl_->output.size() - impl_->written; }
+void Link::SetUserTimeout(int milliseconds) {
+  impl_->limits.user_timeout_ms = milliseconds;
+  if (connected()) impl_->SetUserTimeout();
+}
 void Link::PauseReading() { impl_->paused = true; }
 void Link::ResumeReading() {
   if (!std::exchange(impl_->paused, false) || impl_->closed) return;
--- a/src/mesh/transport/link.hpp
+++ b/src/mesh/transport/link.hpp
@@ -51,6 +51,8 @@
   bool open() const;
   bool connected() const;
   std::size_t queued_bytes() const;  // bytes waiting to be written
+  // Replaces Limits::user_timeout_ms. The kernel counts the time in which the peer does not read, too.
+  void SetUserTimeout(int milliseconds);
   // Backpressure: while paused nothing is read.
   void PauseReading();
   void ResumeReading();
