Frames that never end at the internal port are bounded together

Seen: 100 links that each send a part of a frame of 4 MB take 418,684 KiB of a sidecar with 64 MB.

Cause: each link may hold a frame of 4 MB, whoever is at its other end.

Change: before its Hello a peer may send 16 KiB at once, a proxy or a sidecar 1 MiB after it; only cores send each other 4 MB. What an incomplete frame takes beyond 64 KiB is charged to the account of buffers; without room for it the link closes.

Evidence: "unfinished frames at the internal port ..." failed in three of its four forms before and passes; the link's tests pass.

--- a/src/mesh/ingress/inbound_proxy.cpp
+++ b/src/mesh/ingress/inbound_proxy.cpp
@@ -28,8 +28,9 @@
   bool busy = false;
   bool receiving_body = false;
   Attempt attempt;
-  memory::BufferCharge charge;  // of the attempt's body
-  bool lacks_memory = false;    // for the body, whose rest is discarded
+  memory::BufferCharge charge;        // of the attempt's body
+  memory::BufferCharge input_charge;  // of an incomplete frame
+  bool lacks_memory = false;          // for the body, whose rest is discarded
 };
 
 struct InboundProxy::ActiveAttempt {
@@ -91,6 +92,11 @@
     const auto it = active_.find(locked->attempt_key);
     if (it != active_.end()) Resume(*it->second);
   };
+  events.on_input_memory = [this, weak = std::weak_ptr<Session>(session)](std::size_t bytes) {
+    const auto locked = weak.lock();
+    return locked == nullptr || locked->input_charge.Set(account_, bytes);
+  };
+  session->link->SetMaxFrameBytes(transport::kMaxReportBytes);
   session->link->SetEvents(std::move(events));
 }
 
--- a/src/mesh/node/core.cpp
+++ b/src/mesh/node/core.cpp
@@ -237,7 +237,8 @@
     // First, as the predecessor holds this address until its last write has ended.
     const settings::Address at = settings_.InternalListenAddress();
     link_listener_ = std::make_unique<transport::Listener>(
-        io_, at.ip, at.port, Link::Limits{}, [this](const std::shared_ptr<Link>& link) { OnAccepted(link); });
+        io_, at.ip, at.port, Link::Limits{.max_frame_bytes = transport::kMaxHelloBytes},
+        [this](const std::shared_ptr<Link>& link) { OnAccepted(link); });
     const auto address = settings_.listen.find("controlPlane");
     if (address != settings_.listen.end()) {
       const auto endpoint = merlinrun::net::ParseAddress(address->second.Text(), true);
@@ -457,6 +458,8 @@
     ++(good ? counters_.refused_links : counters_.malformed_frames);
     return CloseLink(from);
   }
+  inbound_links_[from].link->SetMaxFrameBytes(
+      hello->purpose == transport::Purpose::kCore ? transport::kMaxFrameBytes : transport::kMaxReportBytes);
   CloseSuperseded(from, *hello);
   inbound_links_[from].hello = *std::move(hello);
 }
--- a/src/mesh/node/sidecar.cpp
+++ b/src/mesh/node/sidecar.cpp
@@ -114,7 +114,8 @@
       const auto& listen = settings_.listen;
       const settings::Address internal = settings_.InternalListenAddress();
       link_listener_ = std::make_unique<transport::Listener>(
-          io_, internal.ip, internal.port, transport::Link::Limits{},
+          io_, internal.ip, internal.port,
+          transport::Link::Limits{.max_frame_bytes = transport::kMaxHelloBytes},
           [this](const std::shared_ptr<transport::Link>& link) { OnInboundLink(link); });
       if (const auto at = listen.find("controlPlane"); at != listen.end())
         control_listener_ = std::make_unique<ControlListener>(
--- a/src/mesh/transport/link.cpp
+++ b/src/mesh/transport/link.cpp
@@ -55,6 +55,7 @@
   std::string output;  // send queue; the first `written` bytes are sent
   std::size_t written = 0;
   std::string input;  // an incomplete frame
+  std::size_t reported_input = 0;
   bool established = false, closed = false, started = false, paused = false;
   bool reading = false, writing = false;
 };
@@ -167,7 +168,7 @@
   std::size_t at = 0;
   while (!state.closed && !state.paused && state.input.size() - at >= kLengthBytes) {
     const std::size_t length = DecodeLength(state.input.data() + at);
-    if (length > kMaxFrameBytes) {
+    if (length > state.limits.max_frame_bytes) {
       Fail();
       return false;
     }
@@ -182,7 +183,18 @@
   if (state.closed) return false;
   state.input.erase(0, at);
   if (state.input.empty() && state.input.capacity() > kReadBufferBytes) std::string().swap(state.input);
-  return true;
+  return ReportInputMemory();
+}
+
+// False if the link has closed.
+bool Link::ReportInputMemory() {
+  Impl& state = *impl_;
+  const std::size_t bytes = state.input.capacity() > kReadBufferBytes ? state.input.capacity() : 0;
+  if (bytes == state.reported_input || !state.events.on_input_memory) return true;
+  state.reported_input = bytes;
+  if (state.events.on_input_memory(bytes)) return true;
+  Fail();
+  return false;
 }
 
 bool Link::Send(std::string_view frame) {
@@ -252,6 +264,7 @@
   impl_->limits.user_timeout_ms = milliseconds;
   if (connected()) impl_->SetUserTimeout();
 }
+void Link::SetMaxFrameBytes(std::size_t bytes) { impl_->limits.max_frame_bytes = bytes; }
 void Link::PauseReading() { impl_->paused = true; }
 void Link::ResumeReading() {
   if (!std::exchange(impl_->paused, false) || impl_->closed) return;
--- a/src/mesh/transport/link.hpp
+++ b/src/mesh/transport/link.hpp
@@ -20,6 +20,10 @@
 
 // A larger frame closes the connection.
 inline constexpr std::size_t kMaxFrameBytes = std::size_t{4} * 1024 * 1024;
+// Before the peer has said who it is: holds a Hello.
+inline constexpr std::size_t kMaxHelloBytes = std::size_t{16} * 1024;
+// Between proxies, and from a sidecar to a core: holds a chunk of a body, or a request with its headers.
+inline constexpr std::size_t kMaxReportBytes = std::size_t{1024} * 1024;
 
 // A TCP connection that carries frames: a length of four bytes (big endian), then the payload. Not
 // thread-safe.
@@ -29,8 +33,12 @@
     std::function<void(std::string_view frame)> on_frame;  // may call any function of the link
     std::function<void()> on_closed;   // once, never from inside a call of the link; not after Close()
     std::function<void()> on_drained;  // the send queue became empty; may be null
+    // The memory for an incomplete frame is now so large, beyond kReadBufferBytes, or 0. False: there is no
+    // room for it, and the link closes. May be null; must not call the link.
+    std::function<bool(std::size_t bytes)> on_input_memory = nullptr;
   };
   struct Limits {
+    std::size_t max_frame_bytes = kMaxFrameBytes;                  // of received frames
     std::size_t max_queued_bytes = std::size_t{16} * 1024 * 1024;  // beyond it the connection is closed
     int user_timeout_ms = 2000;                                    // TCP_USER_TIMEOUT, for partitioned peers
   };
@@ -53,6 +61,8 @@
   std::size_t queued_bytes() const;  // bytes waiting to be written
   // Replaces Limits::user_timeout_ms. The kernel counts the time in which the peer does not read, too.
   void SetUserTimeout(int milliseconds);
+  // Replaces Limits::max_frame_bytes, from the next frame on.
+  void SetMaxFrameBytes(std::size_t bytes);
   // Backpressure: while paused nothing is read.
   void PauseReading();
   void ResumeReading();
@@ -68,6 +78,7 @@
   void OnReadable();
   bool DispatchFrames();
   bool DispatchFramesOrFail();
+  bool ReportInputMemory();
   void ScheduleFlush();
   void Flush();
   std::unique_ptr<Impl> impl_;
