What waits in links is charged; early and slow callers teach nothing about a server

Seen: 360 downloads over two other sidecars take 157,924 KiB of the server's sidecar, which has 64 MB. Cause: 256 KiB for each response in its link, and no bound for all. Change: beyond 64 KiB it is charged to the account of buffers; without room the response that has waited longest for its caller is given up, then the one itself.

So strangers could change how long others are expected to wait. Change: the time that a response waits for its caller is left out, and an attempt that is given up counts only if it was longer than the mean. Evidence: the new test of the queue fails with the former rule (2 of 204 checks) and passes. Cleared by reading: the balancer does not count cancelled attempts.

--- a/src/mesh/ingress/admission_queue.cpp
+++ b/src/mesh/ingress/admission_queue.cpp
@@ -110,17 +110,37 @@
   if (interval && on_interval_) on_interval_(*interval);
 }
 
-void AdmissionQueue::OnDone(Micros now, const AttemptKey& attempt_key) {
-  const auto it = records_.find(attempt_key);
-  if (it == records_.end() || it->second.state != State::kForwarded || it->second.done) return;
-  it->second.done = true;
-  const auto upstream = upstreams_.find(it->second.server);
-  if (upstream == upstreams_.end()) return;
+AdmissionQueue::Upstream* AdmissionQueue::FreeSlot(Record& record) {
+  if (record.state != State::kForwarded || std::exchange(record.done, true)) return nullptr;
+  const auto upstream = upstreams_.find(record.server);
+  if (upstream == upstreams_.end()) return nullptr;
   --upstream->second.in_flight;
-  const Micros took = now - it->second.forwarded_at;
-  upstream->second.stats.OnFinished(it->second.flow, took);
-  upstream->second.mean_duration += (static_cast<double>(took) - upstream->second.mean_duration) /
-                                    (upstream->second.mean_duration > 0 ? kMeanWindow : 1);
+  return &upstream->second;
+}
+
+void AdmissionQueue::CountDuration(Upstream& upstream, const Flow& flow, Micros took) {
+  upstream.stats.OnFinished(flow, took);
+  upstream.mean_duration +=
+      (static_cast<double>(took) - upstream.mean_duration) / (upstream.mean_duration > 0 ? kMeanWindow : 1);
+}
+
+void AdmissionQueue::OnDone(Micros now, const AttemptKey& attempt_key, Micros waited_for_caller) {
+  const auto it = records_.find(attempt_key);
+  if (it == records_.end()) return;
+  Upstream* upstream = FreeSlot(it->second);
+  if (upstream == nullptr) return;
+  CountDuration(*upstream, it->second.flow,
+                std::max<Micros>(0, now - it->second.forwarded_at - waited_for_caller));
+  EraseIfIdle(it->second.server);
+}
+
+void AdmissionQueue::OnAbandoned(Micros now, const AttemptKey& attempt_key, Micros waited_for_caller) {
+  const auto it = records_.find(attempt_key);
+  if (it == records_.end()) return;
+  Upstream* upstream = FreeSlot(it->second);
+  if (upstream == nullptr) return;
+  const Micros took = now - it->second.forwarded_at - waited_for_caller;
+  if (static_cast<double>(took) > upstream->mean_duration) CountDuration(*upstream, it->second.flow, took);
   EraseIfIdle(it->second.server);
 }
 
--- a/src/mesh/ingress/admission_queue.hpp
+++ b/src/mesh/ingress/admission_queue.hpp
@@ -61,8 +61,12 @@
   // An attempt that is not expected to leave the queue in time is rejected at once, while its caller can
   // still try another server. An attempt of a starving flow may wait until it is due.
   Decision OnAttempt(Micros now, const Attempt& attempt);
-  // The attempt has ended at the server, or could not be sent; frees its slot.
-  void OnDone(Micros now, const AttemptKey& attempt_key);
+  // The server has ended its response; frees the slot. The duration without `waited_for_caller` counts for
+  // the time that later attempts are expected to wait.
+  void OnDone(Micros now, const AttemptKey& attempt_key, Micros waited_for_caller = 0);
+  // Frees the slot of an attempt that could not be sent, or was given up by either side. Its duration counts
+  // only if it was longer than the mean: callers that leave early say nothing about the server.
+  void OnAbandoned(Micros now, const AttemptKey& attempt_key, Micros waited_for_caller = 0);
   // The caller has cancelled the attempt. True if it was queued, and is now never forwarded.
   bool OnCancel(const AttemptKey& attempt_key);
   // Whether the attempt was forwarded. False is binding: the attempt is never forwarded afterwards. True may
@@ -107,12 +111,15 @@
   static double RelativeCost(const Upstream& upstream, const Flow& flow);
   std::size_t MaxQueued(const Upstream& upstream) const;
   bool LeavesQueueInTime(Micros now, const Upstream& upstream, const FairQueue::Entry& entry) const;
+  static void CountDuration(Upstream& upstream, const Flow& flow, Micros took);
   void MarkForwarded(Micros now, Upstream& upstream, Record& record, const Flow& flow);
   void CountCapacityRejection(Upstream& upstream, const Flow& flow);
   Record& FindOrAddRecord(Micros now, const AttemptKey& attempt_key);
   void ExpireRecords(Micros now);
   bool IsQueued(const AttemptKey& attempt_key) const;
   bool MayHaveExpired(const AttemptKey& attempt_key) const;
+  // Frees the slot. Null if the attempt holds none.
+  Upstream* FreeSlot(Record& record);
   void EraseIfIdle(const std::string& server);
 
   const Limits limits_;
--- a/src/mesh/ingress/inbound_proxy.cpp
+++ b/src/mesh/ingress/inbound_proxy.cpp
@@ -4,6 +4,8 @@
 #include <utility>
 #include <vector>
 
+#include "mesh/transport/read_buffer.hpp"
+
 namespace fennelhollow::ingress {
 namespace {
 
@@ -16,6 +18,8 @@
 constexpr Micros kMaxCallerWait = 1000 * kMs;
 // Of a link with a long response, whose client may pause.
 constexpr int kStreamUserTimeoutMs = 60'000;
+// A response that has waited so long for its caller may be given up if there is no memory for others.
+constexpr Micros kMinStall = 250 * kMs;
 // Interval at which queued attempts are checked for timeouts.
 constexpr Micros kQueueInterval = 10 * kMs;
 
@@ -38,7 +42,8 @@
 
   SessionPtr session;
   Attempt attempt;
-  memory::BufferCharge charge;  // of its body
+  memory::BufferCharge charge;        // of its body
+  memory::BufferCharge queue_charge;  // of its response in the link
   Micros received_at = 0;
   Micros deadline = 0;
   Micros server_heard_at = 0;  // when the request or the last part of the response passed
@@ -90,7 +95,9 @@
     const auto locked = weak.lock();
     if (locked == nullptr || !locked->busy) return;
     const auto it = active_.find(locked->attempt_key);
-    if (it != active_.end()) Resume(*it->second);
+    if (it == active_.end()) return;
+    it->second->queue_charge.Release();
+    Resume(*it->second);
   };
   events.on_input_memory = [this, weak = std::weak_ptr<Session>(session)](std::size_t bytes) {
     const auto locked = weak.lock();
@@ -113,7 +120,7 @@
     if (it->second->attempt.unsafe) return DiscardResponse(*it->second);
     pool_.Cancel(it->second->handle);
   }
-  Finish(attempt_key);
+  Finish(attempt_key, false);
   ProcessQueue();
 }
 
@@ -124,6 +131,16 @@
   Resume(active);
 }
 
+bool InboundProxy::ChargeQueue(const AttemptKey& attempt_key, ActiveAttempt& active) {
+  const std::size_t queued = active.session->link->queued_bytes();
+  // The queue's memory grows by doubling. What an ordinary response takes on its way is not charged.
+  const std::size_t bytes = queued <= transport::kReadBufferBytes ? 0 : 2 * queued;
+  while (!active.queue_charge.Set(account_, bytes)) {
+    if (!AbandonMostStalled({}, kMinStall)) return Abandon(attempt_key), false;
+  }
+  return true;
+}
+
 void InboundProxy::Pause(ActiveAttempt& active) {
   if (std::exchange(active.paused, true)) return;
   active.paused_since = loop_.Now();
@@ -251,13 +268,13 @@
 
 void InboundProxy::Forward(const AttemptKey& attempt_key) {
   const auto it = active_.find(attempt_key);
-  if (it == active_.end()) return admission_.OnDone(loop_.Now(), attempt_key);
+  if (it == active_.end()) return admission_.OnAbandoned(loop_.Now(), attempt_key);
   ActiveAttempt& active = *it->second;
   const registry::Server* server = callbacks_.find_server(active.attempt.server);
   const Micros queued_for = loop_.Now() - active.received_at;
   const std::int64_t remaining = active.attempt.remaining_ms - queued_for / kMs;
   if (server == nullptr || remaining <= 0) {
-    admission_.OnDone(loop_.Now(), attempt_key);
+    admission_.OnAbandoned(loop_.Now(), attempt_key);
     return Reject(attempt_key,
                   server == nullptr ? RejectReason::kUnknownInstance : RejectReason::kDeadlineExceeded);
   }
@@ -311,6 +328,7 @@
     } else {
       active_attempt.session->link->Send(Encode(FrameType::kBodyChunk, BodyChunk{std::move(bytes), false}));
     }
+    if (!ChargeQueue(attempt_key, active_attempt)) return;
     if (active_attempt.session->link->queued_bytes() > kMaxQueuedBytes) Pause(active_attempt);
   };
   events.on_end = [this, attempt_key] {
@@ -325,7 +343,7 @@
       active_attempt.head.end = true;
       session->link->Send(Encode(FrameType::kResponseHead, active_attempt.head));
     }
-    Finish(attempt_key);
+    Finish(attempt_key, true);
     ProcessQueue();
   };
   events.on_failure = [this, attempt_key](ServerConnectionPool::Failure failure) {
@@ -337,7 +355,7 @@
       const std::string id = active_attempt.attempt.server;
       --running_;
       if (active_attempt.may_have_run_before) --retries_running_;
-      admission_.OnDone(loop_.Now(), attempt_key);
+      admission_.OnAbandoned(loop_.Now(), attempt_key);
       Reject(attempt_key, RejectReason::kUnreachable);
       if (callbacks_.on_unreachable) callbacks_.on_unreachable(id);
       return ProcessQueue();
@@ -347,13 +365,13 @@
     session->busy = false;
     session->link->Send(
         Encode(FrameType::kReset, Reset{failure == ServerConnectionPool::Failure::kMalformed}));
-    Finish(attempt_key);
+    Finish(attempt_key, false);
     ProcessQueue();
   };
   active.handle = pool_.Send(server->address, std::move(request), std::move(events));
 }
 
-void InboundProxy::Finish(const AttemptKey& attempt_key) {
+void InboundProxy::Finish(const AttemptKey& attempt_key, bool completed) {
   const auto it = active_.find(attempt_key);
   if (it == active_.end()) return;
   if (it->second->forwarded) {
@@ -361,7 +379,12 @@
     if (it->second->may_have_run_before) --retries_running_;
   }
   if (it->second->session->attempt_key == attempt_key) it->second->session->busy = false;
-  admission_.OnDone(loop_.Now(), attempt_key);
+  const Micros now = loop_.Now();
+  const Micros waited = it->second->WaitedForCaller(now);
+  if (completed)
+    admission_.OnDone(now, attempt_key, waited);
+  else
+    admission_.OnAbandoned(now, attempt_key, waited);
   active_.erase(it);
 }
 
@@ -372,7 +395,7 @@
   ++counters_.abandoned;
   const SessionPtr session = it->second->session;
   pool_.Cancel(it->second->handle);
-  Finish(attempt_key);
+  Finish(attempt_key, false);
   session->link->Close();
   sessions_.erase(session);
 }
--- a/src/mesh/ingress/inbound_proxy.hpp
+++ b/src/mesh/ingress/inbound_proxy.hpp
@@ -74,8 +74,12 @@
   void Admit(const SessionPtr& session);
   void Forward(const AttemptKey& attempt_key);
   void Reject(const AttemptKey& attempt_key, RejectReason reason);
-  void Finish(const AttemptKey& attempt_key);
+  // `completed`: the server has ended its response, so that its duration counts.
+  void Finish(const AttemptKey& attempt_key, bool completed);
   void Abandon(const AttemptKey& attempt_key);
+  // Charges what waits in the link for the caller. False if there was no room for it, and the attempt was
+  // given up.
+  bool ChargeQueue(const AttemptKey& attempt_key, ActiveAttempt& active);
   void Pause(ActiveAttempt& active);
   void Resume(ActiveAttempt& active);
   // Gives up the response to `server`'s attempt that has waited longest for its caller, if it was at least
--- a/tests/mesh/ingress_admission_queue_test.cpp
+++ b/tests/mesh/ingress_admission_queue_test.cpp
@@ -240,6 +240,37 @@
   CHECK(queue.NextToForward(150'000) == AttemptKey{1, 6});
 }
 
+// Guards against callers that leave early, or read slowly, and so change how long others are expected to
+// wait.
+TEST_CASE("callers that give up early or read slowly do not change the mean duration") {
+  AdmissionQueue queue({0, 2});
+  REQUIRE(queue.OnAttempt(0, AttemptOf({1, 1}, "a", 1, 0, kNoDeadline)) == Decision::kForward);
+  queue.OnDone(100'000, {1, 1});
+  Micros now = 100'000;
+  const bool slow_reader = GENERATE(false, true);
+  for (std::uint64_t sequence = 2; sequence < 100; ++sequence) {
+    REQUIRE(queue.OnAttempt(now, AttemptOf({1, sequence}, "a", 1, 0, kNoDeadline)) == Decision::kForward);
+    if (slow_reader)
+      queue.OnDone(now += 10'100'000, {1, sequence}, 10'000'000);
+    else
+      queue.OnAbandoned(now += 100, {1, sequence});
+  }
+  REQUIRE(queue.OnAttempt(now, AttemptOf({1, 100}, "a", 1, 0, kNoDeadline)) == Decision::kForward);
+  CHECK(queue.OnAttempt(now, AttemptOf({1, 101}, "a", 1, 0, now + 100'000)) == Decision::kReject);
+  CHECK(queue.OnAttempt(now, AttemptOf({1, 102}, "a", 1, 0, now + 100'001)) == Decision::kQueue);
+}
+
+// Guards against a server that is slow for all, and of whose attempts none is waited for to its end.
+TEST_CASE("attempts that are given up late count for the mean duration") {
+  AdmissionQueue queue({0, 2});
+  REQUIRE(queue.OnAttempt(0, AttemptOf({1, 1}, "a", 1, 0, kNoDeadline)) == Decision::kForward);
+  queue.OnDone(1'000, {1, 1});
+  REQUIRE(queue.OnAttempt(1'000, AttemptOf({1, 2}, "a", 1, 0, kNoDeadline)) == Decision::kForward);
+  queue.OnAbandoned(1'001'000, {1, 2});
+  REQUIRE(queue.OnAttempt(1'001'000, AttemptOf({1, 3}, "a", 1, 0, kNoDeadline)) == Decision::kForward);
+  CHECK(queue.OnAttempt(1'001'000, AttemptOf({1, 4}, "a", 1, 0, 1'011'000)) == Decision::kReject);
+}
+
 TEST_CASE("an attempt past its queue deadline is never forwarded") {
   AdmissionQueue queue({0, 2});
   REQUIRE(queue.OnAttempt(0, AttemptOf({1, 1}, "a", 1, 0, kNoDeadline)) == Decision::kForward);
