--- a/src/mesh/node/sidecar.cpp
+++ b/src/mesh/node/sidecar.cpp
@@ -29,6 +29,7 @@
 #include "mesh/node/pending_acknowledgements.hpp"
 #include "mesh/node/record_quorum.hpp"
 #include "mesh/node/shutdown_schedule.hpp"
+#include "mesh/node/sidecar_limits.hpp"
 #include "mesh/push/client.hpp"
 #include "mesh/quota/quota.hpp"
 #include "mesh/registry/heartbeat_tracker.hpp"
@@ -65,11 +66,6 @@
 constexpr double kRetryBudgetShare = 0.5;
 constexpr std::size_t kMaxUnidentifiedLinks = 256;
 constexpr Micros kHelloTimeout = 2000 * kMillisecond;
-constexpr std::size_t kMebibyte = std::size_t{1} << 20;
-// Descriptors that the platform keeps for files, where there are more than twice as many.
-constexpr std::size_t kReservedDescriptors = 200;
-// Share of the process's memory for the bodies of control calls, as a divisor.
-constexpr std::size_t kControlMemoryDivisor = 8;
 
 std::string Ip(const std::string& address) { return address.substr(0, address.rfind(':')); }
 
@@ -91,7 +87,7 @@
         request_metrics_(registry_),
         invariants_(registry_, options.on_violation),
         inbound_proxy_client_(io, loop_, {settings.node_name, self_, incarnation, 300, 400}),
-        buffers_(memory::BufferAccount::LimitsFor(MemoryBytes(settings))),
+        buffers_(BufferLimits(settings)),
         buffer_metrics_(registry_),
         inbound_proxy_(io, loop_, {incarnation, {}}, buffers_,
                        {[this](const std::string& id) { return heartbeats_.Find(id); },
@@ -120,12 +116,12 @@
       if (const auto at = listen.find("controlPlane"); at != listen.end())
         control_listener_ = std::make_unique<ControlListener>(
             io_, merlinrun::net::Tcp::endpoint(asio::ip::make_address(at->second.ip), at->second.port),
-            ControlLimits(), [this](const Command& command, const ControlListener::Reply& reply) {
+            ControlLimits(settings_), [this](const Command& command, const ControlListener::Reply& reply) {
               OnCommand(command, reply);
             });
       if (const auto at = listen.find("outbound"); at != listen.end())
         outbound_listener_ = std::make_unique<HttpServer>(
-            io_, at->second, ClientLimits(), buffers_,
+            io_, at->second, ClientLimits(settings_), buffers_,
             HttpServer::Handler{[this](const HttpServer::SessionPtr& session, egress::HttpRequest in) {
                                   outbound_proxy_.OnRequest(session, std::move(in));
                                 },
@@ -134,7 +130,7 @@
                                 }});
       if (const auto at = listen.find("readiness"); at != listen.end())
         readiness_listener_ = std::make_unique<HttpServer>(
-            io_, at->second, ReadinessLimits(), buffers_,
+            io_, at->second, ReadinessLimits(settings_), buffers_,
             HttpServer::Handler{[this](const HttpServer::SessionPtr& session, const egress::HttpRequest&) {
                                   const bool ready = IsReady();
                                   HttpServer::Respond(session, ready ? 200 : 503,
@@ -267,33 +263,6 @@
     return out;
   }
 
-  static std::size_t MemoryBytes(const settings::Settings& settings) {
-    return static_cast<std::size_t>(std::max<std::int64_t>(settings.memory_mb, 1)) * kMebibyte;
-  }
-
-  // Descriptors that the process may use for sockets.
-  std::size_t SocketDescriptors() const {
-    const auto all = static_cast<std::size_t>(std::max<std::int64_t>(settings_.file_descriptors, 0));
-    return std::max(all - std::min(all, kReservedDescriptors), all / 2);
-  }
-  HttpServer::Limits ClientLimits() const {
-    HttpServer::Limits limits;
-    limits.max_connections = std::min(limits.max_connections, SocketDescriptors() * 3 / 4);
-    return limits;
-  }
-  HttpServer::Limits ReadinessLimits() const {
-    HttpServer::Limits limits;
-    limits.max_connections = std::min(limits.max_connections, SocketDescriptors() / 32);
-    return limits;
-  }
-  ControlListener::Limits ControlLimits() const {
-    ControlListener::Limits limits;
-    limits.max_connections = std::min(limits.max_connections, SocketDescriptors() / 16);
-    limits.max_total_body_bytes =
-        std::min(limits.max_total_body_bytes, MemoryBytes(settings_) / kControlMemoryDivisor);
-    return limits;
-  }
-
   void UpdateMetrics() {
     process_metrics_.Update();
     buffer_metrics_.Update(buffers_, outbound_listener_ ? outbound_listener_->counters().evicted : 0);
@@ -637,7 +606,7 @@
       if (tenant.rate_per_s > 0) tenant_limits[tenant.name] = {tenant.rate_per_s, tenant.burst};
     limiter_.UpdateLimits(loop_.Now(), tenant_limits);
     const configuration::Limits& http_limits = (*tables)->limits();
-    HttpServer::Limits server_limits = ClientLimits();
+    HttpServer::Limits server_limits = ClientLimits(settings_);
     server_limits.max_header_bytes = http_limits.header_bytes;
     server_limits.max_body_bytes = http_limits.body_bytes;
     server_limits.header_timeout_ms = http_limits.header_timeout_ms;
--- /dev/null
+++ b/src/mesh/node/sidecar_limits.cpp
@@ -0,0 +1,51 @@
+#include "mesh/node/sidecar_limits.hpp"
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+
+namespace fennelhollow::node {
+namespace {
+
+constexpr std::size_t kMebibyte = std::size_t{1} << 20;
+// Descriptors that the platform keeps for files, where there are more than twice as many.
+constexpr std::size_t kReservedDescriptors = 200;
+// Share of the process's memory for the bodies of control calls, as a divisor.
+constexpr std::size_t kControlMemoryDivisor = 8;
+
+std::size_t MemoryBytes(const settings::Settings& settings) {
+  return static_cast<std::size_t>(std::max<std::int64_t>(settings.memory_mb, 1)) * kMebibyte;
+}
+
+std::size_t SocketDescriptors(const settings::Settings& settings) {
+  const auto all = static_cast<std::size_t>(std::max<std::int64_t>(settings.file_descriptors, 0));
+  return std::max(all - std::min(all, kReservedDescriptors), all / 2);
+}
+
+}  // namespace
+
+memory::BufferAccount::Limits BufferLimits(const settings::Settings& settings) {
+  return memory::BufferAccount::LimitsFor(MemoryBytes(settings));
+}
+
+egress::HttpServer::Limits ClientLimits(const settings::Settings& settings) {
+  egress::HttpServer::Limits limits;
+  limits.max_connections = std::min(limits.max_connections, SocketDescriptors(settings) * 3 / 4);
+  return limits;
+}
+
+egress::HttpServer::Limits ReadinessLimits(const settings::Settings& settings) {
+  egress::HttpServer::Limits limits;
+  limits.max_connections = std::min(limits.max_connections, SocketDescriptors(settings) / 32);
+  return limits;
+}
+
+ControlListener::Limits ControlLimits(const settings::Settings& settings) {
+  ControlListener::Limits limits;
+  limits.max_connections = std::min(limits.max_connections, SocketDescriptors(settings) / 16);
+  limits.max_total_body_bytes =
+      std::min(limits.max_total_body_bytes, MemoryBytes(settings) / kControlMemoryDivisor);
+  return limits;
+}
+
+}  // namespace fennelhollow::node
