A sidecar's departures are recorded by five cores that it is linked to, not by all

A leaving server waited for nothing.

Cause: a majority of all cores was asked for, and a sidecar is linked to eight.

Change: the five best-ranked of the listed cores record for a sidecar, the same ones for each of its processes; links to them and to the leader come first.

Evidence: the new test plays 1, 3 and 18 cores; departures_test passes.

--- a/src/mesh/node/sidecar.cpp
+++ b/src/mesh/node/sidecar.cpp
@@ -378,7 +378,7 @@
 
   void ConfirmInstances(Micros now) {
     for (const std::string& id : heartbeats_.Unconfirmed())
-      if (record_quorum_.IsUnknown(id, client_.cores())) heartbeats_.Confirm(now, id);
+      if (record_quorum_.IsUnknown(id, client_.record_cores())) heartbeats_.Confirm(now, id);
     OnInstancesChanged(now);
   }
 
@@ -639,7 +639,7 @@
   registry::HeartbeatTracker heartbeats_;
   RecordQuorum record_quorum_;
   PendingAcknowledgements acknowledgements_{[this](const std::string& id, registry::State state) {
-    return record_quorum_.IsRecorded(id, state, client_.cores());
+    return record_quorum_.IsRecorded(id, state, client_.record_cores());
   }};
   std::uint64_t seen_heartbeat_changes_ = 0;
   quota::Limiter limiter_;
--- a/src/mesh/push/client.cpp
+++ b/src/mesh/push/client.cpp
@@ -94,8 +94,8 @@
 }
 
 std::vector<std::string> Client::DesiredLinks(Micros now) const {
-  // Listed cores first, then existing links, then the rest; within a class the least failed first, so that
-  // each core gets its turn even if most listed ones are gone.
+  // The leader and the cores that record first, then other listed ones, then existing links, then the rest;
+  // within a class the least failed first, so that each core gets its turn even if most listed ones are gone.
   std::vector<std::tuple<int, int, std::uint64_t, const std::string*>> candidates;
   std::vector<std::tuple<int, std::uint64_t, const std::string*>> hints;
   for (const auto& [address, core] : core_states_) {
@@ -103,7 +103,9 @@
       hints.emplace_back(core.failures, core.rank, &address);
       continue;
     }
-    const int kind = core.listed ? (address == leader_ ? 0 : 1) : core.connected ? 2 : 3;
+    const bool records =
+        std::find(record_cores_.begin(), record_cores_.end(), address) != record_cores_.end();
+    const int kind = core.listed ? (address == leader_ || records ? 0 : 1) : core.connected ? 2 : 3;
     candidates.emplace_back(kind, core.connected ? 0 : core.failures, core.rank, &address);
   }
   std::sort(candidates.begin(), candidates.end());
@@ -294,9 +296,19 @@
   for (auto& [known, core] : core_states_) {  // starts the expiry of cores that are no longer listed
     if (!core.listed && !core.connected && core.failing_since == kNever) core.failing_since = now;
   }
+  UpdateRecordCores();
   sink_.OnCores(cores_);
 }
 
+// The best-ranked ones: the rank depends on the names of this sidecar and of the core alone.
+void Client::UpdateRecordCores() {
+  record_cores_ = cores_;
+  std::sort(record_cores_.begin(), record_cores_.end(), [this](const std::string& a, const std::string& b) {
+    return core_states_.at(a).rank < core_states_.at(b).rank;
+  });
+  if (record_cores_.size() > kMaxRecordCores) record_cores_.resize(kMaxRecordCores);
+}
+
 // Returns whether the update needs an acknowledgement.
 bool Client::ApplySnapshot(const std::string& address, const CoreUpdate& update) {
   if (address != subscribed_ || (!update.has_snapshot && update.deltas.empty())) return false;
--- a/src/mesh/push/client.hpp
+++ b/src/mesh/push/client.hpp
@@ -25,6 +25,7 @@
 inline constexpr Micros kReportInterval = 300'000;          // to the subscribed core and to the leader
 inline constexpr Micros kOtherReportInterval = 1'000'000;   // to all other cores
 inline constexpr Micros kServerReportInterval = 5'000'000;  // between full lists of servers
+inline constexpr std::size_t kMaxRecordCores = 5;           // fewer than kMaxCoreLinks, with the leader
 inline constexpr std::size_t kMaxCoreHints = 8;
 inline constexpr Micros kResyncInterval = 300'000;      // minimum between resync requests
 inline constexpr Micros kCoreSilenceTimeout = 700'000;  // of the subscribed core, before switching to another
@@ -92,6 +93,10 @@
   std::uint64_t entry() const { return entry_; }  // log index of the state in force
   const registry::Snapshot& snapshot() const { return snapshot_; }
   const std::vector<std::string>& cores() const { return cores_; }
+  // The listed cores that record what this sidecar acknowledges: at most kMaxRecordCores, the same ones for
+  // each process of this sidecar, however many cores there are. It is always linked to them, unless they are
+  // down.
+  const std::vector<std::string>& record_cores() const { return record_cores_; }
   const std::string& subscribed_core() const { return subscribed_; }  // address; empty = none
   const std::string& leader() const { return leader_; }               // named by most responsive cores
   static constexpr Micros kNever = std::numeric_limits<Micros>::min() / 4;
@@ -123,6 +128,7 @@
   void UpdateSubscription(Micros now);
   void SwitchTo(Micros now, std::string address);
   void UpdateLeader(Micros now);
+  void UpdateRecordCores();
   void ApplyCores(Micros now, const std::string& address, const CoreUpdate& update);
   bool ApplySnapshot(const std::string& address, const CoreUpdate& update);
   bool AcceptsState(Micros now, const CoreUpdate& update);
@@ -135,6 +141,7 @@
   std::mt19937_64 random_;
   std::map<std::string, Core> core_states_;
   std::vector<std::string> cores_;
+  std::vector<std::string> record_cores_;
   std::string subscribed_;
   Micros subscribed_at_ = kNever;
   Micros worse_since_ = kNever;          // the subscribed core is stale or has no leader
--- a/tests/mesh/push_test.cpp
+++ b/tests/mesh/push_test.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <memory>
 #include <optional>
@@ -664,6 +665,27 @@
   CHECK(publisher.Subscribers() == 0);
 }
 
+// Guards against a majority that no sidecar can reach, as it is linked to some of many cores: no departure
+// was acknowledged there.
+TEST_CASE("a sidecar of many cores is linked to those that record, and so is its next process") {
+  const int cores = GENERATE(1, 3, 18);
+  World world(cores, 4);
+  world.SetLeader("core:0");
+  world.RunFor(5 * kS);
+  for (auto& [name, sidecar] : world.sidecars_) {
+    const std::vector<std::string> recording = sidecar->client->record_cores();
+    CHECK(recording.size() == std::min<std::size_t>(static_cast<std::size_t>(cores), kMaxRecordCores));
+    const std::vector<std::string> responsive = sidecar->client->ResponsiveCores(world.now_);
+    for (const std::string& core : recording)
+      CHECK(std::find(responsive.begin(), responsive.end(), core) != responsive.end());
+  }
+  const std::vector<std::string> before = world.sidecars_.at("side-101")->client->record_cores();
+  world.StopSidecar("side-101");
+  world.StartSidecar("side-101");
+  world.RunFor(5 * kS);
+  CHECK(world.sidecars_.at("side-101")->client->record_cores() == before);
+}
+
 // Guards against a core that vouches for what it has not read from its disk, not written to it, or lost with
 // it.
 TEST_CASE("a core tells a sidecar what it remembers of its servers, and what of that is on disk") {
