Frames after a Hello may be as large as before: their memory is charged already

A request's header travels in one frame and is bounded by maximumHeaderBytes, which has no such limit, and a report grows with the tenants.

Evidence: the new test, a header of 2 MiB, fails with 1 MiB (no response) and passes.

--- a/src/mesh/ingress/inbound_proxy.cpp
+++ b/src/mesh/ingress/inbound_proxy.cpp
@@ -103,7 +103,7 @@
     const auto locked = weak.lock();
     return locked == nullptr || locked->input_charge.Set(account_, bytes);
   };
-  session->link->SetMaxFrameBytes(transport::kMaxReportBytes);
+  session->link->SetMaxFrameBytes(transport::kMaxFrameBytes);
   session->link->SetEvents(std::move(events));
 }
 
--- a/src/mesh/node/core.cpp
+++ b/src/mesh/node/core.cpp
@@ -458,8 +458,7 @@
     ++(good ? counters_.refused_links : counters_.malformed_frames);
     return CloseLink(from);
   }
-  inbound_links_[from].link->SetMaxFrameBytes(
-      hello->purpose == transport::Purpose::kCore ? transport::kMaxFrameBytes : transport::kMaxReportBytes);
+  inbound_links_[from].link->SetMaxFrameBytes(transport::kMaxFrameBytes);
   CloseSuperseded(from, *hello);
   inbound_links_[from].hello = *std::move(hello);
 }
--- a/src/mesh/transport/link.hpp
+++ b/src/mesh/transport/link.hpp
@@ -22,8 +22,6 @@
 inline constexpr std::size_t kMaxFrameBytes = std::size_t{4} * 1024 * 1024;
 // Before the peer has said who it is: holds a Hello.
 inline constexpr std::size_t kMaxHelloBytes = std::size_t{16} * 1024;
-// Between proxies, and from a sidecar to a core: holds a chunk of a body, or a request with its headers.
-inline constexpr std::size_t kMaxReportBytes = std::size_t{1024} * 1024;
 
 // A TCP connection that carries frames: a length of four bytes (big endian), then the payload. Not
 // thread-safe.
--- a/tests/mesh/egress_outbound_test.cpp
+++ b/tests/mesh/egress_outbound_test.cpp
@@ -317,6 +317,17 @@
   CHECK(fixture.machine.server.requests.empty());
 }
 
+// Guards against a bound on frames that is below what the configured limit of the header allows.
+TEST_CASE("an attempt with large headers is forwarded") {
+  InboundProxyFixture fixture;
+  const auto peer = fixture.Dial();
+  ingress::Attempt attempt = fixture.Attempt(1);
+  attempt.headers.emplace_back("X-Large", std::string(std::size_t{2} << 20, 'h'));
+  peer->link->Send(Encode(FrameType::kAttempt, attempt));
+  fixture.ExpectFrame(peer, FrameType::kResponseHead);
+  CHECK(fixture.machine.server.requests.size() == 1);
+}
+
 TEST_CASE("a forwarded attempt is reported as forwarded and reaches the server once") {
   InboundProxyFixture fixture;
   const auto peer = fixture.Dial();
