A sidecar without descriptors does not report its server as unreachable

Seen on looking for other ends of an attempt that are charged to a peer not at fault: a socket that this process can't open counted as a server that does not listen. The server was listed as gone, for everybody, until its next heartbeat.

Change: ServerConnectionPool::Failure::kNoSocket; the attempt is rejected like one for which there is no memory, and nothing is said of the server.

Evidence: the new test takes all descriptors from the process; two of its checks failed before (rejected as unreachable, one report), all pass now.

--- a/src/mesh/ingress/inbound_proxy.cpp
+++ b/src/mesh/ingress/inbound_proxy.cpp
@@ -351,15 +351,9 @@
     if (found == active_.end()) return;
     ActiveAttempt& active_attempt = *found->second;
     const SessionPtr session = active_attempt.session;
-    if (failure == ServerConnectionPool::Failure::kNotSent) {
-      const std::string id = active_attempt.attempt.server;
-      --running_;
-      if (active_attempt.may_have_run_before) --retries_running_;
-      admission_.OnAbandoned(loop_.Now(), attempt_key);
-      Reject(attempt_key, RejectReason::kUnreachable);
-      if (callbacks_.on_unreachable) callbacks_.on_unreachable(id);
-      return ProcessQueue();
-    }
+    if (failure == ServerConnectionPool::Failure::kNotSent ||
+        failure == ServerConnectionPool::Failure::kNoSocket)
+      return OnNotSent(attempt_key, failure == ServerConnectionPool::Failure::kNotSent);
     ++(failure == ServerConnectionPool::Failure::kMalformed ? counters_.malformed_responses
                                                             : counters_.resets);
     session->busy = false;
@@ -371,6 +365,17 @@
   active.handle = pool_.Send(server->address, std::move(request), std::move(events));
 }
 
+void InboundProxy::OnNotSent(const AttemptKey& attempt_key, bool unreachable) {
+  const ActiveAttempt& active = *active_.at(attempt_key);
+  const std::string server = active.attempt.server;
+  --running_;
+  if (active.may_have_run_before) --retries_running_;
+  admission_.OnAbandoned(loop_.Now(), attempt_key);
+  Reject(attempt_key, unreachable ? RejectReason::kUnreachable : RejectReason::kQueueFull);
+  if (unreachable && callbacks_.on_unreachable) callbacks_.on_unreachable(server);
+  ProcessQueue();
+}
+
 void InboundProxy::Finish(const AttemptKey& attempt_key, bool completed) {
   const auto it = active_.find(attempt_key);
   if (it == active_.end()) return;
--- a/src/mesh/ingress/inbound_proxy.hpp
+++ b/src/mesh/ingress/inbound_proxy.hpp
@@ -74,6 +74,8 @@
   void Admit(const SessionPtr& session);
   void Forward(const AttemptKey& attempt_key);
   void Reject(const AttemptKey& attempt_key, RejectReason reason);
+  // The server has not seen the forwarded attempt. `unreachable`: by its own fault.
+  void OnNotSent(const AttemptKey& attempt_key, bool unreachable);
   // `completed`: the server has ended its response, so that its duration counts.
   void Finish(const AttemptKey& attempt_key, bool completed);
   void Abandon(const AttemptKey& attempt_key);
--- a/src/mesh/ingress/server_connection_pool.cpp
+++ b/src/mesh/ingress/server_connection_pool.cpp
@@ -123,8 +123,9 @@
     if (endpoint) socket_.open(Tcp::v4(), error);
     ++pool_.connections_opened_;
     if (!endpoint || error) {
-      asio::post(pool_.io_, [self = shared_from_this(), handle = handle_] {
-        if (self->handle_ == handle) self->Fail(Failure::kNotSent);
+      const Failure failure = error ? Failure::kNoSocket : Failure::kNotSent;
+      asio::post(pool_.io_, [self = shared_from_this(), handle = handle_, failure] {
+        if (self->handle_ == handle) self->Fail(failure);
       });
       return;
     }
@@ -344,7 +345,7 @@
     const auto self = shared_from_this();
     const auto call = std::move(events_.on_failure);
     const Handle handle = handle_;
-    if (!bytes_sent_) failure = Failure::kNotSent;
+    if (!bytes_sent_ && failure != Failure::kNoSocket) failure = Failure::kNotSent;
     Close();
     pool_.busy_.erase(handle);
     if (call) call(failure);
--- a/src/mesh/ingress/server_connection_pool.hpp
+++ b/src/mesh/ingress/server_connection_pool.hpp
@@ -26,6 +26,7 @@
     kNotSent,  // no connection, or it was lost before a byte was written: the server has not seen the request
     kReset,    // the server may have executed the request; the response is missing or incomplete
     kMalformed,  // like kReset, but the server sent something that is not a valid response
+    kNoSocket,   // this process could not open a socket, which says nothing about the server: not sent
   };
   struct Events {
     // `content_length` is -1 for a chunked body.
--- a/tests/mesh/egress_outbound_test.cpp
+++ b/tests/mesh/egress_outbound_test.cpp
@@ -1,4 +1,6 @@
 #include <prometheus/text_serializer.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
 #include <catch2/catch.hpp>
 #include <optional>
@@ -317,6 +319,40 @@
   CHECK(fixture.machine.server.requests.empty());
 }
 
+// Leaves this process no descriptor to open while it exists.
+class NoDescriptors {
+ public:
+  NoDescriptors() {
+    ::getrlimit(RLIMIT_NOFILE, &before_);
+    const int lowest_free = ::dup(STDERR_FILENO);
+    ::close(lowest_free);
+    rlimit none = before_;
+    none.rlim_cur = static_cast<rlim_t>(lowest_free);
+    ::setrlimit(RLIMIT_NOFILE, &none);
+  }
+  ~NoDescriptors() { ::setrlimit(RLIMIT_NOFILE, &before_); }
+  NoDescriptors(const NoDescriptors&) = delete;
+  NoDescriptors& operator=(const NoDescriptors&) = delete;
+
+ private:
+  rlimit before_{};
+};
+
+// Guards against a live server that nobody is sent to, as its own sidecar had run out of descriptors.
+TEST_CASE("a sidecar without descriptors does not report its server as unreachable") {
+  InboundProxyFixture fixture;
+  const auto peer = fixture.Dial();
+  {
+    const NoDescriptors none;
+    peer->link->Send(Encode(FrameType::kAttempt, fixture.Attempt(1)));
+    fixture.ExpectFrame(peer, FrameType::kRejected);
+  }
+  CHECK(static_cast<RejectReason>(Decode<ingress::Rejected>(peer->frames[0])->reason) ==
+        RejectReason::kQueueFull);
+  CHECK(fixture.machine.unreachable_reports == 0);
+  CHECK(fixture.machine.server.requests.empty());
+}
+
 // Guards against a bound on frames that is below what the configured limit of the header allows.
 TEST_CASE("an attempt with large headers is forwarded") {
   InboundProxyFixture fixture;
