--- a/src/mesh/ingress/inbound_proxy.cpp
+++ b/src/mesh/ingress/inbound_proxy.cpp
@@ -14,12 +14,11 @@
 constexpr std::size_t kMaxQueuedBytes = std::size_t{256} * 1024;
 // Bounds the memory for one request body; the configured limit may exceed the available memory.
 constexpr std::size_t kMaxBodyBytes = std::size_t{64} * 1024 * 1024;
-// A response may wait so long for its caller before others get its slot.
-constexpr Micros kMaxCallerWait = 1000 * kMs;
+// Responses that have waited for their callers for so long may be given up if others need a slot, or memory.
+constexpr Micros kSlotStall = 1000 * kMs;
+constexpr Micros kMemoryStall = 250 * kMs;
 // Of a link with a long response, whose client may pause.
 constexpr int kStreamUserTimeoutMs = 60'000;
-// A response that has waited so long for its caller may be given up if there is no memory for others.
-constexpr Micros kMinStall = 250 * kMs;
 // Interval at which queued attempts are checked for timeouts.
 constexpr Micros kQueueInterval = 10 * kMs;
 
@@ -136,7 +135,7 @@
   // The queue's memory grows by doubling. What an ordinary response takes on its way is not charged.
   const std::size_t bytes = queued <= transport::kReadBufferBytes ? 0 : 2 * queued;
   while (!active.queue_charge.Set(account_, bytes)) {
-    if (!AbandonMostStalled({}, kMinStall)) return Abandon(attempt_key), false;
+    if (!AbandonMostStalled({}, kMemoryStall, &active)) return Abandon(attempt_key), false;
   }
   return true;
 }
@@ -248,7 +247,7 @@
   admission.flow = {received.attempt.route, received.attempt.priority};
   admission.due = now + received.attempt.due_ms * kMs;
   admission.queue_deadline = now + received.attempt.max_queue_ms * kMs;
-  if (!admission_.HasFreeSlot(admission.server)) AbandonMostStalled(admission.server, kMaxCallerWait);
+  if (!admission_.HasFreeSlot(admission.server)) AbandonMostStalled(admission.server, kSlotStall, nullptr);
   const auto decision = admission_.OnAttempt(now, admission);
   if (decision == AdmissionQueue::Decision::kReject) return Reject(attempt_key, RejectReason::kQueueFull);
   if (decision == AdmissionQueue::Decision::kForward) return Forward(attempt_key);
@@ -307,30 +306,7 @@
       if (header.first == "Not-Executed") active_attempt.head.executed = false;
     active_attempt.head.headers = std::move(headers);
   };
-  events.on_body = [this, attempt_key](std::string bytes) {
-    const auto found = active_.find(attempt_key);
-    if (found == active_.end()) return;
-    ActiveAttempt& active_attempt = *found->second;
-    active_attempt.server_heard_at = loop_.Now();
-    if (active_attempt.caller_gone) return;
-    active_attempt.body_bytes += bytes.size();
-    if (!active_attempt.head_sent) {
-      active_attempt.head.body += bytes;
-      const bool complete =
-          active_attempt.head.content_length >= 0 &&
-          active_attempt.body_bytes >= static_cast<std::size_t>(active_attempt.head.content_length);
-      if (complete || active_attempt.head.body.size() < transport::kMaxFrameBytes / 64)
-        return;  // more of the body or its end is about to arrive
-      active_attempt.head_sent = true;
-      active_attempt.session->link->SetUserTimeout(kStreamUserTimeoutMs);
-      active_attempt.session->link->Send(Encode(FrameType::kResponseHead, active_attempt.head));
-      active_attempt.head.body.clear();
-    } else {
-      active_attempt.session->link->Send(Encode(FrameType::kBodyChunk, BodyChunk{std::move(bytes), false}));
-    }
-    if (!ChargeQueue(attempt_key, active_attempt)) return;
-    if (active_attempt.session->link->queued_bytes() > kMaxQueuedBytes) Pause(active_attempt);
-  };
+  events.on_body = [this, attempt_key](std::string bytes) { OnResponseBody(attempt_key, std::move(bytes)); };
   events.on_end = [this, attempt_key] {
     const auto found = active_.find(attempt_key);
     if (found == active_.end()) return;
@@ -365,6 +341,30 @@
   active.handle = pool_.Send(server->address, std::move(request), std::move(events));
 }
 
+void InboundProxy::OnResponseBody(const AttemptKey& attempt_key, std::string bytes) {
+  const auto found = active_.find(attempt_key);
+  if (found == active_.end()) return;
+  ActiveAttempt& active = *found->second;
+  active.server_heard_at = loop_.Now();
+  if (active.caller_gone) return;
+  active.body_bytes += bytes.size();
+  if (!active.head_sent) {
+    active.head.body += bytes;
+    const bool complete = active.head.content_length >= 0 &&
+                          active.body_bytes >= static_cast<std::size_t>(active.head.content_length);
+    if (complete || active.head.body.size() < transport::kMaxFrameBytes / 64)
+      return;  // more of the body or its end is about to arrive
+    active.head_sent = true;
+    active.session->link->SetUserTimeout(kStreamUserTimeoutMs);
+    active.session->link->Send(Encode(FrameType::kResponseHead, active.head));
+    active.head.body.clear();
+  } else {
+    active.session->link->Send(Encode(FrameType::kBodyChunk, BodyChunk{std::move(bytes), false}));
+  }
+  if (!ChargeQueue(attempt_key, active)) return;
+  if (active.session->link->queued_bytes() > kMaxQueuedBytes) Pause(active);
+}
+
 void InboundProxy::OnNotSent(const AttemptKey& attempt_key, bool unreachable) {
   const ActiveAttempt& active = *active_.at(attempt_key);
   const std::string server = active.attempt.server;
@@ -405,17 +405,20 @@
   sessions_.erase(session);
 }
 
-bool InboundProxy::AbandonMostStalled(const std::string& server, Micros min_wait) {
+bool InboundProxy::AbandonMostStalled(const std::string& server, Micros min_wait,
+                                      const ActiveAttempt* except) {
   const Micros now = loop_.Now();
   const ActiveAttempt* most_stalled = nullptr;
   for (const auto& [attempt_key, active] : active_) {
-    if (!active->paused || (!server.empty() && active->attempt.server != server)) continue;
+    if (active.get() == except || !active->paused || (!server.empty() && active->attempt.server != server))
+      continue;
     if (active->WaitedForCaller(now) < min_wait) continue;
     if (most_stalled == nullptr || active->WaitedForCaller(now) > most_stalled->WaitedForCaller(now))
       most_stalled = active.get();
   }
   if (most_stalled == nullptr) return false;
-  Abandon(most_stalled->attempt.attempt_key);
+  const AttemptKey most_stalled_key = most_stalled->attempt.attempt_key;  // a copy: the attempt is erased
+  Abandon(most_stalled_key);
   return true;
 }
 
--- a/src/mesh/ingress/inbound_proxy.hpp
+++ b/src/mesh/ingress/inbound_proxy.hpp
@@ -74,6 +74,7 @@
   void Admit(const SessionPtr& session);
   void Forward(const AttemptKey& attempt_key);
   void Reject(const AttemptKey& attempt_key, RejectReason reason);
+  void OnResponseBody(const AttemptKey& attempt_key, std::string bytes);
   // The server has not seen the forwarded attempt. `unreachable`: by its own fault.
   void OnNotSent(const AttemptKey& attempt_key, bool unreachable);
   // `completed`: the server has ended its response, so that its duration counts.
@@ -85,8 +86,8 @@
   void Pause(ActiveAttempt& active);
   void Resume(ActiveAttempt& active);
   // Gives up the response to `server`'s attempt that has waited longest for its caller, if it was at least
-  // `min_wait`. False if there is none. An empty `server`: of any.
-  bool AbandonMostStalled(const std::string& server, Micros min_wait);
+  // `min_wait`; never `except`. False if there is none. An empty `server`: of any.
+  bool AbandonMostStalled(const std::string& server, Micros min_wait, const ActiveAttempt* except);
   void ProcessQueue();
   void ScheduleProcessing();
   void DiscardResponse(ActiveAttempt& active);
--- a/src/mesh/node/pending_acknowledgements.cpp
+++ b/src/mesh/node/pending_acknowledgements.cpp
@@ -17,7 +17,7 @@
   pending_.push_back({id, state, now + kRecordTimeout, std::move(reply)});
 }
 
-void PendingAcknowledgements::Update() {
+void PendingAcknowledgements::ReplyToRecorded() {
   for (auto it = pending_.begin(); it != pending_.end();) {
     if (!is_recorded_(it->id, it->state)) {
       ++it;
--- a/src/mesh/node/pending_acknowledgements.hpp
+++ b/src/mesh/node/pending_acknowledgements.hpp
@@ -25,10 +25,10 @@
   explicit PendingAcknowledgements(IsRecorded is_recorded) : is_recorded_(std::move(is_recorded)) {}
 
   // `state`: what `id` has reported, kDraining or kGone. Replies with 200 once it is recorded, at once or in
-  // a later Update; with 503 after kRecordTimeout, so that the server repeats the call.
+  // a later ReplyToRecorded; with 503 after kRecordTimeout, so that the server repeats the call.
   void Add(Micros now, const std::string& id, registry::State state, Reply reply);
   // To be called when a core has answered.
-  void Update();
+  void ReplyToRecorded();
   void OnTick(Micros now);
 
  private:
--- a/src/mesh/node/sidecar.cpp
+++ b/src/mesh/node/sidecar.cpp
@@ -360,6 +360,14 @@
     acknowledgements_.Add(now, id, registry::State::kDraining, reply);
   }
 
+  void OnRecordsFrame(const std::string& core, std::string_view frame) {
+    const auto records = transport::Unpack<push::ServerRecords>(frame);
+    if (records.ok())
+      OnRecords(core, *records);
+    else
+      ++malformed_updates_;
+  }
+
   // A core has answered a report: applies what it remembers of the servers beside this sidecar.
   void OnRecords(const std::string& core, const push::ServerRecords& records) {
     const Micros now = loop_.Now();
@@ -373,7 +381,7 @@
       heartbeats_.OnRemembered(now, remembered);
     }
     ConfirmInstances(now);
-    acknowledgements_.Update();
+    acknowledgements_.ReplyToRecorded();
   }
 
   void ConfirmInstances(Micros now) {
@@ -457,7 +465,7 @@
     heartbeats_.OnTick(now, settings_.heartbeat_interval_ms * kMillisecond);
     ConfirmInstances(now);
     RetainRecords(now);
-    acknowledgements_.Update();
+    acknowledgements_.ReplyToRecorded();
     acknowledgements_.OnTick(now);
     CloseLinksWithoutHello(now);
     client_.OnTick(now);
@@ -543,8 +551,7 @@
     core_links_[address] = link;
     transport::Link::Events events;
     events.on_frame = [this, address](std::string_view frame) {
-      const auto records = transport::Unpack<push::ServerRecords>(frame);
-      if (records.ok() && records->tag == push::ServerRecords::kTag) return OnRecords(address, *records);
+      if (transport::PeekNumber(frame) == push::ServerRecords::kTag) return OnRecordsFrame(address, frame);
       const auto update = transport::Unpack<push::CoreUpdate>(frame);
       if (!update.ok()) {
         ++malformed_updates_;
--- a/src/mesh/push/messages.hpp
+++ b/src/mesh/push/messages.hpp
@@ -82,7 +82,8 @@
 // Core to sidecar: the answer to each report that lists servers, sent again once a tombstone of one of them
 // is on disk. A message of its own: sidecars of versions without it count it as malformed and go on.
 struct ServerRecords {
-  static constexpr std::uint64_t kTag = 0x53455256'52454331;  // no log index is that large
+  // Tells it from a CoreUpdate, which begins with a log index: none is that large.
+  static constexpr std::uint64_t kTag = 0x53455256'52454331;
   std::uint64_t tag = kTag;
   bool complete = true;  // false: this core has lost its disk, and with it tombstones
   std::vector<ServerRecord> servers;
--- a/src/mesh/push/publisher.cpp
+++ b/src/mesh/push/publisher.cpp
@@ -81,13 +81,7 @@
     registry_.OnKeepalive(now, report.sidecar.name, report.sidecar.incarnation);
   }
 
-  if (report.leaving || report.has_servers) {
-    link.servers.clear();
-    const std::size_t count = std::min(report.servers.size(), registry::kMaxInstances);
-    for (std::size_t i = 0; i < count; ++i) link.servers.push_back(report.servers[i].id);
-    if (disk_lost_ && now - started_ >= kRecoveryPeriod) disk_lost_ = false;
-    SendRecords(id, link);
-  }
+  if (report.leaving || report.has_servers) OnServers(now, id, link, report.servers);
 
   if (report.subscribe && !link.subscribed) {
     link.snapshot_delivery = Delivery{0, 0, now, settings_.resend_after};
@@ -120,6 +114,14 @@
   sink_.Send(id, update);
 }
 
+void Publisher::OnServers(Micros now, LinkId id, Link& link, const std::vector<registry::Server>& servers) {
+  link.servers.clear();
+  const std::size_t count = std::min(servers.size(), registry::kMaxInstances);
+  for (std::size_t i = 0; i < count; ++i) link.servers.push_back(servers[i].id);
+  if (disk_lost_ && now - started_ >= kDiskLossPeriod) disk_lost_ = false;
+  SendRecords(id, link);
+}
+
 ServerRecord Publisher::RecordOf(const std::string& id) const {
   const registry::Server* tombstone = registry_.tombstones().Find(id);
   if (tombstone == nullptr) return {id, registry::State::kReady, false};
--- a/src/mesh/push/publisher.hpp
+++ b/src/mesh/push/publisher.hpp
@@ -82,7 +82,7 @@
   void RestoreTombstones(Micros now, const std::vector<registry::Server>& servers);
   // All changes of tombstones() up to `version` are on disk: tells the sidecars that wait for it.
   void OnTombstonesWritten(std::uint64_t version);
-  // This core has lost its disk: until kRecoveryPeriod after its start it cannot vouch for having no
+  // This core has lost its disk: until kDiskLossPeriod after its start it cannot vouch for having no
   // tombstone.
   void SetDiskLost() { disk_lost_ = true; }
   bool RegistryWarmedUp(Micros now) const { return registry_.WarmedUp(now, started_, settings_.warm_up); }
@@ -120,6 +120,8 @@
   CoreUpdate BaseUpdate(Micros now) const;
   void AnswerDemand(Micros now, LinkId link, const SidecarReport& report);
   ServerRecord RecordOf(const std::string& id) const;
+  // Answers a list of servers.
+  void OnServers(Micros now, LinkId id, Link& link, const std::vector<registry::Server>& servers);
   void SendRecords(LinkId id, Link& link);
 
   Settings settings_;
@@ -142,8 +144,9 @@
   Micros checked_at_ = 0;
 };
 
-// Of a core that has lost its disk. Longer than a heartbeat may be late, which is seconds.
-inline constexpr Micros kRecoveryPeriod = 15'000'000;
+// How long a core that has lost its disk does not vouch. Longer than a heartbeat may be late, which is
+// seconds.
+inline constexpr Micros kDiskLossPeriod = 15'000'000;
 
 }  // namespace fennelhollow::push
 
--- a/src/mesh/transport/codec.hpp
+++ b/src/mesh/transport/codec.hpp
@@ -148,6 +148,18 @@
   return value;
 }
 
+// The number that a packed message begins with, by which its kind is told; 0 if there is none.
+inline std::uint64_t PeekNumber(std::string_view bytes) {
+  std::uint64_t number = 0;
+  try {
+    Reader reader(bytes);
+    reader(number);
+  } catch (const cereal::Exception&) {
+    return 0;
+  }
+  return number;
+}
+
 }  // namespace fennelhollow::transport
 
 // The matching output archive; required by cereal to load enumerations.
--- a/tests/mesh/node_test.cpp
+++ b/tests/mesh/node_test.cpp
@@ -52,7 +52,7 @@
   };
   const auto record = [&](registry::State state) {
     recorded = state;
-    acknowledgements.Update();
+    acknowledgements.ReplyToRecorded();
   };
   SECTION("draining") {
     add(registry::State::kDraining);
@@ -144,15 +144,19 @@
   tombstones.Record(0, ServerOf("a", registry::State::kGone, registry::kFinalSequence));
   update();
   CHECK(ReadTombstones(folder.string())->empty());  // there is no such directory
+  CHECK(written == 0);
   fs::create_directories(folder);
   update();
   REQUIRE(ReadTombstones(folder.string())->size() == 1);
   CHECK(ReadTombstones(folder.string())->front() == *tombstones.Find("a"));
+  CHECK(written == tombstones.version());
   tombstones.Record(0, ServerOf("b", registry::State::kDraining));
   writer.Update(now, tombstones);  // too soon after the write
   CHECK(worker.pending() == 0);
+  CHECK(written < tombstones.version());
   update();
   CHECK(ReadTombstones(folder.string())->size() == 2);
+  CHECK(written == tombstones.version());
   fs::remove_all(folder);
 }
 
--- a/tests/mesh/push_test.cpp
+++ b/tests/mesh/push_test.cpp
@@ -724,7 +724,7 @@
   publisher.OnReport(0, 7, report);
   CHECK(sink.sent.size() == 3);
   report.has_servers = true;
-  publisher.OnReport(kRecoveryPeriod, 7, report);
+  publisher.OnReport(kDiskLossPeriod, 7, report);
   REQUIRE(sink.sent.size() == 4);
   CHECK(sink.sent.back().complete);
 }
--- a/tests/mesh/transport_link_test.cpp
+++ b/tests/mesh/transport_link_test.cpp
@@ -255,6 +255,14 @@
   CHECK(read->map == Example().map);
 }
 
+// Guards against a message that is taken for one of another kind, or an exception from a short frame.
+TEST_CASE("a message's first number is read without the rest of it") {
+  CHECK(PeekNumber(Pack(std::uint64_t{0x0102030405060708})) == 0x0102030405060708);
+  CHECK(PeekNumber(Pack(std::uint64_t{7}) + "the rest") == 7);
+  CHECK(PeekNumber("") == 0);
+  CHECK(PeekNumber(Pack(std::uint32_t{7})) == 0);
+}
+
 TEST_CASE("a truncated frame or trailing bytes are an error") {
   const std::string bytes = Pack(Example());
   for (std::size_t n = 0; n < bytes.size(); ++n) CHECK_FALSE(Unpack<Outer>(bytes.substr(0, n)).ok());
