Soak: a wait or an exception in planned work no longer keeps a run from its end

Where it waited is still not known. By reading, two waits there had no end: for a process that never handles signals, and for a part of the planned work that has ended with an exception, which was dropped, so that it was never counted as ended.

Change: both are violations, with the process named, and the run goes on.

Evidence: none that this was it; not reproduced.

--- a/rig/soak/planned_work.cpp
+++ b/rig/soak/planned_work.cpp
@@ -2,9 +2,10 @@
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <csignal>
+#include <exception>
 #include <numeric>
+#include <utility>
 #include <vector>
 
 namespace fennelhollow::rig::soak {
@@ -18,6 +19,8 @@
 constexpr milliseconds kPollInterval{5};
 // One in so many restarts begins before the old process has ended.
 constexpr std::uint64_t kSuccessorPeriod = 3;
+// Longer than a start may wait for its settings and its addresses.
+constexpr milliseconds kSignalHandlerTimeout{20'000};
 // Time for the kernel to end a process and for this one to notice.
 constexpr milliseconds kExitSlack{500};
 
@@ -29,17 +32,39 @@
 
 asio::awaitable<void> PlannedWork::Run(milliseconds length) {
   until_ = Clock::now() + length;
-  running_ = 3;
-  asio::co_spawn(io_, TerminateSidecars(), asio::detached);
-  asio::co_spawn(io_, TerminateCores(), asio::detached);
-  asio::co_spawn(io_, ReloadSettings(), asio::detached);
+  Spawn(TerminateSidecars());
+  Spawn(TerminateCores());
+  Spawn(ReloadSettings());
   while (running_ > 0) co_await Sleep(io_, kPollInterval);
   log_.Add("the planned work has ended");
 }
 
+void PlannedWork::Spawn(asio::awaitable<void> work) {
+  ++running_;
+  asio::co_spawn(io_, std::move(work), [this](std::exception_ptr error) {
+    --running_;
+    if (error) checker_.ReportViolation("planned work ended with an exception");
+  });
+}
+
+asio::awaitable<bool> PlannedWork::HandlesSignalsInTime(std::size_t machine) {
+  NodeProcess& node = cluster_.node(machine);
+  const auto until = Clock::now() + kSignalHandlerTimeout;
+  while (!node.Ended() && !node.HandlesSignals()) {
+    if (Clock::now() > until) {
+      checker_.ReportViolation(node.name() + " handles no signals " +
+                               std::to_string(kSignalHandlerTimeout.count()) + " ms after its start");
+      co_return false;
+    }
+    co_await Sleep(io_, kPollInterval);
+  }
+  co_return true;
+}
+
 asio::awaitable<void> PlannedWork::TerminateAndRestart(std::size_t machine, bool strict) {
   NodeProcess& node = cluster_.node(machine);
-  while (!node.Ended() && !node.HandlesSignals()) co_await Sleep(io_, kPollInterval);
+  const bool ready = co_await HandlesSignalsInTime(machine);
+  if (!ready) co_return;
   if (!cluster_.should_run(machine)) co_return;  // it has been terminated or killed meanwhile
   if (node.Ended()) co_return;                   // by itself: Cluster::CheckProcesses reports it
   ++terminations_;
@@ -91,7 +116,6 @@
     ReloadSomeSettings();
     co_await Sleep(io_, RandomTime(kMaxReloadPause));
   }
-  --running_;
 }
 
 // Terminates this many sidecars at the same time. One that has just returned may be chosen again.
@@ -105,7 +129,10 @@
     if (!cluster_.should_run(machine)) continue;
     --count;
     ++pending;
-    asio::co_spawn(io_, TerminateAndRestart(machine, true), [&pending](std::exception_ptr) { --pending; });
+    asio::co_spawn(io_, TerminateAndRestart(machine, true), [this, &pending](std::exception_ptr error) {
+      --pending;
+      if (error) checker_.ReportViolation("a restart ended with an exception");
+    });
   }
   while (pending > 0) co_await Sleep(io_, kPollInterval);
 }
@@ -123,9 +150,11 @@
             co_await Wave(1 + random_() % most);
           }
         },
-        [&series](std::exception_ptr) { --series; });
+        [this, &series](std::exception_ptr error) {
+          --series;
+          if (error) checker_.ReportViolation("a series of restarts ended with an exception");
+        });
   while (series > 0) co_await Sleep(io_, kPollInterval);
-  --running_;
 }
 
 asio::awaitable<void> PlannedWork::TerminateCores() {
@@ -133,7 +162,6 @@
     co_await Sleep(io_, kCorePause);
     co_await TerminateAndRestart(random_() % cluster_.cores(), true);
   }
-  --running_;
 }
 
 }  // namespace fennelhollow::rig::soak
--- a/rig/soak/planned_work.hpp
+++ b/rig/soak/planned_work.hpp
@@ -30,6 +30,10 @@
   std::uint64_t successors() const { return successors_; }
 
  private:
+  // Runs `work` beside the rest of Run, which waits for it. Its exception is a violation.
+  void Spawn(asio::awaitable<void> work);
+  // Waits until the process handles signals or has ended. False, and a violation, if it takes too long.
+  asio::awaitable<bool> HandlesSignalsInTime(std::size_t machine);
   asio::awaitable<void> TerminateSidecars();
   asio::awaitable<void> TerminateCores();
   asio::awaitable<void> ReloadSettings();
