Test of missing descriptors: the sanitizer keeps its own, only sockets fail

Cause: the test's limit of descriptors left none for the sanitizer either. To check a pointer it opens a pipe, and takes a pointer that it can't check for an invalid one. Nothing is wrong with the program.

Change: socket() fails with EMFILE instead, for the whole test program, and the test requires that it does.

--- a/tests/mesh/egress_outbound_test.cpp
+++ b/tests/mesh/egress_outbound_test.cpp
@@ -1,8 +1,10 @@
 #include <prometheus/text_serializer.h>
-#include <sys/resource.h>
+#include <sys/socket.h>
+#include <sys/syscall.h>
 #include <unistd.h>
 
 #include <catch2/catch.hpp>
+#include <cerrno>
 #include <optional>
 #include <set>
 
@@ -11,6 +13,19 @@
 #include "mesh/ingress/inbound_proxy.hpp"
 #include "net/asio_loop.hpp"
 
+namespace {
+
+bool socket_fails = false;
+
+}  // namespace
+
+// Stands before the C library's function for the whole test program.
+extern "C" int socket(int domain, int type, int protocol) noexcept {
+  if (!socket_fails) return static_cast<int>(::syscall(SYS_socket, domain, type, protocol));
+  errno = EMFILE;
+  return -1;
+}
+
 namespace fennelhollow::egress {
 namespace {
 
@@ -319,23 +334,15 @@
   CHECK(fixture.machine.server.requests.empty());
 }
 
-// Leaves this process no descriptor to open while it exists.
+// Makes each attempt to open a socket fail as if this process had no descriptor left, while it exists.
+// A limit of descriptors would do the same to the undefined-behaviour sanitizer, which opens a pipe to check
+// a pointer and reports it as invalid if it can't.
 class NoDescriptors {
  public:
-  NoDescriptors() {
-    ::getrlimit(RLIMIT_NOFILE, &before_);
-    const int lowest_free = ::dup(STDERR_FILENO);
-    ::close(lowest_free);
-    rlimit none = before_;
-    none.rlim_cur = static_cast<rlim_t>(lowest_free);
-    ::setrlimit(RLIMIT_NOFILE, &none);
-  }
-  ~NoDescriptors() { ::setrlimit(RLIMIT_NOFILE, &before_); }
+  NoDescriptors() { socket_fails = true; }
+  ~NoDescriptors() { socket_fails = false; }
   NoDescriptors(const NoDescriptors&) = delete;
   NoDescriptors& operator=(const NoDescriptors&) = delete;
-
- private:
-  rlimit before_{};
 };
 
 // Guards against a live server that nobody is sent to, as its own sidecar had run out of descriptors.
@@ -344,6 +351,7 @@
   const auto peer = fixture.Dial();
   {
     const NoDescriptors none;
+    REQUIRE(::socket(AF_INET, SOCK_STREAM, 0) == -1);
     peer->link->Send(Encode(FrameType::kAttempt, fixture.Attempt(1)));
     fixture.ExpectFrame(peer, FrameType::kRejected);
   }
