Elections allow for the time of the disks' writes

Cause: a candidacy ended after 1 s, and a voter's timer ran out after 0.6 to 1.2 s, while promises were still being written, which takes two syncs, and as long again if another write is in progress. Each new candidacy has a higher term, and so makes all write again.

Change: a replica adds the time of four of its own recent writes, at most 4 s, to both. Nothing changes where writes are fast. Only liveness depends on these times.

--- a/src/mesh/consensus/election.cpp
+++ b/src/mesh/consensus/election.cpp
@@ -143,7 +143,7 @@
   if (!m.flag) {
     if (m.promised_term > term_) {  // a newer term exists: retry above it
       role_ = Role::kFollower;
-      election_deadline_ = now_ + random_.Upto(settings_.election_timeout / 2);
+      ShortenElectionTimer();
     }
     return;
   }
@@ -171,9 +171,9 @@
 void Replica::Impl::TickElection() {
   if (!successor_.empty()) SendTimeoutNow();
   if (role_ == Role::kCandidate) {
-    if (now_ - election_started_at_ > kCandidacyTimeout) {
+    if (now_ - election_started_at_ > kCandidacyTimeout + WriteAllowance()) {
       role_ = Role::kFollower;
-      election_deadline_ = now_ + random_.Upto(settings_.election_timeout / 2);
+      ShortenElectionTimer();
     } else if (own_promise_persisted_ && now_ - votes_requested_at_ >= kVoteResendInterval) {
       SendPrepare();
     }
--- a/src/mesh/consensus/impl.hpp
+++ b/src/mesh/consensus/impl.hpp
@@ -60,11 +60,14 @@
   static constexpr Micros kEntryResendInterval = 200'000;
   static constexpr Micros kVoteResendInterval = 100'000;
   static constexpr Micros kJoinInterval = 250'000;
-  static constexpr Micros kCandidacyTimeout = 1'000'000;
-  static constexpr Micros kProposalTimeout = 4'000'000;  // then reported as Outcome::kIndeterminate
-  static constexpr Micros kConfirmTimeout = 900'000;     // then reported as Outcome::kIndeterminate
-  static constexpr Micros kSlowWrite = 250'000;          // no candidacy while a write takes longer
-  static constexpr Micros kStalledWrite = 1'000'000;     // a leader then transfers leadership
+  static constexpr Micros kCandidacyTimeout = 1'000'000;  // and the time of the writes
+  // A candidate and its voters may each have to finish a write before the one that the election needs.
+  static constexpr Micros kWritesPerElection = 4;
+  static constexpr Micros kMaxWriteDuration = 1'000'000;  // what elections make allowance for
+  static constexpr Micros kProposalTimeout = 4'000'000;   // then reported as Outcome::kIndeterminate
+  static constexpr Micros kConfirmTimeout = 900'000;      // then reported as Outcome::kIndeterminate
+  static constexpr Micros kSlowWrite = 250'000;           // no candidacy while a write takes longer
+  static constexpr Micros kStalledWrite = 1'000'000;      // a leader then transfers leadership
   static constexpr Micros kWriteRetryDelay = 200'000;
   static constexpr Micros kTransferTimeout = 1'000'000;   // then steps down without a successor
   static constexpr Micros kTransferCommitWait = 300'000;  // for the entry that is being replicated
@@ -107,11 +110,15 @@
   void PersistIfNeeded();  // no-op while a write is in progress
   bool IsPersisted() const;
   bool DiskHealthy() const;
+  // How much longer an election takes because of the disks, judged by this replica's own.
+  Micros WriteAllowance() const;
   void SendAck(std::uint64_t round);
   void CommitIfAccepted(EntryId committed);
   void CommitAccepted();
   void SetLeader(const ReplicaId& leader, std::uint64_t term);
-  void ResetElectionTimer();  // randomized
+  Micros ElectionTimeout() const;
+  void ResetElectionTimer();    // randomized
+  void ShortenElectionTimer();  // for the next try of a candidate that was not elected
   void AddDiscovered(const std::vector<ReplicaId>& members);
   std::set<ReplicaId> DiscoveryTargets() const;
 
@@ -191,6 +198,7 @@
   std::uint64_t writing_promised_ = 0;
   EntryId writing_accepted_;
   Micros writing_since_ = 0;
+  Micros write_duration_ = 0;  // of the slowest recent write, decaying; kMaxWriteDuration at most
   bool write_failed_ = false;
   Micros write_retry_at_ = 0;
 
--- a/src/mesh/consensus/replica.cpp
+++ b/src/mesh/consensus/replica.cpp
@@ -207,6 +207,11 @@
   return !write_failed_ && (!writing_ || now_ - writing_since_ < kSlowWrite);
 }
 
+Micros Replica::Impl::WriteAllowance() const {
+  const Micros in_progress = writing_ ? std::min(now_ - writing_since_, kMaxWriteDuration) : 0;
+  return kWritesPerElection * std::max(write_duration_, in_progress);
+}
+
 void Replica::Impl::PersistIfNeeded() {
   if (writing_ || IsPersisted() || (write_failed_ && now_ < write_retry_at_)) return;
   writing_ = true;
@@ -228,6 +233,7 @@
   }
   if (write_failed_) LOG(INFO) << "consensus: writes succeed again";
   write_failed_ = false;
+  write_duration_ = std::min(std::max(now_ - writing_since_, write_duration_ / 2), kMaxWriteDuration);
   initial_write_pending_ = false;
   persisted_promised_term_ = writing_promised_;
   const bool newer = writing_accepted_ != persisted_accepted_;
@@ -269,8 +275,14 @@
   sink_.OnLeaderChange(leader_, term);
 }
 
+Micros Replica::Impl::ElectionTimeout() const { return settings_.election_timeout + WriteAllowance(); }
+
 void Replica::Impl::ResetElectionTimer() {
-  election_deadline_ = now_ + settings_.election_timeout + random_.Upto(settings_.election_timeout);
+  election_deadline_ = now_ + ElectionTimeout() + random_.Upto(ElectionTimeout());
+}
+
+void Replica::Impl::ShortenElectionTimer() {
+  election_deadline_ = now_ + random_.Upto(ElectionTimeout() / 2);
 }
 
 void Replica::Impl::OnTick(Micros now) {
--- a/tests/mesh/consensus_replica_test.cpp
+++ b/tests/mesh/consensus_replica_test.cpp
@@ -411,6 +411,25 @@
   }
 };
 
+// Guards against candidacies that end before a majority has written its promises, again and again.
+TEST_CASE("voters whose disks are all slow elect a leader, also after a restart, and keep it") {
+  const Micros write_duration = GENERATE(300 * kMs, 500 * kMs);  // up to twice as long
+  const int seed = GENERATE(range(1, 21));
+  CAPTURE(write_duration, seed);
+  SimulatedCluster w(3, 3, static_cast<std::uint64_t>(seed));
+  for (auto& [id, m] : w.replicas) m->write_duration = write_duration;
+  CHECK(w.RunUntilTrue([&] { return w.Leader() != nullptr; }, 10 * kSecond));
+  for (const ReplicaId& id : w.ids) w.Kill(id);
+  w.Run(2 * write_duration);
+  for (const ReplicaId& id : w.ids) w.Start(id, false);
+  REQUIRE(w.RunUntilTrue([&] { return w.Leader() != nullptr; }, 10 * kSecond));
+  const ReplicaId leader = w.Leader()->id;
+  w.Run(10 * kSecond);
+  REQUIRE(w.Leader() != nullptr);
+  CHECK(w.Leader()->id == leader);
+  CHECK(w.CommitsProposal(4 * kSecond));
+}
+
 TEST_CASE("a fourth replica stays a learner, and a fifth makes five voters") {
   REQUIRE(StableCluster(4).VoterCount() == 3);
   StableCluster w(5);
