Soak: a fault that ends with an exception no longer keeps a run from its end

Change: TaskGroup counts what runs beside its owner, and reports an exception with the task's name; planned work, its waves and the faults use it in place of four counters of their own.

The exception itself has not been seen.

--- a/rig/soak/fault_injector.cpp
+++ b/rig/soak/fault_injector.cpp
@@ -1,15 +1,13 @@
 #include "rig/soak/fault_injector.hpp"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <csignal>
 #include <utility>
 
 namespace fennelhollow::rig::soak {
 namespace {
 
-constexpr int kMaxConcurrent = 3;
+constexpr std::size_t kMaxConcurrent = 3;
 constexpr int kMinDurationMs = 300, kMaxDurationMs = 5000;
 constexpr int kMaxPauseMs = 1800;  // between the starts of two faults
 constexpr milliseconds kOutage{800};
@@ -39,9 +37,14 @@
 
 }  // namespace
 
-FaultInjector::FaultInjector(asio::io_context& io, Cluster& cluster, PlannedWork& planned_work,
-                             std::uint64_t seed, EventLog& log)
-    : io_(io), cluster_(cluster), planned_work_(planned_work), random_(seed), log_(log) {}
+FaultInjector::FaultInjector(asio::io_context& io, Cluster& cluster, ConsistencyChecker& checker,
+                             PlannedWork& planned_work, std::uint64_t seed, EventLog& log)
+    : io_(io),
+      cluster_(cluster),
+      planned_work_(planned_work),
+      random_(seed),
+      log_(log),
+      faults_(io, checker) {}
 
 std::vector<std::size_t> FaultInjector::Cores() const {
   std::vector<std::size_t> out(cluster_.cores());
@@ -52,22 +55,20 @@
 asio::awaitable<void> FaultInjector::InjectFaults(milliseconds fault_time) {
   const auto until = Clock::now() + fault_time;
   while (Clock::now() < until) {
-    if (active_ < kMaxConcurrent) {
+    if (faults_.running() < kMaxConcurrent) {
       const auto kind = static_cast<Kind>(random_() % kKinds);
       const milliseconds fault(kMinDurationMs + random_() % (kMaxDurationMs - kMinDurationMs));
-      ++active_;
       ++count_;
-      asio::co_spawn(io_, Inject(kind, fault), asio::detached);
+      faults_.Spawn(kNames[static_cast<std::size_t>(kind)], Inject(kind, fault));
     }
     co_await Sleep(io_, milliseconds(random_() % kMaxPauseMs));
     cluster_.CheckProcesses();
   }
-  while (active_ > 0) co_await Sleep(io_, milliseconds(20));
+  co_await faults_.Wait();
   log_.Add("all faults have ended");
 }
 
 asio::awaitable<void> FaultInjector::KillEverything() {
-  ++active_;
   ++count_;
   co_await Inject(Kind::kKillEverything, kOutage);
 }
@@ -162,7 +163,6 @@
       co_await KeepDown(machines, kOutage, false);
       break;
   }
-  --active_;
 }
 
 asio::awaitable<void> FaultInjector::KeepDown(std::vector<std::size_t> machines, milliseconds fault_time,
--- a/rig/soak/fault_injector.hpp
+++ b/rig/soak/fault_injector.hpp
@@ -11,14 +11,15 @@
 #include "rig/soak/cluster.hpp"
 #include "rig/soak/event_log.hpp"
 #include "rig/soak/planned_work.hpp"
+#include "rig/soak/task_group.hpp"
 
 namespace fennelhollow::rig::soak {
 
 class FaultInjector {
  public:
   // The references must outlive it.
-  FaultInjector(asio::io_context& io, Cluster& cluster, PlannedWork& planned_work, std::uint64_t seed,
-                EventLog& log);
+  FaultInjector(asio::io_context& io, Cluster& cluster, ConsistencyChecker& checker,
+                PlannedWork& planned_work, std::uint64_t seed, EventLog& log);
 
   // Injects faults for `fault_time`; returns when all are over and all processes run and are connected again.
   asio::awaitable<void> InjectFaults(milliseconds fault_time);
@@ -69,7 +70,7 @@
   std::mt19937_64 random_;
   EventLog& log_;
   std::uint64_t count_ = 0;
-  int active_ = 0;
+  TaskGroup faults_;
   bool wiping_ = false;
   std::optional<std::size_t> wiped_;  // core whose disk was wiped last, until it has caught up
 };
--- a/rig/soak/planned_work.cpp
+++ b/rig/soak/planned_work.cpp
@@ -1,11 +1,8 @@
 #include "rig/soak/planned_work.hpp"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
 #include <csignal>
-#include <exception>
 #include <numeric>
-#include <utility>
 #include <vector>
 
 namespace fennelhollow::rig::soak {
@@ -28,25 +25,17 @@
 
 PlannedWork::PlannedWork(asio::io_context& io, Cluster& cluster, ConsistencyChecker& checker,
                          std::uint64_t seed, EventLog& log)
-    : io_(io), cluster_(cluster), checker_(checker), random_(seed), log_(log) {}
+    : io_(io), cluster_(cluster), checker_(checker), random_(seed), log_(log), tasks_(io, checker) {}
 
 asio::awaitable<void> PlannedWork::Run(milliseconds length) {
   until_ = Clock::now() + length;
-  Spawn(TerminateSidecars());
-  Spawn(TerminateCores());
-  Spawn(ReloadSettings());
-  while (running_ > 0) co_await Sleep(io_, kPollInterval);
+  for (int i = 0; i < kOverlappingSeries; ++i) tasks_.Spawn("a series of restarts", TerminateSidecars());
+  tasks_.Spawn("the restarts of cores", TerminateCores());
+  tasks_.Spawn("the reloads", ReloadSettings());
+  co_await tasks_.Wait();
   log_.Add("the planned work has ended");
 }
 
-void PlannedWork::Spawn(asio::awaitable<void> work) {
-  ++running_;
-  asio::co_spawn(io_, std::move(work), [this](std::exception_ptr error) {
-    --running_;
-    if (error) checker_.ReportViolation("planned work ended with an exception");
-  });
-}
-
 asio::awaitable<bool> PlannedWork::HandlesSignalsInTime(std::size_t machine) {
   NodeProcess& node = cluster_.node(machine);
   const auto until = Clock::now() + kSignalHandlerTimeout;
@@ -123,38 +112,23 @@
   std::vector<std::size_t> machines(cluster_.sidecars());
   std::iota(machines.begin(), machines.end(), cluster_.cores());
   std::shuffle(machines.begin(), machines.end(), random_);
-  int pending = 0;
+  TaskGroup restarts(io_, checker_);
   for (std::size_t machine : machines) {
     if (count == 0) break;
     if (!cluster_.should_run(machine)) continue;
     --count;
-    ++pending;
-    asio::co_spawn(io_, TerminateAndRestart(machine, true), [this, &pending](std::exception_ptr error) {
-      --pending;
-      if (error) checker_.ReportViolation("a restart ended with an exception");
-    });
+    restarts.Spawn("a restart", TerminateAndRestart(machine, true));
   }
-  while (pending > 0) co_await Sleep(io_, kPollInterval);
+  co_await restarts.Wait();
 }
 
 asio::awaitable<void> PlannedWork::TerminateSidecars() {
-  int series = kOverlappingSeries;
-  for (int i = 0; i < kOverlappingSeries; ++i)
-    asio::co_spawn(
-        io_,
-        [this]() -> asio::awaitable<void> {
-          const std::size_t most =
-              std::max<std::size_t>(1, cluster_.sidecars() / kMaxTerminatedPart / kOverlappingSeries);
-          while (Clock::now() < until_) {
-            co_await Sleep(io_, RandomTime(kMaxWavePause));
-            co_await Wave(1 + random_() % most);
-          }
-        },
-        [this, &series](std::exception_ptr error) {
-          --series;
-          if (error) checker_.ReportViolation("a series of restarts ended with an exception");
-        });
-  while (series > 0) co_await Sleep(io_, kPollInterval);
+  const std::size_t most =
+      std::max<std::size_t>(1, cluster_.sidecars() / kMaxTerminatedPart / kOverlappingSeries);
+  while (Clock::now() < until_) {
+    co_await Sleep(io_, RandomTime(kMaxWavePause));
+    co_await Wave(1 + random_() % most);
+  }
 }
 
 asio::awaitable<void> PlannedWork::TerminateCores() {
--- a/rig/soak/planned_work.hpp
+++ b/rig/soak/planned_work.hpp
@@ -7,6 +7,7 @@
 
 #include "rig/soak/cluster.hpp"
 #include "rig/soak/event_log.hpp"
+#include "rig/soak/task_group.hpp"
 
 namespace fennelhollow::rig::soak {
 
@@ -30,10 +31,9 @@
   std::uint64_t successors() const { return successors_; }
 
  private:
-  // Runs `work` beside the rest of Run, which waits for it. Its exception is a violation.
-  void Spawn(asio::awaitable<void> work);
   // Waits until the process handles signals or has ended. False, and a violation, if it takes too long.
   asio::awaitable<bool> HandlesSignalsInTime(std::size_t machine);
+  // Restarts sidecars in waves, one after the other, until the time is over.
   asio::awaitable<void> TerminateSidecars();
   asio::awaitable<void> TerminateCores();
   asio::awaitable<void> ReloadSettings();
@@ -47,7 +47,7 @@
   std::mt19937_64 random_;
   EventLog& log_;
   Clock::time_point until_;
-  int running_ = 0;
+  TaskGroup tasks_;
   std::uint64_t terminations_ = 0, reloads_ = 0, successors_ = 0;
 };
 
--- a/rig/soak/run.cpp
+++ b/rig/soak/run.cpp
@@ -58,7 +58,7 @@
         operators_(io_, cluster_, checker_, options.seed + 1),
         clients_(io_, cluster_, operators_, checker_, responses_, options.seed + 2),
         planned_work_(io_, cluster_, checker_, options.seed + 4, log_),
-        faults_(io_, cluster_, planned_work_, options.seed + 3, log_) {}
+        faults_(io_, cluster_, checker_, planned_work_, options.seed + 3, log_) {}
 
   bool Execute() {
     if (!cluster_.Start()) {
