--- a/rig/mesh/node_process.cpp
+++ b/rig/mesh/node_process.cpp
@@ -11,6 +11,7 @@
 #include <fstream>
 #include <iterator>
 #include <random>
+#include <set>
 #include <sstream>
 #include <string_view>
 #include <utility>
@@ -20,6 +21,21 @@
 
 constexpr std::string_view kCaughtSignals = "SigCgt:";  // a mask, in /proc/PID/status
 
+constexpr std::string_view kSocketLink = "socket:[";  // then an inode and a bracket, in /proc/PID/fd
+constexpr const char* kListening = "0A";              // a state in /proc/net/tcp
+
+std::set<std::uint64_t> SocketInodes(pid_t pid) {
+  std::set<std::uint64_t> inodes;
+  std::error_code error;
+  for (const auto& entry :
+       std::filesystem::directory_iterator("/proc/" + std::to_string(pid) + "/fd", error)) {
+    const std::string link = std::filesystem::read_symlink(entry.path(), error).string();
+    if (!error && link.rfind(kSocketLink, 0) == 0)
+      inodes.insert(std::stoull(link.substr(kSocketLink.size())));
+  }
+  return inodes;
+}
+
 void SetLimit(int resource, std::uint64_t value) {
   if (value == 0) return;
   const rlimit limit{value, value};
@@ -221,6 +237,24 @@
   return resident_pages * static_cast<std::uint64_t>(::sysconf(_SC_PAGESIZE));
 }
 
+std::uint64_t NodeProcess::UnreadBytes() const {
+  if (!runs()) return 0;
+  const std::set<std::uint64_t> inodes = SocketInodes(current_.pid);
+  std::ifstream file("/proc/net/tcp");
+  std::string line;
+  std::getline(file, line);  // the column names
+  std::uint64_t unread = 0;
+  while (std::getline(file, line)) {
+    std::istringstream columns(line);
+    std::string slot, local, remote, state, queues, timer, retransmits;
+    std::uint64_t user = 0, timeout = 0, inode = 0;
+    columns >> slot >> local >> remote >> state >> queues >> timer >> retransmits >> user >> timeout >> inode;
+    if (!columns || state == kListening || !inodes.contains(inode)) continue;
+    unread += std::stoull(queues.substr(queues.find(':') + 1), nullptr, 16);
+  }
+  return unread;
+}
+
 bool NodeProcess::HandlesSignals() const {
   if (current_.pid <= 0) return false;
   std::ifstream status("/proc/" + std::to_string(current_.pid) + "/status");
--- a/rig/mesh/node_process.hpp
+++ b/rig/mesh/node_process.hpp
@@ -86,6 +86,8 @@
   // 0 if it does not run.
   std::uint64_t ResidentBytes() const;
   std::size_t OpenDescriptors() const;
+  // Bytes that have arrived at its TCP sockets and that it has not read; 0 if it does not run.
+  std::uint64_t UnreadBytes() const;
   void Signal(int signal) const;
   // Writes a settings file with the seeds in another order, drawn with `seed`, and sends SIGHUP.
   void Reload(std::uint64_t seed);
--- a/tests/soak/hostile_clients_test.cpp
+++ b/tests/soak/hostile_clients_test.cpp
@@ -11,14 +11,6 @@
 namespace fennelhollow::rig {
 namespace {
 
-// A frame of a link between the mesh's own processes.
-std::string Frame(const std::string& payload) {
-  const auto n = static_cast<std::uint32_t>(payload.size());
-  std::string frame;
-  for (const int shift : {24, 16, 8, 0}) frame += static_cast<char>(n >> shift);
-  return frame + payload;
-}
-
 constexpr int kFloods = 6;
 constexpr std::size_t kFloodBytes = 24 * kMebibyte;
 constexpr std::size_t kPieceBytes = std::size_t{64} * 1024;
--- a/tests/soak/hostile_streams_test.cpp
+++ b/tests/soak/hostile_streams_test.cpp
@@ -19,25 +19,6 @@
 // Less than a client may take to go on reading.
 constexpr milliseconds kReadingPause{5'000};
 
-// Sends `request`, then reads `bytes` of the response in each interval until the connection ends.
-Site::Client AskAndReadSteadily(std::string request, std::size_t bytes, milliseconds interval) {
-  return [=](Tcp::socket& socket) -> asio::awaitable<void> {
-    boost::system::error_code error;
-    socket.set_option(asio::socket_base::receive_buffer_size(static_cast<int>(bytes)), error);
-    co_await asio::async_write(socket, asio::buffer(request),
-                               asio::redirect_error(asio::use_awaitable, error));
-    std::vector<char> piece(bytes);
-    asio::steady_timer timer(co_await asio::this_coro::executor);
-    while (!error) {
-      co_await asio::async_read(socket, asio::buffer(piece),
-                                asio::redirect_error(asio::use_awaitable, error));
-      timer.expires_after(interval);
-      boost::system::error_code ignored;
-      co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-    }
-  };
-}
-
 // Sends `request` and leaves with a reset after a moment.
 Site::Client AskAndLeave(std::string request, milliseconds after) {
   return [=](Tcp::socket& socket) -> asio::awaitable<void> {
