Unread bytes are bounded for each socket, and the longest waiting gives way to others

Seen: 400 clients ask for 8 MB and do not read, or read a little steadily: a sidecar with 64 MB takes 92,862 and 88,032 KiB with what its sockets hold unread. Clients that send behind a request in progress: 72,060 KiB.

Cause: nothing bounded a socket's receive buffer, which the kernel lets grow to 32 MB here. The sidecar stops reading from a server, and the kernel goes on.

Change: SO_RCVBUF on each socket, before the handshake: 8 KiB for peers on the same machine, 64 KiB for servers and accepted links, 256 KiB for links that are dialed, by which responses cross regions (memory/receive_buffer.hpp). A streamed or paused response is charged with what its buffers allow. Now the account asks all its holders, and who has waited longest for its peer gives way (memory/peer_activity.hpp).

--- a/src/mesh/egress/http_server.cpp
+++ b/src/mesh/egress/http_server.cpp
@@ -11,6 +11,7 @@
 #include <optional>
 #include <utility>
 
+#include "mesh/memory/receive_buffer.hpp"
 #include "mesh/transport/hop_by_hop.hpp"
 #include "mesh/transport/read_buffer.hpp"
 #include "net/listen.hpp"
@@ -25,20 +26,18 @@
 
 constexpr auto kSweepInterval = std::chrono::milliseconds(250);
 constexpr auto kAcceptRetryDelay = std::chrono::milliseconds(20);
-// Minimum upload rate of a request body after the grace period; slower uploads are rejected.
-constexpr double kMinBodyBytesPerS = 16 * 1024;
+// Slower uploads, and responses that are read more slowly, are ended after a grace period.
+using memory::kMinRequestBytesPerS;
+using memory::kMinResponseBytesPerS;
 constexpr auto kBodyGrace = std::chrono::milliseconds(5000);
 // Input is drained for this long before a connection is closed, so that a TCP reset does not discard the
 // response.
 constexpr auto kLingerTimeout = std::chrono::milliseconds(500);
 constexpr std::size_t kMaxHeaderFields = 100;
-// Minimum rate at which a client reads its response after the grace period.
-constexpr double kMinResponseBytesPerS = 4 * 1024;
-// Connections without progress for so long may be closed if there is no memory, or no place, for others.
-constexpr auto kMemoryStall = std::chrono::milliseconds(250);
-constexpr auto kConnectionStall = std::chrono::milliseconds(1'000);
-// Of a streamed response, on its way through the links and their buffers.
-constexpr std::size_t kStreamOverhead = std::size_t{512} * 1024;
+// Of a streamed response on its way: what waits unread in its link while the client does not read, and what
+// the link's own buffers hold.
+constexpr std::size_t kStreamOverhead =
+    memory::MaxUnreadBytes(memory::kDialedLinkReceiveBytes) + std::size_t{256} * 1024;
 // Written bytes are dropped from a buffer once there are so many of them.
 constexpr std::size_t kCompactAfter = transport::kReadBufferBytes;
 // Capacity that an empty read buffer keeps.
@@ -61,7 +60,7 @@
 class HttpServer::Session : public std::enable_shared_from_this<Session> {
  public:
   Session(HttpServer& owner, Tcp::socket socket)
-      : owner_(owner), socket_(std::move(socket)), phase_start_(Clock::now()), last_progress_(phase_start_) {}
+      : owner_(owner), socket_(std::move(socket)), phase_start_(Clock::now()) {}
 
   std::list<SessionPtr>::iterator position;
   std::uint64_t tag = 0;
@@ -76,12 +75,17 @@
     ResetConnection();
   }
 
-  // Whether it waits for its client: for the rest of a request, or for the client to read a response.
-  bool AwaitsClient() const {
-    if (state_ == State::kReading) return !idle();
-    return state_ == State::kLingering || queued_bytes() > 0;
+  memory::PeerActivity Activity(Clock::time_point now) const {
+    using Kind = memory::PeerActivity::Kind;
+    if (idle()) {
+      const auto since = std::chrono::duration_cast<memory::Duration>(now - phase_start_);
+      return {Kind::kIdle, since, since};
+    }
+    if (state_ == State::kReading) return {Kind::kSendsRequest, wait_.Waited(now), wait_.Overdue(now)};
+    if (state_ == State::kLingering || blocked_)
+      return {Kind::kReadsResponse, wait_.Waited(now), wait_.Overdue(now)};
+    return {};
   }
-  Clock::time_point last_progress() const { return last_progress_; }
 
   void ChargeHeldResponse(std::size_t bytes) {
     if (state_ != State::kBusy) return;
@@ -115,7 +119,7 @@
     } else {
       const double received = static_cast<double>(parser_->get().body().size());
       const auto max_duration =
-          kBodyGrace + std::chrono::milliseconds(static_cast<int>(1000 * received / kMinBodyBytesPerS));
+          kBodyGrace + std::chrono::milliseconds(static_cast<int>(1000 * received / kMinRequestBytesPerS));
       if (now - phase_start_ > max_duration) Reject(408, "the body took too long");
     }
   }
@@ -200,7 +204,7 @@
     if (parser_ && parser_->is_header_done()) bytes += parser_->get().body().size();
     return streaming_ ? bytes + kStreamOverhead : bytes;
   }
-  bool UpdateCharge() { return owner_.Charge(*this, BufferedBytes()); }
+  bool UpdateCharge() { return owner_.account_.ChargeOrReclaim(charge, BufferedBytes()); }
   // False if the connection was reset for lack of memory.
   bool UpdateChargeOrReset() {
     if (UpdateCharge()) return true;
@@ -217,10 +221,7 @@
 
   // By the time and the bytes since the response began to wait for the client.
   bool ReadsTooSlowly(Clock::time_point now) const {
-    const double written = static_cast<double>(written_while_blocked_);
-    const auto allowed =
-        std::chrono::milliseconds(static_cast<std::int64_t>(1000 * written / kMinResponseBytesPerS));
-    return now - blocked_since_ > std::chrono::milliseconds(owner_.limits_.response_grace_ms) + allowed;
+    return wait_.Overdue(now) > std::chrono::milliseconds(owner_.limits_.response_grace_ms);
   }
 
   void WaitReadable() {
@@ -243,9 +244,14 @@
     if (error == asio::error::would_block || error == asio::error::try_again) return WaitReadable();
     if (error || byte_count == 0) return OnPeerClosed();
     if (state_ == State::kLingering) return WaitReadable();
-    last_progress_ = Clock::now();
-    if (read_buffer_.empty() && state_ == State::kReading && !request_started_)
-      phase_start_ = Clock::now(), request_started_ = true, SetBusy(true);
+    const auto now = Clock::now();
+    if (read_buffer_.empty() && state_ == State::kReading && !request_started_) {
+      phase_start_ = now;
+      request_started_ = true;
+      SetBusy(true);
+      wait_.Begin(now, 0);
+    }
+    if (state_ == State::kReading) wait_.OnBytes(now, byte_count);
     read_buffer_.append(transport::ReadBuffer().data(), byte_count);
     if (state_ == State::kReading) Parse();
     ShrinkReadBuffer();
@@ -299,6 +305,7 @@
 
   bool ValidateHead() {
     head_parsed_ = true;
+    wait_.Begin(Clock::now(), kMinRequestBytesPerS);
     auto& head = parser_->get();
     merlinrun::net::ConvertToOriginForm(head);
     version_ = head.version();
@@ -371,7 +378,6 @@
   }
 
   void WriteHead(unsigned status, const Headers& headers, std::int64_t body_length) {
-    last_progress_ = Clock::now();
     held_response_bytes_ = 0;
     if (owner_.draining_) keep_alive_ = false;
     write_buffer_ += "HTTP/1.1 ";
@@ -417,18 +423,14 @@
           if (failed) return self->OnPeerClosed();
           self->Flush();
         });
-        if (!std::exchange(blocked_, true)) {
-          blocked_since_ = Clock::now();
-          written_while_blocked_ = 0;
-        }
+        if (!std::exchange(blocked_, true)) wait_.Begin(Clock::now(), kMinResponseBytesPerS);
         DropWritten();
         UpdateChargeOrReset();
         return;
       }
       if (error) return OnPeerClosed();
       written_bytes_ += byte_count;
-      written_while_blocked_ += byte_count;
-      last_progress_ = Clock::now();
+      if (blocked_) wait_.OnBytes(Clock::now(), byte_count);
     }
     blocked_ = false;
     write_buffer_.clear();
@@ -463,12 +465,14 @@
       socket_.shutdown(Tcp::socket::shutdown_send, error);
       if (error) return Close();
       state_ = State::kLingering;
+      wait_.Begin(phase_start_, 0);
       read_buffer_.clear();
       return WaitReadable();
     }
     state_ = State::kReading;
     if (!request_started_) return WaitReadable();
     SetBusy(true);
+    wait_.Begin(phase_start_, 0);
     ParseLater();
   }
 
@@ -490,9 +494,9 @@
   std::size_t written_bytes_ = 0;  // of write_buffer_
   std::size_t request_bytes_ = 0;  // of the body of the request in progress, which the proxy holds
   std::size_t held_response_bytes_ = 0;
-  std::size_t written_while_blocked_ = 0;
   std::optional<http::request_parser<merlinrun::net::IncrementalBody>> parser_;
-  Clock::time_point phase_start_, last_progress_, blocked_since_;
+  Clock::time_point phase_start_;
+  memory::PeerWait wait_;  // for the rest of the request, or for the client to read the response
   unsigned version_ = 11;
   bool request_started_ = false, head_parsed_ = false, keep_alive_ = true, chunked_ = false,
        head_request_ = false;
@@ -507,11 +511,13 @@
     : io_(io),
       limits_(limits),
       handler_(std::move(handler)),
-      acceptor_(merlinrun::net::Listen(io, Tcp::endpoint(asio::ip::make_address(address.ip), address.port))),
+      acceptor_(merlinrun::net::Listen(io, Tcp::endpoint(asio::ip::make_address(address.ip), address.port),
+                                       memory::kLocalReceiveBytes)),
       accept_retry_timer_(io),
       sweep_timer_(io),
       account_(account) {
   acceptor_.non_blocking(true);
+  account_.AddHolder(*this);
   Accept();
   ScheduleSweep();
 }
@@ -521,6 +527,7 @@
     while (!sessions_.empty()) sessions_.front()->Close();
   } catch (const std::exception&) {  // a destructor must not throw
   }
+  account_.RemoveHolder(*this);
 }
 
 void HttpServer::Accept() {
@@ -571,33 +578,45 @@
     idle->Close();
     return true;
   }
-  const SessionPtr stalled = FindMostStalled(kConnectionStall, std::nullopt, nullptr);
-  if (stalled == nullptr) return false;
-  stalled->Evict();
-  return true;
-}
-
-bool HttpServer::Charge(Session& session, std::size_t bytes) {
-  while (!session.charge.Set(account_, bytes)) {
-    const SessionPtr stalled = FindMostStalled(kMemoryStall, memory::BufferAccount::PoolFor(bytes), &session);
-    if (stalled == nullptr) return false;
-    stalled->Evict();
+  const auto now = Clock::now();
+  SessionPtr highest_ranked;
+  memory::Duration highest_rank{0};
+  for (const SessionPtr& session : sessions_) {
+    const std::optional<memory::Duration> rank = memory::RankForPlace(session->Activity(now));
+    if (!rank || session->idle() || (highest_ranked != nullptr && *rank <= highest_rank)) continue;
+    highest_ranked = session;
+    highest_rank = *rank;
   }
+  if (highest_ranked == nullptr) return false;
+  highest_ranked->Evict();
   return true;
 }
 
-HttpServer::SessionPtr HttpServer::FindMostStalled(Clock::duration min_stall,
-                                                   std::optional<memory::BufferAccount::Pool> pool,
-                                                   const Session* except) const {
-  SessionPtr most_stalled;
-  const auto latest = Clock::now() - min_stall;
+HttpServer::SessionPtr HttpServer::FindHighestRanked(memory::BufferAccount::Pool pool,
+                                                     const memory::BufferCharge* except) const {
+  const auto now = Clock::now();
+  SessionPtr highest_ranked;
+  memory::Duration highest_rank{0};
   for (const SessionPtr& session : sessions_) {
-    if (session.get() == except || !session->AwaitsClient() || session->last_progress() > latest) continue;
-    if (pool && (session->charge.bytes() == 0 || session->charge.pool() != *pool)) continue;
-    if (most_stalled == nullptr || session->last_progress() < most_stalled->last_progress())
-      most_stalled = session;
-  }
-  return most_stalled;
+    if (&session->charge == except || session->charge.bytes() == 0 || session->charge.pool() != pool)
+      continue;
+    const std::optional<memory::Duration> rank = memory::RankForMemory(session->Activity(now));
+    if (!rank || (highest_ranked != nullptr && *rank <= highest_rank)) continue;
+    highest_ranked = session;
+    highest_rank = *rank;
+  }
+  return highest_ranked;
+}
+
+std::optional<memory::Duration> HttpServer::HighestRank(memory::BufferAccount::Pool pool,
+                                                        const memory::BufferCharge* except) const {
+  const SessionPtr session = FindHighestRanked(pool, except);
+  if (session == nullptr) return std::nullopt;
+  return session->Activity(Clock::now()).waited;
+}
+
+void HttpServer::EndHighestRanked(memory::BufferAccount::Pool pool, const memory::BufferCharge* except) {
+  if (const SessionPtr session = FindHighestRanked(pool, except)) session->Evict();
 }
 
 void HttpServer::ScheduleSweep() {
--- a/src/mesh/egress/http_server.hpp
+++ b/src/mesh/egress/http_server.hpp
@@ -32,7 +32,7 @@
   std::string body;
 };
 
-class HttpServer {
+class HttpServer : private memory::BufferAccount::Holder {
  public:
   class Session;
   using SessionPtr = std::shared_ptr<Session>;
@@ -63,7 +63,7 @@
   // is charged with what the connections buffer, in both directions.
   HttpServer(asio::io_context& io, const settings::Address& address, Limits limits,
              memory::BufferAccount& account, Handler handler);
-  ~HttpServer();
+  ~HttpServer() override;
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
 
@@ -105,12 +105,11 @@
   void Accept();
   void AddSession(Tcp::socket socket);
   bool MakeRoomForConnection();
-  // Evicts stalled connections until `session` can be charged with `bytes`. False if there is no room.
-  bool Charge(Session& session, std::size_t bytes);
-  // The connection that has waited longest for its client, at least for `min_stall`; charged to `pool`, if
-  // given.
-  SessionPtr FindMostStalled(Clock::duration min_stall, std::optional<memory::BufferAccount::Pool> pool,
-                             const Session* except) const;
+  SessionPtr FindHighestRanked(memory::BufferAccount::Pool pool, const memory::BufferCharge* except) const;
+  // memory::BufferAccount::Holder
+  std::optional<memory::Duration> HighestRank(memory::BufferAccount::Pool pool,
+                                              const memory::BufferCharge* except) const override;
+  void EndHighestRanked(memory::BufferAccount::Pool pool, const memory::BufferCharge* except) override;
   void ScheduleSweep();
 
   asio::io_context& io_;
--- a/src/mesh/ingress/inbound_proxy.cpp
+++ b/src/mesh/ingress/inbound_proxy.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "mesh/memory/receive_buffer.hpp"
 #include "mesh/transport/read_buffer.hpp"
 
 namespace fennelhollow::ingress {
@@ -14,9 +15,8 @@
 constexpr std::size_t kMaxQueuedBytes = std::size_t{256} * 1024;
 // Bounds the memory for one request body; the configured limit may exceed the available memory.
 constexpr std::size_t kMaxBodyBytes = std::size_t{64} * 1024 * 1024;
-// Responses that have waited for their callers for so long may be given up if others need a slot, or memory.
+// Responses that have waited for their callers for so long may be given up if others need a slot.
 constexpr Micros kSlotStall = 1000 * kMs;
-constexpr Micros kMemoryStall = 250 * kMs;
 // Of a link with a long response, whose client may pause.
 constexpr int kStreamUserTimeoutMs = 60'000;
 // Interval at which queued attempts are checked for timeouts.
@@ -34,6 +34,7 @@
   memory::BufferCharge charge;        // of the attempt's body
   memory::BufferCharge input_charge;  // of an incomplete frame
   bool lacks_memory = false;          // for the body, whose rest is discarded
+  memory::PeerWait input_wait;        // for the rest of the body, or of a frame
 };
 
 struct InboundProxy::ActiveAttempt {
@@ -69,9 +70,11 @@
       pool_(io),
       timer_(loop.NewTimer()) {
   admission_.OnInterval(callbacks_.on_interval);
+  account_.AddHolder(*this);
 }
 
 InboundProxy::~InboundProxy() {
+  account_.RemoveHolder(*this);
   for (const SessionPtr& session : sessions_) session->link->Close();
 }
 
@@ -100,7 +103,7 @@
   };
   events.on_input_memory = [this, weak = std::weak_ptr<Session>(session)](std::size_t bytes) {
     const auto locked = weak.lock();
-    return locked == nullptr || locked->input_charge.Set(account_, bytes);
+    return locked == nullptr || ChargeInput(*locked, bytes);
   };
   session->link->SetMaxFrameBytes(transport::kMaxFrameBytes);
   session->link->SetEvents(std::move(events));
@@ -130,14 +133,24 @@
   Resume(active);
 }
 
+bool InboundProxy::ChargeInput(Session& session, std::size_t bytes) {
+  const auto now = memory::Clock::now();
+  const std::size_t before = session.input_charge.bytes();
+  if (before == 0) session.input_wait.Begin(now, memory::kMinRequestBytesPerS);
+  if (bytes > before) session.input_wait.OnBytes(now, bytes - before);
+  return account_.ChargeOrReclaim(session.input_charge, bytes);
+}
+
 bool InboundProxy::ChargeQueue(const AttemptKey& attempt_key, ActiveAttempt& active) {
   const std::size_t queued = active.session->link->queued_bytes();
-  // The queue's memory grows by doubling. What an ordinary response takes on its way is not charged.
-  const std::size_t bytes = queued <= transport::kReadBufferBytes ? 0 : 2 * queued;
-  while (!active.queue_charge.Set(account_, bytes)) {
-    if (!AbandonMostStalled({}, kMemoryStall, &active)) return Abandon(attempt_key), false;
-  }
-  return true;
+  // The queue's memory grows by doubling, and the rest of the response waits unread in the connection to the
+  // server. What an ordinary response takes on its way is not charged.
+  const std::size_t bytes = queued <= transport::kReadBufferBytes
+                                ? 0
+                                : 2 * queued + memory::MaxUnreadBytes(memory::kServerReceiveBytes);
+  if (account_.ChargeOrReclaim(active.queue_charge, bytes)) return true;
+  Abandon(attempt_key);
+  return false;
 }
 
 void InboundProxy::Pause(ActiveAttempt& active) {
@@ -166,6 +179,7 @@
       if (attempt->body_follows) {
         session->receiving_body = true;
         session->lacks_memory = false;
+        session->input_wait.Begin(memory::Clock::now(), memory::kMinRequestBytesPerS);
         session->attempt = *std::move(attempt);
         return;
       }
@@ -197,7 +211,9 @@
 
 void InboundProxy::OnBodyChunk(const SessionPtr& session, const BodyChunk& chunk) {
   std::string& body = session->attempt.body;
-  if (!session->lacks_memory && !session->charge.Set(account_, body.size() + chunk.bytes.size())) {
+  session->input_wait.OnBytes(memory::Clock::now(), chunk.bytes.size());
+  if (!session->lacks_memory &&
+      !account_.ChargeOrReclaim(session->charge, body.size() + chunk.bytes.size())) {
     session->lacks_memory = true;
     std::string().swap(body);
     session->charge.Release();
@@ -224,7 +240,7 @@
   active->received_at = loop_.Now();
   const AttemptKey attempt_key = active->attempt.attempt_key;
   const bool lacks_memory =
-      session->lacks_memory || !session->charge.Set(account_, active->attempt.body.size());
+      session->lacks_memory || !account_.ChargeOrReclaim(session->charge, active->attempt.body.size());
   active->charge = std::move(session->charge);
   session->charge = {};
   session->lacks_memory = false;
@@ -247,7 +263,7 @@
   admission.flow = {received.attempt.route, received.attempt.priority};
   admission.due = now + received.attempt.due_ms * kMs;
   admission.queue_deadline = now + received.attempt.max_queue_ms * kMs;
-  if (!admission_.HasFreeSlot(admission.server)) AbandonMostStalled(admission.server, kSlotStall, nullptr);
+  if (!admission_.HasFreeSlot(admission.server)) AbandonMostStalled(admission.server);
   const auto decision = admission_.OnAttempt(now, admission);
   if (decision == AdmissionQueue::Decision::kReject) return Reject(attempt_key, RejectReason::kQueueFull);
   if (decision == AdmissionQueue::Decision::kForward) return Forward(attempt_key);
@@ -405,21 +421,70 @@
   sessions_.erase(session);
 }
 
-bool InboundProxy::AbandonMostStalled(const std::string& server, Micros min_wait,
-                                      const ActiveAttempt* except) {
+// In favor of another attempt that needs a slot of the server.
+void InboundProxy::AbandonMostStalled(const std::string& server) {
   const Micros now = loop_.Now();
   const ActiveAttempt* most_stalled = nullptr;
   for (const auto& [attempt_key, active] : active_) {
-    if (active.get() == except || !active->paused || (!server.empty() && active->attempt.server != server))
-      continue;
-    if (active->WaitedForCaller(now) < min_wait) continue;
+    if (!active->paused || active->attempt.server != server) continue;
+    if (active->WaitedForCaller(now) < kSlotStall) continue;
     if (most_stalled == nullptr || active->WaitedForCaller(now) > most_stalled->WaitedForCaller(now))
       most_stalled = active.get();
   }
-  if (most_stalled == nullptr) return false;
+  if (most_stalled == nullptr) return;
   const AttemptKey most_stalled_key = most_stalled->attempt.attempt_key;  // a copy: the attempt is erased
   Abandon(most_stalled_key);
-  return true;
+}
+
+// What the session's link waits for, as far as that is charged to `pool`.
+memory::PeerActivity InboundProxy::Activity(const Session& session, memory::BufferAccount::Pool pool,
+                                            const memory::BufferCharge* except) const {
+  const auto holds = [&](const memory::BufferCharge& charge) {
+    return charge.bytes() > 0 && charge.pool() == pool;
+  };
+  using Kind = memory::PeerActivity::Kind;
+  if (&session.charge == except || &session.input_charge == except) return {};
+  if (session.busy) {
+    const auto active = active_.find(session.attempt_key);
+    if (active == active_.end() || !active->second->paused || !holds(active->second->queue_charge) ||
+        &active->second->queue_charge == except)
+      return {};
+    const memory::Duration waited(active->second->WaitedForCaller(loop_.Now()));
+    return {Kind::kReadsResponse, waited, waited};
+  }
+  if (!holds(session.charge) && !holds(session.input_charge)) return {};
+  const auto now = memory::Clock::now();
+  return {Kind::kSendsRequest, session.input_wait.Waited(now), session.input_wait.Overdue(now)};
+}
+
+InboundProxy::SessionPtr InboundProxy::FindHighestRanked(memory::BufferAccount::Pool pool,
+                                                         const memory::BufferCharge* except) const {
+  SessionPtr highest_ranked;
+  memory::Duration highest_rank{0};
+  for (const SessionPtr& session : sessions_) {
+    const auto rank = memory::RankForMemory(Activity(*session, pool, except));
+    if (!rank || (highest_ranked != nullptr && *rank <= highest_rank)) continue;
+    highest_ranked = session;
+    highest_rank = *rank;
+  }
+  return highest_ranked;
+}
+
+std::optional<memory::Duration> InboundProxy::HighestRank(memory::BufferAccount::Pool pool,
+                                                          const memory::BufferCharge* except) const {
+  const SessionPtr session = FindHighestRanked(pool, except);
+  if (session == nullptr) return std::nullopt;
+  return memory::RankForMemory(Activity(*session, pool, except));
+}
+
+void InboundProxy::EndHighestRanked(memory::BufferAccount::Pool pool, const memory::BufferCharge* except) {
+  const SessionPtr session = FindHighestRanked(pool, except);
+  if (session == nullptr) return;
+  if (session->busy) return Abandon(session->attempt_key);
+  session->link->Close();
+  session->charge.Release();
+  session->input_charge.Release();
+  OnClosed(session);
 }
 
 void InboundProxy::OnTick(Micros now) {
--- a/src/mesh/ingress/inbound_proxy.hpp
+++ b/src/mesh/ingress/inbound_proxy.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -20,7 +21,7 @@
 
 namespace fennelhollow::ingress {
 
-class InboundProxy {
+class InboundProxy : private memory::BufferAccount::Holder {
  public:
   struct Settings {
     std::uint64_t incarnation = 0;  // of this process
@@ -46,7 +47,7 @@
   // `account`, which must outlive it, is charged with the bodies of the attempts.
   InboundProxy(asio::io_context& io, merlinrun::core::Loop& loop, Settings settings,
                memory::BufferAccount& account, Callbacks callbacks);
-  ~InboundProxy();
+  ~InboundProxy() override;
 
   // Serves a link whose Hello has already been received.
   void Serve(std::shared_ptr<transport::Link> link);
@@ -85,9 +86,17 @@
   bool ChargeQueue(const AttemptKey& attempt_key, ActiveAttempt& active);
   void Pause(ActiveAttempt& active);
   void Resume(ActiveAttempt& active);
-  // Gives up the response to `server`'s attempt that has waited longest for its caller, if it was at least
-  // `min_wait`; never `except`. False if there is none. An empty `server`: of any.
-  bool AbandonMostStalled(const std::string& server, Micros min_wait, const ActiveAttempt* except);
+  // Charges what the link holds of an incomplete frame. False if there is no room for it.
+  bool ChargeInput(Session& session, std::size_t bytes);
+  // Gives up the response of `server` that has waited longest for its caller, if there is one.
+  void AbandonMostStalled(const std::string& server);
+  memory::PeerActivity Activity(const Session& session, memory::BufferAccount::Pool pool,
+                                const memory::BufferCharge* except) const;
+  SessionPtr FindHighestRanked(memory::BufferAccount::Pool pool, const memory::BufferCharge* except) const;
+  // memory::BufferAccount::Holder
+  std::optional<memory::Duration> HighestRank(memory::BufferAccount::Pool pool,
+                                              const memory::BufferCharge* except) const override;
+  void EndHighestRanked(memory::BufferAccount::Pool pool, const memory::BufferCharge* except) override;
   void ProcessQueue();
   void ScheduleProcessing();
   void DiscardResponse(ActiveAttempt& active);
--- a/src/mesh/ingress/server_connection_pool.cpp
+++ b/src/mesh/ingress/server_connection_pool.cpp
@@ -15,6 +15,7 @@
 #include <optional>
 #include <utility>
 
+#include "mesh/memory/receive_buffer.hpp"
 #include "mesh/transport/hop_by_hop.hpp"
 #include "mesh/transport/read_buffer.hpp"
 #include "net/address.hpp"
@@ -121,6 +122,10 @@
     const auto endpoint = merlinrun::net::ParseAddress(address_);
     ErrorCode error;
     if (endpoint) socket_.open(Tcp::v4(), error);
+    if (endpoint && !error) {
+      ErrorCode ignored;
+      socket_.set_option(asio::socket_base::receive_buffer_size(memory::kServerReceiveBytes), ignored);
+    }
     ++pool_.connections_opened_;
     if (!endpoint || error) {
       const Failure failure = error ? Failure::kNoSocket : Failure::kNotSent;
--- a/src/mesh/memory/buffer_account.cpp
+++ b/src/mesh/memory/buffer_account.cpp
@@ -14,6 +14,27 @@
   return {memory_bytes / kSmallDivisor, memory_bytes / kLargeDivisor};
 }
 
+bool BufferAccount::ChargeOrReclaim(BufferCharge& charge, std::size_t bytes) {
+  while (!charge.Set(*this, bytes)) {
+    if (!Reclaim(PoolFor(bytes), &charge)) return false;
+  }
+  return true;
+}
+
+bool BufferAccount::Reclaim(Pool pool, const BufferCharge* except) {
+  Holder* highest_ranked = nullptr;
+  Duration highest_rank{0};
+  for (Holder* holder : holders_) {
+    const std::optional<Duration> rank = holder->HighestRank(pool, except);
+    if (!rank || (highest_ranked != nullptr && *rank <= highest_rank)) continue;
+    highest_ranked = holder;
+    highest_rank = *rank;
+  }
+  if (highest_ranked == nullptr) return false;
+  highest_ranked->EndHighestRanked(pool, except);
+  return true;
+}
+
 bool BufferCharge::Set(BufferAccount& account, std::size_t bytes) {
   if (bytes == bytes_) return true;
   if (bytes == 0) {
--- a/src/mesh/memory/buffer_account.hpp
+++ b/src/mesh/memory/buffer_account.hpp
@@ -4,8 +4,11 @@
 #define FENNELHOLLOW_MESH_MEMORY_BUFFER_ACCOUNT_HPP_
 
 #include <cstddef>
+#include <optional>
 #include <utility>
+#include <vector>
 
+#include "mesh/memory/peer_activity.hpp"
 #include "net/memory_budget.hpp"
 
 namespace fennelhollow::memory {
@@ -15,10 +18,22 @@
 // pool, the small one is left to the others.
 inline constexpr std::size_t kSmallChargeBytes = std::size_t{16} * 1024;
 
-// Must outlive its charges.
+class BufferCharge;
+
+// Must outlive its charges and its holders.
 class BufferAccount {
  public:
   enum class Pool { kSmall, kLarge };
+  // Has charges, and can end the connection behind one of them.
+  class Holder {
+   public:
+    virtual ~Holder() = default;
+    // The highest rank for memory (see RankForMemory) among its connections that are charged to `pool`,
+    // without the one whose charge is `except`; nullopt: none of them gives way.
+    virtual std::optional<Duration> HighestRank(Pool pool, const BufferCharge* except) const = 0;
+    // Ends that connection, which returns its charge at once.
+    virtual void EndHighestRanked(Pool pool, const BufferCharge* except) = 0;
+  };
   struct Limits {  // in bytes
     std::size_t small = 0, large = 0;
   };
@@ -34,14 +49,24 @@
     return pool == Pool::kSmall ? small_.reserved() : large_.reserved();
   }
   const Limits& limits() const { return limits_; }
+  // Changes the charge to `bytes`. While the pool is exhausted, the connection that has waited longest for
+  // its peer, of all holders, is ended in its favor. False, and unchanged, if none gives way.
+  bool ChargeOrReclaim(BufferCharge& charge, std::size_t bytes);
+  void AddHolder(Holder& holder) { holders_.push_back(&holder); }
+  void RemoveHolder(Holder& holder) { std::erase(holders_, &holder); }
+
   bool IsWithinLimits() const {
     return small_.reserved() <= limits_.small && large_.reserved() <= limits_.large;
   }
 
  private:
   friend class BufferCharge;
+  // False if none gives way.
+  bool Reclaim(Pool pool, const BufferCharge* except);
+
   merlinrun::net::MemoryBudget small_, large_;
   const Limits limits_;
+  std::vector<Holder*> holders_;
 };
 
 // What one connection or attempt is charged; released on destruction.
--- a/src/mesh/node/control_listener.cpp
+++ b/src/mesh/node/control_listener.cpp
@@ -269,7 +269,7 @@
     : io_(io),
       limits_(limits),
       handler_(std::move(handler)),
-      acceptor_(merlinrun::net::Listen(io, address)),
+      acceptor_(merlinrun::net::Listen(io, address, limits.receive_bytes)),
       accept_retry_timer_(io) {}
 
 void ControlListener::Impl::Accept() {
--- a/src/mesh/node/control_listener.hpp
+++ b/src/mesh/node/control_listener.hpp
@@ -9,6 +9,7 @@
 #include <memory>
 
 #include "mesh/control/command.hpp"
+#include "mesh/memory/receive_buffer.hpp"
 #include "net/protocol.hpp"
 
 namespace fennelhollow::node {
@@ -20,7 +21,8 @@
 class ControlListener {
  public:
   struct Limits {
-    std::size_t max_connections = 512;  // beyond it the longest idle connection is closed
+    std::size_t max_connections = 512;                  // beyond it the longest idle connection is closed
+    int receive_bytes = memory::kOperatorReceiveBytes;  // SO_RCVBUF of each connection
     std::size_t max_header_bytes = std::size_t{16} * 1024;
     std::size_t max_body_bytes = std::size_t{8} * 1024 * 1024;
     std::size_t max_total_body_bytes = std::size_t{32} * 1024 * 1024;  // over all connections; beyond it, 503
--- a/src/mesh/node/sidecar_limits.cpp
+++ b/src/mesh/node/sidecar_limits.cpp
@@ -13,6 +13,9 @@
 // Share of the process's memory for the bodies of control calls, as a divisor.
 constexpr std::size_t kControlMemoryDivisor = 8;
 
+// Share of the process's memory for what waits unread in the connections of clients.
+std::size_t UnreadMemoryBytes(std::size_t memory_bytes) { return memory_bytes / 16 * 3; }
+
 std::size_t MemoryBytes(const settings::Settings& settings) {
   return static_cast<std::size_t>(std::max<std::int64_t>(settings.memory_mb, 1)) * kMebibyte;
 }
@@ -30,7 +33,9 @@
 
 egress::HttpServer::Limits ClientLimits(const settings::Settings& settings) {
   egress::HttpServer::Limits limits;
-  limits.max_connections = std::min(limits.max_connections, SocketDescriptors(settings) * 3 / 4);
+  limits.max_connections = std::min(
+      {limits.max_connections, SocketDescriptors(settings) * 3 / 4,
+       UnreadMemoryBytes(MemoryBytes(settings)) / memory::MaxUnreadBytes(memory::kLocalReceiveBytes)});
   return limits;
 }
 
@@ -42,6 +47,7 @@
 
 ControlListener::Limits ControlLimits(const settings::Settings& settings) {
   ControlListener::Limits limits;
+  limits.receive_bytes = memory::kLocalReceiveBytes;
   limits.max_connections = std::min(limits.max_connections, SocketDescriptors(settings) / 16);
   limits.max_total_body_bytes =
       std::min(limits.max_total_body_bytes, MemoryBytes(settings) / kControlMemoryDivisor);
--- a/src/mesh/transport/link.cpp
+++ b/src/mesh/transport/link.cpp
@@ -10,6 +10,7 @@
 #include <exception>
 #include <utility>
 
+#include "mesh/memory/receive_buffer.hpp"
 #include "mesh/transport/read_buffer.hpp"
 #include "net/listen.hpp"
 
@@ -80,6 +81,9 @@
   impl.ip = to.address().to_string();
   ErrorCode error;
   impl.socket.open(Tcp::v4(), error);
+  // Before the handshake, which sets the scale of the window.
+  if (!error)
+    impl.socket.set_option(asio::socket_base::receive_buffer_size(memory::kDialedLinkReceiveBytes), error);
   impl.timer.expires_after(std::chrono::milliseconds(timeout_ms));
   impl.timer.async_wait([weak = link->weak_from_this()](ErrorCode stopped) {
     const auto self = weak.lock();
@@ -288,7 +292,7 @@
  public:
   Impl(asio::io_context& io, const Tcp::endpoint& endpoint, Link::Limits limits_in,
        std::function<void(std::shared_ptr<Link>)> accepted_in)
-      : acceptor(merlinrun::net::Listen(io, endpoint)),
+      : acceptor(merlinrun::net::Listen(io, endpoint, memory::kAcceptedLinkReceiveBytes)),
         retry_timer(io),
         limits(limits_in),
         accepted(std::move(accepted_in)) {}
--- a/src/net/listen.cpp
+++ b/src/net/listen.cpp
@@ -10,11 +10,14 @@
 
 using boost::asio::ip::tcp;
 
-tcp::acceptor Listen(boost::asio::io_context& io, const tcp::endpoint& endpoint) {
+tcp::acceptor Listen(boost::asio::io_context& io, const tcp::endpoint& endpoint, int receive_bytes) {
   tcp::acceptor acceptor(io);
   boost::system::error_code error;
   acceptor.open(endpoint.protocol(), error);
   if (!error) acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+  // Accepted sockets take it over, and their windows follow it from the handshake on.
+  if (!error && receive_bytes > 0)
+    acceptor.set_option(tcp::acceptor::receive_buffer_size(receive_bytes), error);
   if (!error) acceptor.bind(endpoint, error);
   if (!error) acceptor.listen(tcp::acceptor::max_listen_connections, error);
   if (error) {
--- a/src/net/listen.hpp
+++ b/src/net/listen.hpp
@@ -8,10 +8,11 @@
 
 namespace merlinrun::net {
 
-// A socket that listens at `endpoint`, also while connections of an earlier process are in TIME_WAIT. Throws
+// A socket that listens at `endpoint`, also while connections of an earlier process are in TIME_WAIT.
+// `receive_bytes`: the receive buffer (SO_RCVBUF) of each accepted socket; 0: as the kernel has it. Throws
 // boost::system::system_error, whose text names the address.
 boost::asio::ip::tcp::acceptor Listen(boost::asio::io_context& io,
-                                      const boost::asio::ip::tcp::endpoint& endpoint);
+                                      const boost::asio::ip::tcp::endpoint& endpoint, int receive_bytes = 0);
 
 // Whether an attempt to acquire a resource may succeed later: an address that another process holds or that
 // the machine does not have yet, descriptors, memory, threads.
