--- a/src/mesh/egress/http_server.cpp
+++ b/src/mesh/egress/http_server.cpp
@@ -26,6 +26,7 @@
 
 constexpr auto kSweepInterval = std::chrono::milliseconds(250);
 constexpr auto kAcceptRetryDelay = std::chrono::milliseconds(20);
+constexpr std::size_t kAcceptsPerTurn = 64;
 // Slower uploads, and responses that are read more slowly, are ended after a grace period.
 using memory::kMinRequestBytesPerS;
 using memory::kMinResponseBytesPerS;
@@ -67,7 +68,13 @@
   std::function<void()> drained;
   memory::BufferCharge charge;
 
-  void Start() { WaitReadable(); }
+  // `read_at_once`: a request that has arrived already is handled before this returns, and gives way to
+  // nobody.
+  void Start(bool read_at_once) {
+    if (read_at_once) return OnReadable();
+    WaitReadable();
+  }
+  bool open() const { return state_ != State::kClosed; }
 
   // Resets the connection in favor of others.
   void Evict() {
@@ -534,78 +541,125 @@
   if (!acceptor_.is_open()) return;
   acceptor_.async_wait(Tcp::acceptor::wait_read, [this](ErrorCode error) {
     if (error || !acceptor_.is_open()) return;
-    for (int i = 0; i < 64; ++i) {
-      Tcp::socket socket(io_);
-      acceptor_.accept(socket, error);
-      if (error == asio::error::would_block || error == asio::error::try_again) break;
-      if (error == asio::error::connection_aborted) continue;
-      if (error) {
-        accept_retry_timer_.expires_after(kAcceptRetryDelay);
-        accept_retry_timer_.async_wait([this](ErrorCode stopped) {
-          if (!stopped) Accept();
-        });
-        return;
-      }
-      try {
-        AddSession(std::move(socket));
-      } catch (const std::exception&) {
-        Accept();
-        throw;
-      }
+    try {
+      AcceptSome();
+    } catch (const std::exception&) {
+      Accept();
+      throw;
     }
-    Accept();
   });
 }
 
-void HttpServer::AddSession(Tcp::socket socket) {
+void HttpServer::AcceptSome() {
+  giving_way_.clear();
+  for (std::size_t i = 0; i < kAcceptsPerTurn; ++i) {
+    Tcp::socket socket(io_);
+    ErrorCode error;
+    acceptor_.accept(socket, error);
+    if (error == asio::error::would_block || error == asio::error::try_again) break;
+    if (error == asio::error::connection_aborted) continue;
+    if (error) return AcceptLater(kAcceptRetryDelay);
+    if (!Admit(socket)) return AcceptLater(memory::kArrivalTime);
+  }
+  giving_way_.clear();
+  Accept();
+}
+
+// False if it has to wait: it is kept, and admitted before others are accepted.
+bool HttpServer::Admit(Tcp::socket& socket) {
+  const bool crowded = sessions_.size() >= limits_.max_connections;
+  switch (MakeRoom()) {
+    case Admission::kAdmitted:
+      AddSession(std::move(socket), crowded);
+      return true;
+    case Admission::kLater:
+      newcomer_.emplace(std::move(socket));
+      return false;
+    case Admission::kRefused:
+      break;
+  }
+  return true;  // nothing has been read from the new socket, which is closed
+}
+
+void HttpServer::AcceptLater(Clock::duration delay) {
+  giving_way_.clear();
+  accept_retry_timer_.expires_after(delay);
+  accept_retry_timer_.async_wait([this](ErrorCode stopped) {
+    if (stopped) return;
+    try {
+      AdmitNewcomer();
+    } catch (const std::exception&) {
+      Accept();
+      throw;
+    }
+  });
+}
+
+void HttpServer::AdmitNewcomer() {
+  if (newcomer_) {
+    Tcp::socket socket = std::move(*newcomer_);
+    newcomer_.reset();
+    if (!Admit(socket)) return AcceptLater(memory::kArrivalTime);
+  }
+  Accept();
+}
+
+void HttpServer::AddSession(Tcp::socket socket, bool read_at_once) {
   ErrorCode error;
   socket.set_option(Tcp::no_delay(true), error);
   socket.non_blocking(true, error);
   if (error) return;
-  // Otherwise the new socket, from which nothing has been read, is closed.
-  if (sessions_.size() >= limits_.max_connections && !MakeRoomForConnection()) return;
   const auto session = std::make_shared<Session>(*this, std::move(socket));
   session->position = sessions_.insert(sessions_.end(), session);
-  session->Start();
+  session->Start(read_at_once);
 }
 
-// Closes the oldest idle connection or, if there is none, the most stalled one.
-bool HttpServer::MakeRoomForConnection() {
-  const auto it = std::find_if(sessions_.begin(), sessions_.end(),
-                               [](const SessionPtr& s) { return s->idle() && !s->HasUnreadInput(); });
-  if (it != sessions_.end()) {
-    const SessionPtr idle = *it;
-    idle->Close();
-    return true;
+// Makes room for a new connection, if there is none.
+HttpServer::Admission HttpServer::MakeRoom() {
+  if (sessions_.size() < limits_.max_connections) return Admission::kAdmitted;
+  if (giving_way_.empty()) RankForPlaces();
+  const auto now = Clock::now();
+  while (!giving_way_.empty()) {
+    const SessionPtr session = giving_way_.back();
+    giving_way_.pop_back();
+    // It may have gone on, or be gone, since it was ranked.
+    if (!session->open() || !memory::RankForPlace(session->Activity(now))) continue;
+    if (session->idle()) {
+      if (session->HasUnreadInput()) continue;
+      session->Close();
+    } else {
+      session->Evict();
+    }
+    return Admission::kAdmitted;
   }
+  const bool some_are_new = std::any_of(sessions_.begin(), sessions_.end(),
+                                        [](const SessionPtr& session) { return session->idle(); });
+  return some_are_new ? Admission::kLater : Admission::kRefused;
+}
+
+// The first to give way is the last of the list.
+void HttpServer::RankForPlaces() {
   const auto now = Clock::now();
-  SessionPtr highest_ranked;
-  memory::Duration highest_rank{0};
+  std::vector<std::pair<memory::Duration, SessionPtr>> ranked;
   for (const SessionPtr& session : sessions_) {
-    const std::optional<memory::Duration> rank = memory::RankForPlace(session->Activity(now));
-    if (!rank || session->idle() || (highest_ranked != nullptr && *rank <= highest_rank)) continue;
-    highest_ranked = session;
-    highest_rank = *rank;
-  }
-  if (highest_ranked == nullptr) return false;
-  highest_ranked->Evict();
-  return true;
+    if (const auto rank = memory::RankForPlace(session->Activity(now))) ranked.emplace_back(*rank, session);
+  }
+  const std::size_t count = std::min(ranked.size(), kAcceptsPerTurn);
+  std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count), ranked.end(),
+                    [](const auto& a, const auto& b) { return a.first > b.first; });
+  for (std::size_t i = count; i > 0; --i) giving_way_.push_back(std::move(ranked[i - 1].second));
 }
 
 HttpServer::SessionPtr HttpServer::FindHighestRanked(memory::BufferAccount::Pool pool,
                                                      const memory::BufferCharge* except) const {
   const auto now = Clock::now();
-  SessionPtr highest_ranked;
-  memory::Duration highest_rank{0};
-  for (const SessionPtr& session : sessions_) {
-    if (&session->charge == except || session->charge.bytes() == 0 || session->charge.pool() != pool)
-      continue;
-    const std::optional<memory::Duration> rank = memory::RankForMemory(session->Activity(now));
-    if (!rank || (highest_ranked != nullptr && *rank <= highest_rank)) continue;
-    highest_ranked = session;
-    highest_rank = *rank;
-  }
-  return highest_ranked;
+  return memory::FindHighestRanked(sessions_,
+                                   [&](const SessionPtr& session) -> std::optional<memory::Duration> {
+                                     const memory::BufferCharge& charge = session->charge;
+                                     if (&charge == except || charge.bytes() == 0 || charge.pool() != pool)
+                                       return std::nullopt;
+                                     return memory::RankForMemory(session->Activity(now));
+                                   });
 }
 
 std::optional<memory::Duration> HttpServer::HighestRank(memory::BufferAccount::Pool pool,
@@ -637,8 +691,12 @@
   while (acceptor_.is_open() && !error) {
     Tcp::socket socket(io_);
     acceptor_.accept(socket, error);
-    if (!error) AddSession(std::move(socket));
+    if (!error && MakeRoom() == Admission::kAdmitted) AddSession(std::move(socket), false);
   }
+  if (newcomer_) AddSession(std::move(*newcomer_), false);
+  newcomer_.reset();
+  accept_retry_timer_.cancel();
+  giving_way_.clear();
   acceptor_.close(error);
 }
 
--- a/src/mesh/egress/http_server.hpp
+++ b/src/mesh/egress/http_server.hpp
@@ -102,9 +102,17 @@
  private:
   using Clock = std::chrono::steady_clock;
 
+  // Of a new connection, when all places are taken.
+  enum class Admission { kAdmitted, kLater, kRefused };
+
   void Accept();
-  void AddSession(Tcp::socket socket);
-  bool MakeRoomForConnection();
+  void AcceptSome();
+  void AcceptLater(Clock::duration delay);
+  bool Admit(Tcp::socket& socket);
+  void AdmitNewcomer();
+  void AddSession(Tcp::socket socket, bool read_at_once);
+  Admission MakeRoom();
+  void RankForPlaces();
   SessionPtr FindHighestRanked(memory::BufferAccount::Pool pool, const memory::BufferCharge* except) const;
   // memory::BufferAccount::Holder
   std::optional<memory::Duration> HighestRank(memory::BufferAccount::Pool pool,
@@ -122,6 +130,8 @@
   Counters counters_;
   std::size_t busy_ = 0;
   std::list<SessionPtr> sessions_;
+  std::vector<SessionPtr> giving_way_;   // in this turn of accepting; the next one last
+  std::optional<Tcp::socket> newcomer_;  // waits for a place
 };
 
 }  // namespace fennelhollow::egress
--- a/src/mesh/ingress/inbound_proxy.cpp
+++ b/src/mesh/ingress/inbound_proxy.cpp
@@ -459,15 +459,9 @@
 
 InboundProxy::SessionPtr InboundProxy::FindHighestRanked(memory::BufferAccount::Pool pool,
                                                          const memory::BufferCharge* except) const {
-  SessionPtr highest_ranked;
-  memory::Duration highest_rank{0};
-  for (const SessionPtr& session : sessions_) {
-    const auto rank = memory::RankForMemory(Activity(*session, pool, except));
-    if (!rank || (highest_ranked != nullptr && *rank <= highest_rank)) continue;
-    highest_ranked = session;
-    highest_rank = *rank;
-  }
-  return highest_ranked;
+  return memory::FindHighestRanked(sessions_, [&](const SessionPtr& session) {
+    return memory::RankForMemory(Activity(*session, pool, except));
+  });
 }
 
 std::optional<memory::Duration> InboundProxy::HighestRank(memory::BufferAccount::Pool pool,
--- a/src/mesh/memory/peer_activity.hpp
+++ b/src/mesh/memory/peer_activity.hpp
@@ -56,6 +56,21 @@
 // The same for connections that hold memory which others need.
 std::optional<Duration> RankForMemory(const PeerActivity& activity);
 
+// The pointer in `connections` that `rank` (std::optional<Duration> of a pointer) ranks highest; null if it
+// ranks none.
+template <class Connections, class Rank>
+typename Connections::value_type FindHighestRanked(const Connections& connections, const Rank& rank) {
+  typename Connections::value_type highest_ranked;
+  Duration highest_rank{0};
+  for (const auto& connection : connections) {
+    const std::optional<Duration> own = rank(connection);
+    if (!own || (highest_ranked != nullptr && *own <= highest_rank)) continue;
+    highest_ranked = connection;
+    highest_rank = *own;
+  }
+  return highest_ranked;
+}
+
 }  // namespace fennelhollow::memory
 
 #endif  // FENNELHOLLOW_MESH_MEMORY_PEER_ACTIVITY_HPP_
