Control calls are charged to one account, in cores too, and give way by the same rule

Seen: 200 callers read a configuration of 4,000 routes at a core and do not read the response: 140,196 KiB of 96 MB. A crowd of calls whose bodies never come at a sidecar's or a core's control plane: no heartbeat and no read is answered while it lasts, so that strangers take a server off the list.

Cause: a core had no account of buffers; each connection kept its copy of the whole configuration, and limits did not follow memoryMb. Only idle connections gave way.

Change: a core has the account that a sidecar has, with its limits derived in one place (node/process_limits, before sidecar_limits). A connection of the control listener is charged with its input, its call and its response, which for a read is charged before it is made; without memory it gets 503. It gives way by the same rule as clients' connections. At most 384 operators' connections for 256 MB, as each may have 128 KiB unread.

--- a/src/mesh/node/control_listener.cpp
+++ b/src/mesh/node/control_listener.cpp
@@ -1,5 +1,7 @@
 #include "mesh/node/control_listener.hpp"
 
+#include <algorithm>
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -12,6 +14,7 @@
 #include <exception>
 #include <list>
 #include <optional>
+#include <sstream>
 #include <utility>
 
 #include "net/listen.hpp"
@@ -49,13 +52,25 @@
 
 }  // namespace
 
-class ControlListener::Impl : public std::enable_shared_from_this<ControlListener::Impl> {
+class ControlListener::Impl : public std::enable_shared_from_this<ControlListener::Impl>,
+                              private memory::BufferAccount::Holder {
  public:
   using ConnectionPtr = std::shared_ptr<Connection>;
+  using Pool = memory::BufferAccount::Pool;
 
-  Impl(asio::io_context& io, const Tcp::endpoint& address, Limits limits, Handler handler);
+  Impl(asio::io_context& io, const Tcp::endpoint& address, Limits limits, memory::BufferAccount& account,
+       Handler handler, ExpectedBytes expected_bytes);
   void Accept();
-  void Add(Tcp::socket socket);
+  void AcceptLater(std::chrono::microseconds delay);
+  // Adds the connection, or keeps it until there is a place, or closes it.
+  void Admit(Tcp::socket socket);
+  void Add(Tcp::socket socket, bool read_at_once);
+  // Closes the connection that gives way to a new one. False if there is none.
+  bool MakeRoom();
+  ConnectionPtr FindHighestRanked(Pool pool, const memory::BufferCharge* except) const;
+  // memory::BufferAccount::Holder
+  std::optional<memory::Duration> HighestRank(Pool pool, const memory::BufferCharge* except) const override;
+  void EndHighestRanked(Pool pool, const memory::BufferCharge* except) override;
   void Stop(std::function<void()> done);
   void Close();
   void Remove(const Connection& connection);
@@ -65,9 +80,12 @@
 
   asio::io_context& io_;
   const Limits limits_;
+  memory::BufferAccount& account_;
   Handler handler_;
+  const ExpectedBytes expected_bytes_;
   Tcp::acceptor acceptor_;
   asio::steady_timer accept_retry_timer_;
+  std::optional<Tcp::socket> newcomer_;  // waits for a place
   std::list<ConnectionPtr> connections_;
   std::size_t total_body_bytes_ = 0;  // of requests being read
   Counters counters_;
@@ -85,21 +103,48 @@
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
 
-  bool idle() const { return idle_; }
+  memory::BufferCharge charge;
+
+  bool idle() const { return stage_ == Stage::kIdle; }
+  memory::PeerActivity Activity(memory::Clock::time_point now) const {
+    using Kind = memory::PeerActivity::Kind;
+    switch (stage_) {
+      case Stage::kIdle:
+        return {Kind::kIdle, wait_.Waited(now), wait_.Overdue(now)};
+      case Stage::kReading:
+        return {Kind::kSendsRequest, wait_.Waited(now), wait_.Overdue(now)};
+      case Stage::kWriting:
+        return {Kind::kReadsResponse, wait_.Waited(now), wait_.Overdue(now)};
+      case Stage::kServing:
+        break;
+    }
+    return {};
+  }
+  // In favor of another connection.
+  void Evict() {
+    ++owner_->counters_.evicted;
+    ErrorCode ignored;
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    Close();
+  }
 
-  void AwaitCall() {
+  // `read_at_once`: a call that has arrived already is not preceded by a wait.
+  void AwaitCall(bool read_at_once = false) {
     parser_.emplace();
     parser_->header_limit(static_cast<std::uint32_t>(owner_->limits_.max_header_bytes));
     parser_->body_limit(owner_->limits_.max_body_bytes);
     parser_->eager(true);
     continue_sent_ = false;
-    if (buffer_.size() > 0) {  // pipelined request
+    ErrorCode ignored;
+    if (buffer_.size() > 0 || (read_at_once && socket_.available(ignored) > 0)) {  // pipelined request
       BeginCall();
       ReadSome();
       return;
     }
     if (owner_->stopping_) return Close();
-    idle_ = true;
+    EnterStage(Stage::kIdle, 0);
+    buffer_.shrink_to_fit();
+    UpdateCharge();
     owner_->MoveToBack(*this);
     StartTimer(owner_->limits_.idle_timeout_ms);
     // The call timeout starts with the first byte; until then no data is buffered for the connection.
@@ -118,20 +163,35 @@
     socket_.shutdown(Tcp::socket::shutdown_both, ignored);
     socket_.close(ignored);
     AccountBody(0);
+    charge.Release();
     owner_->Remove(*this);
   }
 
  private:
+  enum class Stage { kIdle, kReading, kServing, kWriting };
+
   void BeginCall() {
-    idle_ = false;
+    EnterStage(Stage::kReading, memory::kMinRequestBytesPerS);
     StartTimer(owner_->limits_.call_timeout_ms);
   }
 
+  void EnterStage(Stage stage, double min_bytes_per_s) {
+    stage_ = stage;
+    wait_.Begin(memory::Clock::now(), min_bytes_per_s);
+  }
+
+  std::size_t BufferedBytes() const {
+    std::size_t bytes = buffer_.capacity() + call_bytes_ + response_head_.size() + response_body_.capacity();
+    if (parser_ && parser_->is_header_done()) bytes += parser_->get().body().capacity();
+    return bytes;
+  }
+  bool UpdateCharge() { return owner_->account_.ChargeOrReclaim(charge, BufferedBytes()); }
+
   void StartTimer(int milliseconds) {
     timer_.expires_after(std::chrono::milliseconds(milliseconds));
     timer_.async_wait([self = shared_from_this(), timer = ++timer_generation_](ErrorCode error) {
       if (error || timer != self->timer_generation_) return;
-      if (!self->idle_) ++self->owner_->counters_.timed_out;
+      if (!self->idle()) ++self->owner_->counters_.timed_out;
       self->Close();
     });
   }
@@ -143,7 +203,10 @@
 
   void ReadSome() {
     http::async_read_some(socket_, buffer_, *parser_,
-                          [self = shared_from_this()](ErrorCode error, std::size_t) { self->OnRead(error); });
+                          [self = shared_from_this()](ErrorCode error, std::size_t bytes) {
+                            self->wait_.OnBytes(memory::Clock::now(), bytes);
+                            self->OnRead(error);
+                          });
   }
 
   void OnRead(ErrorCode error) {
@@ -165,6 +228,7 @@
         return Write(UnavailableResponse("too many calls at once"), false);
       }
     }
+    if (!UpdateCharge()) return RejectForMemory();
     if (parser_->is_done()) return Dispatch();
     if (parser_->is_header_done() && !continue_sent_ && parser_->get().version() >= 11 &&
         beast::iequals(parser_->get()[http::field::expect], "100-continue")) {
@@ -179,14 +243,23 @@
     ReadSome();
   }
 
+  void RejectForMemory() {
+    ++owner_->counters_.rejected;
+    Write(UnavailableResponse("no memory for the call"), false);
+  }
+
   void Dispatch() {
     auto& request = parser_->get();
     // Responses carry a body even to HEAD, which a client would read as the start of the next response.
     const bool keep_alive = request.keep_alive() && request.method() != http::verb::head;
     const std::string method(request.method_string());
     const std::string target(request.target());
+    call_bytes_ = request.body().capacity();
     Command command = ParseCommand(method, target, std::move(request.body()));
     parser_.reset();
+    EnterStage(Stage::kServing, 0);
+    if (owner_->expected_bytes_) call_bytes_ += owner_->expected_bytes_(command);
+    if (!UpdateCharge()) return RejectForMemory();
     if (std::holds_alternative<control::ReadEvents>(command)) {
       if (owner_->limits_.max_event_wait_ms > 0)
         StartTimer(owner_->limits_.max_event_wait_ms + owner_->limits_.call_timeout_ms);
@@ -210,19 +283,44 @@
     keep_alive = keep_alive && !owner_->stopping_;
     AccountBody(0);
     parser_.reset();
-    response_ = HttpResponse(static_cast<http::status>(response.status), 11);
-    response_.set(http::field::content_type, "application/json");
-    for (const auto& [name, value] : response.headers) response_.set(name, value);
-    response_.keep_alive(keep_alive);
-    response_.body() = std::move(response.body);
-    response_.prepare_payload();
-    http::async_write(socket_, response_,
-                      [self = shared_from_this(), keep_alive](ErrorCode error, std::size_t) {
-                        if (!self->socket_.is_open()) return;
-                        self->response_ = {};
-                        if (error || !keep_alive) return self->LingeringClose(error);
-                        self->AwaitCall();
-                      });
+    call_bytes_ = 0;
+    HttpResponse head(static_cast<http::status>(response.status), 11);
+    head.set(http::field::content_type, "application/json");
+    for (const auto& [name, value] : response.headers) head.set(name, value);
+    head.keep_alive(keep_alive);
+    head.content_length(response.body.size());
+    std::ostringstream text;
+    text << head.base();
+    response_head_ = std::move(text).str();
+    response_body_ = std::move(response.body);
+    response_written_ = 0;
+    keep_alive_ = keep_alive;
+    EnterStage(Stage::kWriting, memory::kMinResponseBytesPerS);
+    if (!UpdateCharge()) return Evict();
+    WriteSome();
+  }
+
+  void WriteSome() {
+    const std::size_t head_bytes = std::min(response_written_, response_head_.size());
+    const std::array<asio::const_buffer, 2> rest{
+        asio::buffer(response_head_) + head_bytes,
+        asio::buffer(response_body_) + (response_written_ - head_bytes)};
+    socket_.async_write_some(rest, [self = shared_from_this()](ErrorCode error, std::size_t bytes) {
+      self->OnWritten(error, bytes);
+    });
+  }
+
+  void OnWritten(ErrorCode error, std::size_t bytes) {
+    if (!socket_.is_open()) return;
+    response_written_ += bytes;
+    wait_.OnBytes(memory::Clock::now(), bytes);
+    const bool complete = response_written_ == response_head_.size() + response_body_.size();
+    if (!error && !complete) return WriteSome();
+    std::string().swap(response_head_);
+    std::string().swap(response_body_);
+    UpdateCharge();
+    if (error || !keep_alive_) return LingeringClose(error);
+    AwaitCall();
   }
 
   // Lingering close: closing with unread input would reset the connection and could destroy the response, so
@@ -234,7 +332,7 @@
     buffer_.clear();
     discard_budget_bytes_ = owner_->limits_.max_body_bytes;
     StartTimer(1000);
-    idle_ = true;  // may be closed in favor of a new connection
+    EnterStage(Stage::kIdle, 0);  // may be closed in favor of a new connection
     DiscardInput();
   }
 
@@ -256,53 +354,108 @@
   std::uint64_t generation_ = 0;  // advances at each call and each response; stale replies are ignored
   beast::flat_buffer buffer_;
   std::optional<http::parser<true, IncrementalBody>> parser_;
-  HttpResponse response_;
+  std::string response_head_, response_body_;
+  std::size_t response_written_ = 0;  // of both
+  bool keep_alive_ = false;
   std::size_t accounted_bytes_ = 0;
+  std::size_t call_bytes_ = 0;  // of the call that is handled, and of the response that is expected
   std::size_t discard_budget_bytes_ = 0;
   std::string discard_buffer_;
   bool continue_sent_ = false;
-  bool idle_ = true;
+  Stage stage_ = Stage::kIdle;
+  memory::PeerWait wait_;  // for the rest of the call, or for the caller to read the response
 };
 
 ControlListener::Impl::Impl(asio::io_context& io, const Tcp::endpoint& address, Limits limits,
-                            Handler handler)
+                            memory::BufferAccount& account, Handler handler, ExpectedBytes expected_bytes)
     : io_(io),
       limits_(limits),
+      account_(account),
       handler_(std::move(handler)),
+      expected_bytes_(std::move(expected_bytes)),
       acceptor_(merlinrun::net::Listen(io, address, limits.receive_bytes)),
-      accept_retry_timer_(io) {}
+      accept_retry_timer_(io) {
+  account_.AddHolder(*this);
+}
 
 void ControlListener::Impl::Accept() {
   acceptor_.async_accept([self = shared_from_this()](ErrorCode error, Tcp::socket socket) {
     if (!self->acceptor_.is_open()) return;
-    if (!error) {
-      self->Accept();  // before the connection is added, which may throw
-      return self->Add(std::move(socket));
-    }
-    self->accept_retry_timer_.expires_after(kAcceptRetryDelay);
-    self->accept_retry_timer_.async_wait([self](ErrorCode stopped) {
-      if (!stopped && self->acceptor_.is_open()) self->Accept();
-    });
+    if (error) return self->AcceptLater(kAcceptRetryDelay);
+    self->Admit(std::move(socket));
   });
 }
 
-void ControlListener::Impl::Add(Tcp::socket socket) {
-  if (connections_.size() >= limits_.max_connections) {
-    ++counters_.rejected;
-    ConnectionPtr idle;
-    for (const ConnectionPtr& connection : connections_) {
-      if (!connection->idle()) continue;
-      idle = connection;
-      break;
-    }
-    if (!idle) return;  // the socket is closed by its destructor
-    idle->Close();
+void ControlListener::Impl::AcceptLater(std::chrono::microseconds delay) {
+  accept_retry_timer_.expires_after(delay);
+  accept_retry_timer_.async_wait([self = shared_from_this()](ErrorCode stopped) {
+    if (stopped || !self->acceptor_.is_open()) return;
+    if (!self->newcomer_) return self->Accept();
+    Tcp::socket socket = std::move(*self->newcomer_);
+    self->newcomer_.reset();
+    self->Admit(std::move(socket));
+  });
+}
+
+void ControlListener::Impl::Admit(Tcp::socket socket) {
+  const bool crowded = connections_.size() >= limits_.max_connections;
+  if (!crowded || MakeRoom()) {
+    Accept();  // before the connection is added, which may throw
+    return Add(std::move(socket), crowded);
   }
+  const bool some_are_new = std::any_of(connections_.begin(), connections_.end(),
+                                        [](const ConnectionPtr& connection) { return connection->idle(); });
+  if (some_are_new) {
+    newcomer_.emplace(std::move(socket));
+    return AcceptLater(memory::kArrivalTime);
+  }
+  ++counters_.rejected;
+  Accept();  // the socket is closed by its destructor
+}
+
+bool ControlListener::Impl::MakeRoom() {
+  const auto now = memory::Clock::now();
+  const ConnectionPtr giving_way = memory::FindHighestRanked(
+      connections_,
+      [now](const ConnectionPtr& connection) { return memory::RankForPlace(connection->Activity(now)); });
+  if (giving_way == nullptr) return false;
+  ++counters_.rejected;
+  if (giving_way->idle())
+    giving_way->Close();
+  else
+    giving_way->Evict();
+  return true;
+}
+
+void ControlListener::Impl::Add(Tcp::socket socket, bool read_at_once) {
   ErrorCode ignored;
   socket.set_option(Tcp::no_delay(true), ignored);
   connections_.push_back(std::make_shared<Connection>(shared_from_this(), std::move(socket)));
   const ConnectionPtr added = connections_.back();
-  added->AwaitCall();
+  added->AwaitCall(read_at_once);
+}
+
+ControlListener::Impl::ConnectionPtr ControlListener::Impl::FindHighestRanked(
+    Pool pool, const memory::BufferCharge* except) const {
+  const auto now = memory::Clock::now();
+  return memory::FindHighestRanked(connections_,
+                                   [&](const ConnectionPtr& connection) -> std::optional<memory::Duration> {
+                                     const memory::BufferCharge& charge = connection->charge;
+                                     if (&charge == except || charge.bytes() == 0 || charge.pool() != pool)
+                                       return std::nullopt;
+                                     return memory::RankForMemory(connection->Activity(now));
+                                   });
+}
+
+std::optional<memory::Duration> ControlListener::Impl::HighestRank(Pool pool,
+                                                                   const memory::BufferCharge* except) const {
+  const ConnectionPtr connection = FindHighestRanked(pool, except);
+  if (connection == nullptr) return std::nullopt;
+  return memory::RankForMemory(connection->Activity(memory::Clock::now()));
+}
+
+void ControlListener::Impl::EndHighestRanked(Pool pool, const memory::BufferCharge* except) {
+  if (const ConnectionPtr connection = FindHighestRanked(pool, except)) connection->Evict();
 }
 
 void ControlListener::Impl::Stop(std::function<void()> done) {
@@ -311,6 +464,7 @@
   ErrorCode ignored;
   acceptor_.close(ignored);
   accept_retry_timer_.cancel();
+  newcomer_.reset();
   const std::list<ConnectionPtr> open_connections = connections_;
   for (const ConnectionPtr& connection : open_connections) {
     if (connection->idle()) connection->Close();
@@ -324,10 +478,12 @@
   ErrorCode ignored;
   acceptor_.close(ignored);
   accept_retry_timer_.cancel();
+  newcomer_.reset();
   const std::list<ConnectionPtr> open_connections = std::move(connections_);
   connections_.clear();
   for (const ConnectionPtr& connection : open_connections) connection->Close();
   handler_ = nullptr;
+  account_.RemoveHolder(*this);  // which pending handlers may outlive
 }
 
 void ControlListener::Impl::Remove(const Connection& connection) {
@@ -349,8 +505,10 @@
 }
 
 ControlListener::ControlListener(asio::io_context& io, const Tcp::endpoint& address, Limits limits,
-                                 Handler handler)
-    : impl_(std::make_shared<Impl>(io, address, limits, std::move(handler))) {
+                                 memory::BufferAccount& account, Handler handler,
+                                 ExpectedBytes expected_bytes)
+    : impl_(std::make_shared<Impl>(io, address, limits, account, std::move(handler),
+                                   std::move(expected_bytes))) {
   impl_->Accept();
 }
 ControlListener::~ControlListener() {
--- a/src/mesh/node/control_listener.hpp
+++ b/src/mesh/node/control_listener.hpp
@@ -9,6 +9,7 @@
 #include <memory>
 
 #include "mesh/control/command.hpp"
+#include "mesh/memory/buffer_account.hpp"
 #include "mesh/memory/receive_buffer.hpp"
 #include "net/protocol.hpp"
 
@@ -21,7 +22,7 @@
 class ControlListener {
  public:
   struct Limits {
-    std::size_t max_connections = 512;                  // beyond it the longest idle connection is closed
+    std::size_t max_connections = 512;  // beyond it a connection gives way, see memory::RankForPlace
     int receive_bytes = memory::kOperatorReceiveBytes;  // SO_RCVBUF of each connection
     std::size_t max_header_bytes = std::size_t{16} * 1024;
     std::size_t max_body_bytes = std::size_t{8} * 1024 * 1024;
@@ -36,14 +37,20 @@
     std::uint64_t malformed = 0;  // not HTTP, or over a size limit: answered with 4xx and closed
     std::uint64_t timed_out = 0;  // calls past call_timeout_ms
     std::uint64_t rejected = 0;   // connections closed, or calls rejected, because a limit was reached
+    std::uint64_t evicted = 0;  // connections closed in favor of others, while they waited for their callers
   };
   // Call once on the loop's thread, from the handler or later; ignored if the client has disconnected.
   using Reply = std::function<void(Response)>;
   using Handler = std::function<void(Command, Reply)>;
+  // About how many bytes the response to a call will have: they are charged before the call is handled.
+  using ExpectedBytes = std::function<std::size_t(const Command&)>;
 
-  // Throws boost::system::system_error if the address cannot be bound.
+  // `account`, which must outlive it, is charged with what the connections buffer, in both directions, until
+  // the response is written. `expected_bytes` may be empty. Throws boost::system::system_error if the address
+  // cannot be bound.
   ControlListener(merlinrun::net::asio::io_context& io, const merlinrun::net::Tcp::endpoint& address,
-                  Limits limits, Handler handler);
+                  Limits limits, memory::BufferAccount& account, Handler handler,
+                  ExpectedBytes expected_bytes = {});
   ~ControlListener();  // closes all connections; neither the handler nor `done` is called afterwards
   ControlListener(const ControlListener&) = delete;
   ControlListener& operator=(const ControlListener&) = delete;
--- a/src/mesh/node/core.cpp
+++ b/src/mesh/node/core.cpp
@@ -16,11 +16,13 @@
 
 #include "mesh/control/command.hpp"
 #include "mesh/control/control_replica.hpp"
+#include "mesh/memory/buffer_account.hpp"
 #include "mesh/metrics/core_metrics.hpp"
 #include "mesh/metrics/process_metrics.hpp"
 #include "mesh/node/control_listener.hpp"
 #include "mesh/node/event_waiters.hpp"
 #include "mesh/node/peer_links.hpp"
+#include "mesh/node/process_limits.hpp"
 #include "mesh/node/tombstone_writer.hpp"
 #include "mesh/node/worker.hpp"
 #include "mesh/push/messages.hpp"
@@ -124,6 +126,7 @@
         self_(settings_.InternalAddress().Text()),
         metrics_address_(options.metrics),
         invariants_(registry_, options.on_violation),
+        buffers_(BufferLimits(settings_)),
         tick_timer_(loop_.NewTimer()),
         store_retry_timer_(loop_.NewTimer()),
         peers_(io, loop_,
@@ -197,6 +200,7 @@
   void CloseLinksWithoutHello();
 
   void OnCommand(Command command, ControlListener::Reply reply);
+  std::size_t ExpectedResponseBytes(const Command& command) const;
   void FinishStopIfDone();
 
   asio::io_context& io_;
@@ -209,6 +213,7 @@
   metrics::CoreMetrics metrics_{registry_};
   metrics::ProcessMetrics process_metrics_{registry_};
   metrics::Invariants invariants_;
+  memory::BufferAccount buffers_;        // outlives all that is charged to it
   std::uint64_t highest_committed_ = 0;  // highest index of a committed entry seen so far
   std::unique_ptr<MetricsEndpointOpener> metrics_endpoint_;
   std::shared_ptr<int> liveness_token_ = std::make_shared<int>();
@@ -243,14 +248,12 @@
     if (address != settings_.listen.end()) {
       const auto endpoint = merlinrun::net::ParseAddress(address->second.Text(), true);
       if (!endpoint) return absl::InvalidArgumentError("controlPlane is not an address");
-      ControlListener::Limits limits;  // half of the file descriptors are reserved for links
-      limits.max_connections =
-          std::min(limits.max_connections, static_cast<std::size_t>(settings_.file_descriptors / 3));
-      limits.max_event_wait_ms = control::kMaxEventWaitMs;
       control_listener_ = std::make_unique<ControlListener>(
-          io_, *endpoint, limits, [this](Command command, ControlListener::Reply reply) {
+          io_, *endpoint, CoreControlLimits(settings_), buffers_,
+          [this](Command command, ControlListener::Reply reply) {
             OnCommand(std::move(command), std::move(reply));
-          });
+          },
+          [this](const Command& command) { return ExpectedResponseBytes(command); });
     }
     disk_worker_ = std::make_unique<Worker>(io_, "disk");
     validation_worker_ = std::make_unique<Worker>(io_, "validation");
@@ -270,6 +273,12 @@
   });
 }
 
+// Each read has a copy of the whole configuration.
+std::size_t Core::Impl::ExpectedResponseBytes(const Command& command) const {
+  if (!std::holds_alternative<control::Read>(command)) return 0;
+  return replica_.replicated_state().newest().text().size();
+}
+
 // All cores use the same control plane port.
 std::string Core::Impl::ControlAddress(const ReplicaId& core) const {
   if (!control_listener_) return {};
--- a/src/mesh/node/process_limits.cpp
+++ b/src/mesh/node/process_limits.cpp
@@ -1,4 +1,4 @@
-#include "mesh/node/sidecar_limits.hpp"
+#include "mesh/node/process_limits.hpp"
 
 #include <algorithm>
 #include <cstddef>
@@ -12,6 +12,8 @@
 constexpr std::size_t kReservedDescriptors = 200;
 // Share of the process's memory for the bodies of control calls, as a divisor.
 constexpr std::size_t kControlMemoryDivisor = 8;
+// Share of a core's memory for what waits unread in links, as a divisor.
+constexpr std::size_t kLinkMemoryDivisor = 2;
 
 // Share of the process's memory for what waits unread in the connections of clients.
 std::size_t UnreadMemoryBytes(std::size_t memory_bytes) { return memory_bytes / 16 * 3; }
@@ -20,8 +22,12 @@
   return static_cast<std::size_t>(std::max<std::int64_t>(settings.memory_mb, 1)) * kMebibyte;
 }
 
+std::size_t Descriptors(const settings::Settings& settings) {
+  return static_cast<std::size_t>(std::max<std::int64_t>(settings.file_descriptors, 0));
+}
+
 std::size_t SocketDescriptors(const settings::Settings& settings) {
-  const auto all = static_cast<std::size_t>(std::max<std::int64_t>(settings.file_descriptors, 0));
+  const std::size_t all = Descriptors(settings);
   return std::max(all - std::min(all, kReservedDescriptors), all / 2);
 }
 
@@ -54,4 +60,21 @@
   return limits;
 }
 
+ControlListener::Limits CoreControlLimits(const settings::Settings& settings) {
+  ControlListener::Limits limits;
+  limits.receive_bytes = memory::kOperatorReceiveBytes;
+  limits.max_event_wait_ms = control::kMaxEventWaitMs;
+  limits.max_connections =
+      std::min({limits.max_connections, Descriptors(settings) / 3,
+                UnreadMemoryBytes(MemoryBytes(settings)) / memory::MaxUnreadBytes(limits.receive_bytes)});
+  limits.max_total_body_bytes =
+      std::min(limits.max_total_body_bytes, MemoryBytes(settings) / kControlMemoryDivisor);
+  return limits;
+}
+
+std::size_t MaxCoreLinks(const settings::Settings& settings) {
+  return std::min(Descriptors(settings) / 2, MemoryBytes(settings) / kLinkMemoryDivisor /
+                                                 memory::MaxUnreadBytes(memory::kAcceptedLinkReceiveBytes));
+}
+
 }  // namespace fennelhollow::node
--- a/src/mesh/node/sidecar.cpp
+++ b/src/mesh/node/sidecar.cpp
@@ -27,9 +27,9 @@
 #include "mesh/metrics/request_metrics.hpp"
 #include "mesh/node/control_listener.hpp"
 #include "mesh/node/pending_acknowledgements.hpp"
+#include "mesh/node/process_limits.hpp"
 #include "mesh/node/record_quorum.hpp"
 #include "mesh/node/shutdown_schedule.hpp"
-#include "mesh/node/sidecar_limits.hpp"
 #include "mesh/push/client.hpp"
 #include "mesh/quota/quota.hpp"
 #include "mesh/registry/heartbeat_tracker.hpp"
@@ -116,7 +116,8 @@
       if (const auto at = listen.find("controlPlane"); at != listen.end())
         control_listener_ = std::make_unique<ControlListener>(
             io_, merlinrun::net::Tcp::endpoint(asio::ip::make_address(at->second.ip), at->second.port),
-            ControlLimits(settings_), [this](const Command& command, const ControlListener::Reply& reply) {
+            ControlLimits(settings_), buffers_,
+            [this](const Command& command, const ControlListener::Reply& reply) {
               OnCommand(command, reply);
             });
       if (const auto at = listen.find("outbound"); at != listen.end())
--- a/tests/mesh/node_process_limits_test.cpp
+++ b/tests/mesh/node_process_limits_test.cpp
@@ -1,7 +1,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 
-#include "mesh/node/sidecar_limits.hpp"
+#include "mesh/node/process_limits.hpp"
 
 namespace fennelhollow::node {
 namespace {
--- a/tests/mesh/node_test.cpp
+++ b/tests/mesh/node_test.cpp
@@ -259,12 +259,13 @@
   std::vector<Command> commands;
   std::vector<ControlListener::Reply> replies;  // withheld while `hold`
   bool hold = false;
+  memory::BufferAccount account{memory::BufferAccount::LimitsFor(std::size_t{256} << 20)};
   std::unique_ptr<ControlListener> listener;
 
   explicit TestServer(ControlListener::Limits limits = {}) {
     listener =
         std::make_unique<ControlListener>(io, Tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0), limits,
-                                          [this](Command command, ControlListener::Reply reply) {
+                                          account, [this](Command command, ControlListener::Reply reply) {
                                             commands.push_back(std::move(command));
                                             if (hold) return replies.push_back(std::move(reply));
                                             reply(Response{200, "{\"n\":1}", {{"Location", "here"}}});
