Heads of requests are charged, with the copies that each step keeps

Change: a head is charged while its body comes, and with its copies while the request is in progress, at the outbound proxy (3) and at the inbound one (2). Without memory the request gets 503 before anything of it is passed on.

Test and change go in together.

--- a/src/mesh/egress/http_server.cpp
+++ b/src/mesh/egress/http_server.cpp
@@ -35,6 +35,8 @@
 // response.
 constexpr auto kLingerTimeout = std::chrono::milliseconds(500);
 constexpr std::size_t kMaxHeaderFields = 100;
+// Of the head of a request in progress: the proxy's, its attempt's, and what waits in the link.
+constexpr std::size_t kHeadCopies = 3;
 // Of a streamed response on its way: what waits unread in its link while the client does not read, and what
 // the link's own buffers hold.
 constexpr std::size_t kStreamOverhead =
@@ -206,8 +208,8 @@
 
   // What the buffers of this connection take, and the copies that the proxy keeps of its request.
   std::size_t BufferedBytes() const {
-    std::size_t bytes =
-        read_buffer_.capacity() + request_bytes_ + std::max(write_buffer_.capacity(), held_response_bytes_);
+    std::size_t bytes = read_buffer_.capacity() + head_bytes_ + request_bytes_ +
+                        std::max(write_buffer_.capacity(), held_response_bytes_);
     if (parser_ && parser_->is_header_done()) bytes += parser_->get().body().size();
     return streaming_ ? bytes + kStreamOverhead : bytes;
   }
@@ -330,6 +332,9 @@
       if (static_cast<unsigned char>(c) <= ' ' || c == 0x7f) return Reject(400, "Host is no host"), false;
     if (head.target().empty() || head.target().front() != '/')
       return Reject(400, "the target is no path"), false;
+    head_bytes_ = memory::kFieldOverheadBytes + head.target().size();
+    for (const auto& field : head)
+      head_bytes_ += field.name_string().size() + field.value().size() + memory::kFieldOverheadBytes;
     for (const auto& field : head)
       for (const char c : field.value())
         if (c == '\r' || c == '\n' || c == '\0') return Reject(400, "a header field spans lines"), false;
@@ -363,11 +368,16 @@
         request.headers.emplace_back(std::string(name), std::string(ToStringView(field.value())));
     }
     request.body = std::move(head.body());
-    request_bytes_ = request.body.size();
+    request_bytes_ = request.body.size() + kHeadCopies * head_bytes_;
     keep_alive_ = parser_->keep_alive();
     head_request_ = request.method == "HEAD";
     chunked_ = false;
     parser_.reset();
+    head_bytes_ = 0;
+    if (!UpdateCharge()) {
+      ++owner_.counters_.refused_bodies;
+      return Reject(503, "no memory for the request");
+    }
     state_ = State::kBusy;
     SetBusy(true);
     const auto self = shared_from_this();
@@ -379,6 +389,7 @@
     state_ = State::kBusy;
     keep_alive_ = false;
     head_request_ = false;
+    head_bytes_ = request_bytes_ = 0;
     parser_.reset();
     std::string().swap(read_buffer_);
     Respond(status, {{"Content-Type", "application/json"}}, "{\"error\":\"" + std::string(reason) + "\"}");
@@ -499,7 +510,8 @@
   State state_ = State::kReading;
   std::string read_buffer_, write_buffer_;
   std::size_t written_bytes_ = 0;  // of write_buffer_
-  std::size_t request_bytes_ = 0;  // of the body of the request in progress, which the proxy holds
+  std::size_t head_bytes_ = 0;     // of a head whose body has not arrived
+  std::size_t request_bytes_ = 0;  // of the request in progress, which the proxy holds
   std::size_t held_response_bytes_ = 0;
   std::optional<http::request_parser<merlinrun::net::IncrementalBody>> parser_;
   Clock::time_point phase_start_;
--- a/src/mesh/ingress/inbound_proxy.cpp
+++ b/src/mesh/ingress/inbound_proxy.cpp
@@ -22,6 +22,17 @@
 // Interval at which queued attempts are checked for timeouts.
 constexpr Micros kQueueInterval = 10 * kMs;
 
+// Of the head of an attempt: its own, and the text that is sent to the server.
+constexpr std::size_t kHeadCopies = 2;
+
+// What an attempt keeps of its request.
+std::size_t RequestBytes(const Attempt& attempt) {
+  std::size_t head_bytes = attempt.target.size();
+  for (const auto& [name, value] : attempt.headers)
+    head_bytes += name.size() + value.size() + memory::kFieldOverheadBytes;
+  return attempt.body.size() + kHeadCopies * head_bytes;
+}
+
 }  // namespace
 
 // A link from an outbound proxy; carries at most one attempt at a time.
@@ -42,7 +53,7 @@
 
   SessionPtr session;
   Attempt attempt;
-  memory::BufferCharge charge;        // of its body
+  memory::BufferCharge charge;        // of its request
   memory::BufferCharge queue_charge;  // of its response in the link
   Micros received_at = 0;
   Micros deadline = 0;
@@ -240,7 +251,7 @@
   active->received_at = loop_.Now();
   const AttemptKey attempt_key = active->attempt.attempt_key;
   const bool lacks_memory =
-      session->lacks_memory || !account_.ChargeOrReclaim(session->charge, active->attempt.body.size());
+      session->lacks_memory || !account_.ChargeOrReclaim(session->charge, RequestBytes(active->attempt));
   active->charge = std::move(session->charge);
   session->charge = {};
   session->lacks_memory = false;
--- a/src/mesh/memory/buffer_account.hpp
+++ b/src/mesh/memory/buffer_account.hpp
@@ -18,6 +18,9 @@
 // pool, the small one is left to the others.
 inline constexpr std::size_t kSmallChargeBytes = std::size_t{16} * 1024;
 
+// What a header field takes besides its text.
+inline constexpr std::size_t kFieldOverheadBytes = 64;
+
 class BufferCharge;
 
 // Must outlive its charges and its holders.
--- a/tests/soak/hostile_memory_test.cpp
+++ b/tests/soak/hostile_memory_test.cpp
@@ -19,6 +19,8 @@
 
 constexpr std::size_t kLongResponseBytes = 8 * kMebibyte;
 constexpr int kDownloads = 400;
+constexpr int kLargeHeads = 700;
+constexpr std::size_t kLargeHeadBytes = 15'000;
 constexpr Site::Options kDownloadSite{
     .padding_bytes = kLongResponseBytes, .sidecar_descriptors = 4096, .slots = kDownloads};
 
@@ -51,6 +53,27 @@
   site.Check();
 }
 
+// Guards against header fields that each step of a request copies, none of them charged.
+TEST_CASE("large heads of requests in progress do not fill the memory") {
+  Site site({.padding_bytes = kLongResponseBytes,
+             .sidecar_descriptors = 4096,
+             .slots = kLargeHeads,
+             .stall_after_bytes = 1});
+  const std::string field = "Padding: " + std::string(kLargeHeadBytes, 'p') + "\r\n";
+  site.Connect(kLargeHeads, AskAndNeverRead(Head("GET", "/plans/stall", field)));
+  site.Watch(std::chrono::seconds(4));
+  site.Check();
+}
+
+// Guards against heads that are kept while the body does not come.
+TEST_CASE("large heads of incomplete requests do not fill the memory") {
+  Site site({.sidecar_descriptors = 4096});
+  const std::string field = "Content-Length: 10\r\nPadding: " + std::string(kLargeHeadBytes, 'p') + "\r\n";
+  site.Connect(2 * kLargeHeads, AskAndNeverRead(Head("POST", "/plans/x", field)));
+  site.Watch(std::chrono::seconds(4));
+  site.Check();
+}
+
 constexpr int kCoreMemoryUnderTestMb = 96;
 constexpr int kReaders = 200;
 constexpr int kRoutes = 4'000;
