Idle connections that were served give way last, and a request has 5 ms to arrive

A connection that a server keeps for its heartbeats was idle between two of them, and so the first to give way to a crowd: now who was never served goes first. A crowd of thousands kept a listener with four places waiting for 20 ms each; 5 ms are enough, as input that has arrived is looked for before a connection gives way.

--- a/src/mesh/egress/http_server.cpp
+++ b/src/mesh/egress/http_server.cpp
@@ -88,7 +88,7 @@
     using Kind = memory::PeerActivity::Kind;
     if (idle()) {
       const auto since = std::chrono::duration_cast<memory::Duration>(now - phase_start_);
-      return {Kind::kIdle, since, since};
+      return {Kind::kIdle, since, since, was_served_};
     }
     if (state_ == State::kReading) return {Kind::kSendsRequest, wait_.Waited(now), wait_.Overdue(now)};
     if (state_ == State::kLingering || blocked_)
@@ -470,6 +470,7 @@
 
   void ReadNextRequest() {
     drained = nullptr;
+    was_served_ = true;
     request_bytes_ = 0;
     streaming_ = false;
     ShrinkReadBuffer();
@@ -521,6 +522,7 @@
        head_request_ = false;
   bool wait_pending_ = false, writing_ = false, counted_busy_ = false;
   bool streaming_ = false;
+  bool was_served_ = false;
   bool blocked_ = false;       // response bytes wait for the client
   bool parse_posted_ = false;  // what is left in read_buffer_ is parsed in a later turn
 };
@@ -636,17 +638,19 @@
     giving_way_.pop_back();
     // It may have gone on, or be gone, since it was ranked.
     if (!session->open() || !memory::RankForPlace(session->Activity(now))) continue;
+    if (session->HasUnreadInput()) continue;
     if (session->idle()) {
-      if (session->HasUnreadInput()) continue;
       session->Close();
     } else {
       session->Evict();
     }
     return Admission::kAdmitted;
   }
-  const bool some_are_new = std::any_of(sessions_.begin(), sessions_.end(),
-                                        [](const SessionPtr& session) { return session->idle(); });
-  return some_are_new ? Admission::kLater : Admission::kRefused;
+  const bool some_may_soon =
+      std::any_of(sessions_.begin(), sessions_.end(), [now](const SessionPtr& session) {
+        return memory::MayGiveWaySoon(session->Activity(now), session->HasUnreadInput());
+      });
+  return some_may_soon ? Admission::kLater : Admission::kRefused;
 }
 
 // The first to give way is the last of the list.
--- a/src/mesh/memory/peer_activity.cpp
+++ b/src/mesh/memory/peer_activity.cpp
@@ -42,8 +42,9 @@
   switch (activity.kind) {
     case Kind::kIdle:
       if (activity.waited < kArrivalTime) return std::nullopt;
-      return kIdleRank + activity.waited;
+      return activity.was_served ? activity.waited - kIdleRank : activity.waited + kIdleRank;
     case Kind::kSendsRequest:
+      if (activity.waited < kArrivalTime) return std::nullopt;
       // One that sends fast enough stays, unless it has stopped.
       if (activity.overdue <= Duration(0) && activity.waited < kMinWaitOfReader) return std::nullopt;
       return activity.waited;
@@ -56,6 +57,11 @@
   return std::nullopt;
 }
 
+bool MayGiveWaySoon(const PeerActivity& activity, bool has_unread_input) {
+  const bool is_arriving = activity.kind == Kind::kIdle || activity.kind == Kind::kSendsRequest;
+  return is_arriving && (activity.waited < kArrivalTime || has_unread_input);
+}
+
 std::optional<Duration> RankForMemory(const PeerActivity& activity) {
   const bool waits_for_peer = activity.kind == Kind::kSendsRequest || activity.kind == Kind::kReadsResponse;
   if (!waits_for_peer || activity.waited < kMinWaitForMemory) return std::nullopt;
--- a/src/mesh/memory/peer_activity.hpp
+++ b/src/mesh/memory/peer_activity.hpp
@@ -43,16 +43,20 @@
     kIsServed,       // the process itself has something to do for it
   };
   Kind kind = Kind::kIsServed;
-  Duration waited{0};   // for the peer; of an idle one: since its last request
-  Duration overdue{0};  // see PeerWait
+  Duration waited{0};       // for the peer; of an idle one: since its last request
+  Duration overdue{0};      // see PeerWait
+  bool was_served = false;  // has had a response before
 };
 
-// A new connection may need so long until its request arrives.
-inline constexpr Duration kArrivalTime = std::chrono::milliseconds(20);
+// A request may need so long to arrive, from the connection's start or from its own.
+inline constexpr Duration kArrivalTime = std::chrono::milliseconds(5);
 
-// The rank by which connections give way to new ones, the highest first; nullopt: it does not. Idle ones go
-// first, then those whose requests are incomplete, then those that have not read for a second.
+// The rank by which connections give way to new ones, the highest first; nullopt: it does not. Idle ones that
+// were never served go first, then incomplete requests and those that have not read for a second, the longest
+// wait first, then idle ones that were served.
 std::optional<Duration> RankForPlace(const PeerActivity& activity);
+// Whether a connection that has no rank may have one, or be served, after kArrivalTime.
+bool MayGiveWaySoon(const PeerActivity& activity, bool has_unread_input);
 // The same for connections that hold memory which others need.
 std::optional<Duration> RankForMemory(const PeerActivity& activity);
 
--- a/src/mesh/node/control_listener.cpp
+++ b/src/mesh/node/control_listener.cpp
@@ -110,7 +110,7 @@
     using Kind = memory::PeerActivity::Kind;
     switch (stage_) {
       case Stage::kIdle:
-        return {Kind::kIdle, wait_.Waited(now), wait_.Overdue(now)};
+        return {Kind::kIdle, wait_.Waited(now), wait_.Overdue(now), was_served_};
       case Stage::kReading:
         return {Kind::kSendsRequest, wait_.Waited(now), wait_.Overdue(now)};
       case Stage::kWriting:
@@ -120,6 +120,10 @@
     }
     return {};
   }
+  bool HasUnreadInput() const {
+    ErrorCode ignored;
+    return socket_.available(ignored) > 0;
+  }
   // In favor of another connection.
   void Evict() {
     ++owner_->counters_.evicted;
@@ -135,8 +139,7 @@
     parser_->body_limit(owner_->limits_.max_body_bytes);
     parser_->eager(true);
     continue_sent_ = false;
-    ErrorCode ignored;
-    if (buffer_.size() > 0 || (read_at_once && socket_.available(ignored) > 0)) {  // pipelined request
+    if (buffer_.size() > 0 || (read_at_once && HasUnreadInput())) {  // pipelined request
       BeginCall();
       ReadSome();
       return;
@@ -318,6 +321,7 @@
     if (!error && !complete) return WriteSome();
     std::string().swap(response_head_);
     std::string().swap(response_body_);
+    was_served_ = true;
     UpdateCharge();
     if (error || !keep_alive_) return LingeringClose(error);
     AwaitCall();
@@ -363,6 +367,7 @@
   std::string discard_buffer_;
   bool continue_sent_ = false;
   Stage stage_ = Stage::kIdle;
+  bool was_served_ = false;
   memory::PeerWait wait_;  // for the rest of the call, or for the caller to read the response
 };
 
@@ -403,9 +408,12 @@
     Accept();  // before the connection is added, which may throw
     return Add(std::move(socket), crowded);
   }
-  const bool some_are_new = std::any_of(connections_.begin(), connections_.end(),
-                                        [](const ConnectionPtr& connection) { return connection->idle(); });
-  if (some_are_new) {
+  const auto now = memory::Clock::now();
+  const bool some_may_soon =
+      std::any_of(connections_.begin(), connections_.end(), [now](const ConnectionPtr& connection) {
+        return memory::MayGiveWaySoon(connection->Activity(now), connection->HasUnreadInput());
+      });
+  if (some_may_soon) {
     newcomer_.emplace(std::move(socket));
     return AcceptLater(memory::kArrivalTime);
   }
@@ -415,9 +423,11 @@
 
 bool ControlListener::Impl::MakeRoom() {
   const auto now = memory::Clock::now();
-  const ConnectionPtr giving_way = memory::FindHighestRanked(
-      connections_,
-      [now](const ConnectionPtr& connection) { return memory::RankForPlace(connection->Activity(now)); });
+  const ConnectionPtr giving_way =
+      memory::FindHighestRanked(connections_, [now](const ConnectionPtr& connection) {
+        const std::optional<memory::Duration> rank = memory::RankForPlace(connection->Activity(now));
+        return rank && !connection->HasUnreadInput() ? rank : std::nullopt;
+      });
   if (giving_way == nullptr) return false;
   ++counters_.rejected;
   if (giving_way->idle())
