--- a/src/mesh/egress/http_server.cpp
+++ b/src/mesh/egress/http_server.cpp
@@ -573,7 +573,7 @@
     if (error == asio::error::would_block || error == asio::error::try_again) break;
     if (error == asio::error::connection_aborted) continue;
     if (error) return AcceptLater(kAcceptRetryDelay);
-    if (!Admit(socket)) return AcceptLater(memory::kArrivalTime);
+    if (!Admit(socket)) return AcceptLater(memory::kRequestTime);
   }
   giving_way_.clear();
   Accept();
@@ -613,7 +613,7 @@
   if (newcomer_) {
     Tcp::socket socket = std::move(*newcomer_);
     newcomer_.reset();
-    if (!Admit(socket)) return AcceptLater(memory::kArrivalTime);
+    if (!Admit(socket)) return AcceptLater(memory::kRequestTime);
   }
   Accept();
 }
--- a/src/mesh/memory/peer_activity.cpp
+++ b/src/mesh/memory/peer_activity.cpp
@@ -44,7 +44,7 @@
       if (activity.waited < kArrivalTime) return std::nullopt;
       return activity.was_served ? activity.waited - kIdleRank : activity.waited + kIdleRank;
     case Kind::kSendsRequest:
-      if (activity.waited < kArrivalTime) return std::nullopt;
+      if (activity.waited < kRequestTime) return std::nullopt;
       // One that sends fast enough stays, unless it has stopped.
       if (activity.overdue <= Duration(0) && activity.waited < kMinWaitOfReader) return std::nullopt;
       return activity.waited;
@@ -58,8 +58,9 @@
 }
 
 bool MayGiveWaySoon(const PeerActivity& activity, bool has_unread_input) {
-  const bool is_arriving = activity.kind == Kind::kIdle || activity.kind == Kind::kSendsRequest;
-  return is_arriving && (activity.waited < kArrivalTime || has_unread_input);
+  if (activity.kind == Kind::kIdle) return activity.waited < kArrivalTime || has_unread_input;
+  if (activity.kind == Kind::kSendsRequest) return activity.waited < kRequestTime || has_unread_input;
+  return false;
 }
 
 std::optional<Duration> RankForMemory(const PeerActivity& activity) {
--- a/src/mesh/memory/peer_activity.hpp
+++ b/src/mesh/memory/peer_activity.hpp
@@ -48,14 +48,15 @@
   bool was_served = false;  // has had a response before
 };
 
-// A request may need so long to arrive, from the connection's start or from its own.
-inline constexpr Duration kArrivalTime = std::chrono::milliseconds(5);
+// A new connection may need so long until its request begins to arrive, and a request until it is whole.
+inline constexpr Duration kArrivalTime = std::chrono::milliseconds(25);
+inline constexpr Duration kRequestTime = std::chrono::milliseconds(5);
 
 // The rank by which connections give way to new ones, the highest first; nullopt: it does not. Idle ones that
 // were never served go first, then incomplete requests and those that have not read for a second, the longest
 // wait first, then idle ones that were served.
 std::optional<Duration> RankForPlace(const PeerActivity& activity);
-// Whether a connection that has no rank may have one, or be served, after kArrivalTime.
+// Whether a connection that has no rank may have one, or be served, soon.
 bool MayGiveWaySoon(const PeerActivity& activity, bool has_unread_input);
 // The same for connections that hold memory which others need.
 std::optional<Duration> RankForMemory(const PeerActivity& activity);
--- a/src/mesh/node/control_listener.cpp
+++ b/src/mesh/node/control_listener.cpp
@@ -415,7 +415,7 @@
       });
   if (some_may_soon) {
     newcomer_.emplace(std::move(socket));
-    return AcceptLater(memory::kArrivalTime);
+    return AcceptLater(memory::kRequestTime);
   }
   ++counters_.rejected;
   Accept();  // the socket is closed by its destructor
